Serve a request from end to end across separate processes

Cause: the project had no code. The users ask for the whole path, thin, as separate processes first.

Ruled out: one version number for all keys read one by one (a reader could mix two versions); a manifest that names every blob by hash cannot be mixed.

Membership exchanges whole tables, limits per second are not enforced yet, and peers do not authenticate each other.

--- /dev/null
+++ b/cmd/heatherlift/main.go
@@ -0,0 +1,12 @@
+// Command heatherlift runs a proxy and serves its operators.
+package main
+
+import (
+	"os"
+
+	"heatherlift.example/heatherlift/internal/cli"
+)
+
+func main() {
+	os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/demo/report.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"syscall"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+
+	"heatherlift.example/heatherlift/internal/outcome"
+)
+
+// isRefusedConnection reports whether no connection was made, so that the
+// request cannot have run.
+func isRefusedConnection(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// finish ends the load, checks the ledgers and prints the table.
+func (d *demo) finish() error {
+	results := d.load.end()
+	runs, err := d.runs()
+	if err != nil {
+		return err
+	}
+	counts := make(map[outcome.Outcome]int)
+	for _, r := range results {
+		counts[r.outcome]++
+		n := runs[r.key]
+		switch {
+		case n > 1 && r.kind.method == http.MethodPost:
+			d.breach("request %s ran %d times", r.key, n)
+		case r.outcome == outcome.NotRun && n > 0:
+			d.breach("request %s was reported not run and ran", r.key)
+		case r.outcome == outcome.Answered && n == 0:
+			d.breach("request %s was answered and did not run", r.key)
+		}
+	}
+	counters, err := d.lab.Counters()
+	if err != nil {
+		return err
+	}
+	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(table, "requests sent\t%d\n", len(results))
+	fmt.Fprintf(table, "answered whole\t%d\n", counts[outcome.Answered])
+	fmt.Fprintf(table, "refused, not run\t%d\n", counts[outcome.NotRun])
+	fmt.Fprintf(table, "unknown\t%d\n", counts[outcome.Unknown])
+	for _, i := range d.instances {
+		s, err := d.lab.Status(i)
+		if err != nil {
+			return err
+		}
+		sent, err := d.lab.ControlBytes(i)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(table, "%s\tversion %d, %s, %d control bytes sent\n", i.Settings.ID, s.Version, s.Role, sent)
+	}
+	fmt.Fprintf(table, "source reads\t%d (%d values, %d watches, %d lists), peak %d/s\n",
+		counters.Total(), counters.Gets, counters.Watches, counters.Instances, counters.PeakPerSecond)
+	return table.Flush()
+}
+
+// runs adds up the ledgers of all backend servers.
+func (d *demo) runs() (map[string]int, error) {
+	all := make(map[string]int)
+	for _, i := range d.instances {
+		ledger, err := d.lab.Ledger(i)
+		if err != nil {
+			return nil, err
+		}
+		for key, n := range ledger {
+			all[key] += n
+		}
+	}
+	return all, nil
+}
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,69 @@
+// Package cli implements the subcommands of heatherlift. Exit codes are 0 for
+// done, 1 for refused or failed, 2 for wrong usage.
+package cli
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+
+	"github.com/google/subcommands"
+)
+
+// Version is the version of the program.
+const Version = "0.1.0"
+
+// Main runs the subcommand named by args and returns the exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	flags := flag.NewFlagSet("heatherlift", flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	commander := subcommands.NewCommander(flags, "heatherlift")
+	commander.Output = stdout
+	commander.Error = stderr
+	out := output{stdout: stdout, stderr: stderr}
+	commander.Register(commander.HelpCommand(), "")
+	commander.Register(&proxyCommand{output: out}, "")
+	commander.Register(&checkCommand{output: out}, "configuration")
+	commander.Register(&renderCommand{output: out}, "configuration")
+	commander.Register(&diffCommand{output: out}, "configuration")
+	commander.Register(&packCommand{output: out}, "configuration")
+	commander.Register(&statusCommand{output: out}, "operation")
+	commander.Register(&dumpCommand{output: out}, "operation")
+	commander.Register(&explainCommand{output: out}, "operation")
+	commander.Register(&versionCommand{output: out}, "")
+	if err := flags.Parse(args); err != nil {
+		return int(subcommands.ExitUsageError)
+	}
+	return int(commander.Execute(context.Background()))
+}
+
+// output holds the streams of a command.
+type output struct {
+	stdout, stderr io.Writer
+}
+
+// fail prints an error and returns the exit code for it.
+func (o output) fail(err error) subcommands.ExitStatus {
+	fmt.Fprintln(o.stderr, err)
+	return subcommands.ExitFailure
+}
+
+// usage prints what is wrong with the call and returns the exit code for it.
+func (o output) usage(message string) subcommands.ExitStatus {
+	fmt.Fprintln(o.stderr, message)
+	return subcommands.ExitUsageError
+}
+
+// versionCommand prints the version.
+type versionCommand struct{ output }
+
+func (*versionCommand) Name() string             { return "version" }
+func (*versionCommand) Synopsis() string         { return "print the version" }
+func (*versionCommand) Usage() string            { return "version\n" }
+func (*versionCommand) SetFlags(_ *flag.FlagSet) {}
+
+func (c *versionCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	fmt.Fprintln(c.stdout, "heatherlift "+Version)
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/internal/cli/proxy.go
@@ -0,0 +1,93 @@
+package cli
+
+import (
+	"bufio"
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/charmbracelet/log"
+	"github.com/google/subcommands"
+
+	"heatherlift.example/heatherlift/internal/admin"
+	"heatherlift.example/heatherlift/internal/host"
+	"heatherlift.example/heatherlift/internal/settings"
+)
+
+// proxyCommand runs a proxy.
+type proxyCommand struct {
+	output
+	settings string
+	check    bool
+	record   string
+}
+
+func (*proxyCommand) Name() string     { return "proxy" }
+func (*proxyCommand) Synopsis() string { return "run a proxy" }
+func (*proxyCommand) Usage() string {
+	return "proxy -settings FILE [-check] [-record FILE]\n  Run a proxy until SIGTERM, then shut down gracefully.\n"
+}
+
+func (c *proxyCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.settings, "settings", "", "settings `FILE` in TOML")
+	f.BoolVar(&c.check, "check", false, "validate the settings and exit")
+	f.StringVar(&c.record, "record", "", "write the event stream to `FILE`")
+}
+
+func (c *proxyCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.settings == "" || f.NArg() != 0 {
+		return c.usage(c.Usage())
+	}
+	s, err := settings.Load(c.settings)
+	if err != nil {
+		return c.fail(err)
+	}
+	if c.check {
+		fmt.Fprintln(c.stdout, "settings are valid")
+		return subcommands.ExitSuccess
+	}
+	recorder, flush, err := c.recorder()
+	if err != nil {
+		return c.fail(err)
+	}
+	defer flush()
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	h := host.New(s, newLogger(c.stderr, s.Log), recorder)
+	if err := h.Run(ctx, admin.Handler(h)); err != nil {
+		return c.fail(err)
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *proxyCommand) recorder() (r *host.Recorder, flush func(), err error) {
+	if c.record == "" {
+		return nil, func() {}, nil
+	}
+	file, err := os.Create(c.record)
+	if err != nil {
+		return nil, nil, err
+	}
+	buffered := bufio.NewWriter(file)
+	flush = func() {
+		_ = buffered.Flush()
+		_ = file.Close()
+	}
+	return host.NewRecorder(buffered), flush, nil
+}
+
+func newLogger(w io.Writer, s settings.Log) *log.Logger {
+	level, err := log.ParseLevel(s.Level)
+	if err != nil {
+		level = log.InfoLevel
+	}
+	formatter := log.LogfmtFormatter
+	if s.Format == "json" {
+		formatter = log.JSONFormatter
+	}
+	return log.NewWithOptions(w, log.Options{Level: level, Formatter: formatter, ReportTimestamp: true})
+}
--- /dev/null
+++ b/internal/config/compile_test.go
@@ -0,0 +1,118 @@
+package config
+
+import (
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+const testTemplate = `
+[parameters.rate]
+type = "integer"
+min = 1
+max = 100
+
+[limits]
+requests_per_second = "${rate}"
+concurrency = 5
+
+[groups.desk]
+service = "desk"
+
+[[routes]]
+name = "read"
+methods = ["GET"]
+path = "/a/{id}"
+group = "desk"
+deadline = "1s"
+repeatable = true
+`
+
+func directory(organisations map[string]string) *Directory {
+	d := &Directory{Templates: map[string][]byte{"std": []byte(testTemplate)}, Organisations: make(map[string][]byte)}
+	for name, parameters := range organisations {
+		d.Organisations[name] = []byte("template = \"std\"\n[parameters]\n" + parameters)
+	}
+	return d
+}
+
+func TestCheckNamesFileAndKey(t *testing.T) {
+	cases := []struct {
+		name, parameters, want string
+	}{
+		{"missing", "", "organisations/acme.toml:parameters.rate: missing: the template requires a integer"},
+		{"unknown", "rate = 1\nextra = 2", "organisations/acme.toml:parameters.extra: unknown: the template declares no such parameter"},
+		{"type", "rate = \"x\"", "organisations/acme.toml:parameters.rate: want an integer, got string"},
+		{"zero", "rate = 0", "organisations/acme.toml:parameters.rate: 0 is below the minimum 1"},
+		{"beyond", "rate = 101", "organisations/acme.toml:parameters.rate: 101 is above the maximum 100"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, problems := directory(map[string]string{"acme": c.parameters}).Check()
+			is.New(t).Equal(problems.Error(), c.want)
+		})
+	}
+}
+
+func TestRejectedOrganisationKeepsPreviousContent(t *testing.T) {
+	is := is.New(t)
+	good := directory(map[string]string{"acme": "rate = 10", "other": "rate = 20"})
+	first, blobs := good.Pack(nil, nil)
+	bad := directory(map[string]string{"acme": "rate = 0", "other": "rate = 30"})
+	second, blobs2 := bad.Pack(first, blobs)
+
+	s, err := NewCompiler().Compile(2, second, blobs2)
+	is.NoErr(err)
+	is.NoErr(s.Consistent())
+	is.Equal(len(s.Rejected), 1)
+	is.Equal(s.Rejected[0].Organisation, "acme")
+	is.Equal(s.Sets["desk"].Slices["acme"].Limits.RequestsPerSecond, 10)
+	is.Equal(s.Sets["desk"].Slices["other"].Limits.RequestsPerSecond, 30)
+}
+
+func TestVersionWithoutPreviousContentIsRefusedWhole(t *testing.T) {
+	is := is.New(t)
+	m, blobs := directory(map[string]string{"acme": "rate = 0"}).Pack(nil, nil)
+	entry := m.Organisations["acme"]
+	entry.Previous = nil
+	m.Organisations["acme"] = entry
+	_, err := NewCompiler().Compile(1, m, blobs)
+	is.True(errors.Is(err, ErrInvalid))
+}
+
+// TestDeltaEqualsWholeTransfer compares each chain of deltas with the naive
+// whole transfer of the same version.
+func TestDeltaEqualsWholeTransfer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		scope := NewScope("desk")
+		compiler := NewCompiler()
+		var manifest *Manifest
+		var blobs map[Hash][]byte
+		var held, before *Snapshot
+		for version := uint64(1); version < 6; version++ {
+			organisations := make(map[string]string)
+			for _, name := range rapid.SliceOfDistinct(rapid.SampledFrom([]string{"a", "b", "c", "d"}), rapid.ID).Draw(t, "names") {
+				organisations[name] = rapid.SampledFrom([]string{"rate = 1", "rate = 2", "rate = 0"}).Draw(t, "rate")
+			}
+			manifest, blobs = directory(organisations).Pack(manifest, blobs)
+			target, err := compiler.Compile(version, manifest, blobs)
+			if err != nil {
+				t.Fatal(err)
+			}
+			held, err = Apply(held, Diff(before, target, scope), scope)
+			if err != nil {
+				t.Fatal(err)
+			}
+			whole, err := Apply(nil, Diff(nil, target, scope), scope)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if held.Root != whole.Root || held.Root != target.Root {
+				t.Fatalf("version %d differs", version)
+			}
+			before = target
+		}
+	})
+}
--- /dev/null
+++ b/internal/config/hash.go
@@ -0,0 +1,26 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+)
+
+// hashBytes is the length of a Hash before hexadecimal encoding.
+const hashBytes = 16
+
+// Hash identifies content: the first 128 bits of its SHA-256, in lower-case hexadecimal.
+type Hash string
+
+// HashOf returns the hash of b.
+func HashOf(b []byte) Hash {
+	sum := sha256.Sum256(b)
+	return Hash(hex.EncodeToString(sum[:hashBytes]))
+}
+
+// Short returns the first eight digits for display.
+func (h Hash) Short() string {
+	if len(h) <= 8 {
+		return string(h)
+	}
+	return string(h[:8])
+}
--- /dev/null
+++ b/internal/host/build.go
@@ -0,0 +1,73 @@
+package host
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"heatherlift.example/heatherlift/internal/admission"
+	"heatherlift.example/heatherlift/internal/dist"
+	"heatherlift.example/heatherlift/internal/member"
+	"heatherlift.example/heatherlift/internal/node"
+	"heatherlift.example/heatherlift/internal/routing"
+	"heatherlift.example/heatherlift/internal/settings"
+)
+
+const (
+	suspectAfter = 3 * time.Second
+	forgetAfter  = 5 * time.Minute
+	pullTimeout  = 5 * time.Second
+	backoffMin   = 50 * time.Millisecond
+	backoffMax   = 5 * time.Second
+)
+
+// nodeConfig derives the reducer's configuration from the settings. The start
+// time makes a restarted process a new incarnation.
+func nodeConfig(s settings.Settings, start time.Time) node.Config {
+	seed := xxhash.Sum64String(origin(s.ID, start))
+	services := append([]string{s.Service}, s.Calls...)
+	return node.Config{
+		Member: member.Config{
+			Self: member.Record{
+				ID:               s.ID,
+				Incarnation:      uint64(start.UnixNano()),
+				AvailabilityZone: s.AvailabilityZone,
+				Service:          s.Service,
+				Calls:            s.Calls,
+				PeerAddress:      s.Listen.Peers,
+				ForwardAddress:   s.Listen.Forward,
+				Slots:            s.BackendServer.Slots,
+			},
+			Interval:     time.Duration(s.Distribution.Gossip),
+			SuspectAfter: suspectAfter,
+			ForgetAfter:  forgetAfter,
+			Seed:         seed,
+		},
+		Dist: dist.Config{
+			ID:               s.ID,
+			AvailabilityZone: s.AvailabilityZone,
+			Services:         services,
+			Naive:            s.Distribution.Mode == settings.ModeNaive,
+			WatchWait:        time.Duration(s.Distribution.WatchWait),
+			PullTimeout:      pullTimeout,
+			BackoffMin:       backoffMin,
+			BackoffMax:       backoffMax,
+			Seed:             seed,
+		},
+		Routing: routing.Config{
+			AvailabilityZone: s.AvailabilityZone,
+			MaxAttempts:      s.Requests.MaxAttempts,
+			Seed:             seed,
+		},
+		Admission: admission.Config{
+			Slots:       s.BackendServer.Slots,
+			QueueLength: s.BackendServer.QueueLength,
+		},
+	}
+}
+
+// origin names this start of the process.
+func origin(id string, start time.Time) string {
+	return id + "-" + strconv.FormatInt(start.UnixNano(), 36)
+}
--- /dev/null
+++ b/internal/host/recorder.go
@@ -0,0 +1,44 @@
+package host
+
+import (
+	"encoding/json"
+	"io"
+	"sync"
+	"time"
+
+	"heatherlift.example/heatherlift/internal/node"
+)
+
+// Recorder writes the events of a reducer, so that they can be replayed. A nil
+// Recorder writes nothing.
+type Recorder struct {
+	mu  sync.Mutex
+	enc *json.Encoder
+}
+
+// NewRecorder returns a recorder that writes one JSON object a line.
+func NewRecorder(w io.Writer) *Recorder {
+	return &Recorder{enc: json.NewEncoder(w)}
+}
+
+func (r *Recorder) start(cfg node.Config) {
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_ = r.enc.Encode(cfg)
+}
+
+func (r *Recorder) record(now time.Time, e node.Event) {
+	if r == nil {
+		return
+	}
+	line, err := node.EncodeEvent(now, e)
+	if err != nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_ = r.enc.Encode(line)
+}
--- /dev/null
+++ b/internal/host/report.go
@@ -0,0 +1,31 @@
+package host
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"heatherlift.example/heatherlift/internal/node"
+	"heatherlift.example/heatherlift/internal/routing"
+)
+
+// Status implements admin.Proxy.
+func (h *Host) Status() (s node.Status) {
+	h.view(func(n *node.Node) { s = n.Status() })
+	return s
+}
+
+// Dump implements admin.Proxy.
+func (h *Host) Dump() (d node.Dump) {
+	h.view(func(n *node.Node) { d = n.Dump() })
+	return d
+}
+
+// Explain implements admin.Proxy.
+func (h *Host) Explain(org, method, path string) (e routing.Explanation) {
+	h.view(func(n *node.Node) { e = n.Explain(org, method, path) })
+	return e
+}
+
+// Gatherer implements admin.Proxy.
+func (h *Host) Gatherer() prometheus.Gatherer {
+	return h.metrics.registry
+}
--- /dev/null
+++ b/internal/host/run.go
@@ -0,0 +1,196 @@
+package host
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"heatherlift.example/heatherlift/internal/admission"
+	"heatherlift.example/heatherlift/internal/forward"
+	"heatherlift.example/heatherlift/internal/member"
+	"heatherlift.example/heatherlift/internal/node"
+)
+
+// ErrListen marks an address at which the proxy cannot listen.
+var ErrListen = errors.New("cannot listen")
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 64 << 10
+	pollInterval      = 20 * time.Millisecond
+)
+
+// listeners holds the sockets of a proxy.
+type listeners struct {
+	callers, forward, peers, admin net.Listener
+}
+
+func (h *Host) listen() (listeners, error) {
+	var l listeners
+	targets := []struct {
+		address string
+		into    *net.Listener
+	}{
+		{h.settings.Listen.Callers, &l.callers},
+		{h.settings.Listen.Forward, &l.forward},
+		{h.settings.Listen.Peers, &l.peers},
+		{h.settings.Listen.Admin, &l.admin},
+	}
+	for _, t := range targets {
+		listener, err := net.Listen("tcp", t.address)
+		if err != nil {
+			l.close()
+			return listeners{}, errors.Wrapf(ErrListen, "%v", err)
+		}
+		*t.into = listener
+	}
+	return l, nil
+}
+
+func (l listeners) close() {
+	for _, listener := range []net.Listener{l.callers, l.forward, l.peers, l.admin} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+}
+
+// Run serves until ctx is done, then shuts down gracefully: it tells the other
+// proxies, lets requests in flight end and closes its sockets in order.
+func (h *Host) Run(ctx context.Context, admin http.Handler) error {
+	l, err := h.listen()
+	if err != nil {
+		return err
+	}
+	h.ctx, h.cancel = context.WithCancel(context.Background())
+	h.group = &errgroup.Group{}
+	callers := newServer(forward.NewEntry(h, h.pool, h.origin))
+	local := newServer(forward.NewLocal(h, h.pool, h.settings.BackendServer.Address, h.settings.BackendServer.ShedNotRun))
+	control := newServer(admin)
+	h.group.Go(func() error { return serve(callers, l.callers) })
+	h.group.Go(func() error { return serve(local, l.forward) })
+	h.group.Go(func() error { return serve(control, l.admin) })
+	h.group.Go(func() error { _ = h.transport.Serve(l.peers); return nil })
+	h.group.Go(func() error { h.tick(); return nil })
+	h.group.Go(func() error { h.readInstances(); return nil })
+	h.group.Go(func() error { h.checkHealth(); return nil })
+	h.log.Info("proxy started", "id", h.settings.ID, "callers", h.settings.Listen.Callers)
+	<-ctx.Done()
+	h.shutDown(callers, local)
+	h.cancel()
+	_ = l.peers.Close()
+	h.transport.Close()
+	_ = control.Close()
+	err = h.group.Wait()
+	h.pool.Close()
+	h.source.Close()
+	h.instances.Close()
+	h.log.Info("proxy stopped", "id", h.settings.ID)
+	return err
+}
+
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+func serve(s *http.Server, l net.Listener) error {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// shutDown refuses new work, waits until the other proxies know and the
+// requests in flight have ended, and closes the servers for requests.
+func (h *Host) shutDown(callers, local *http.Server) {
+	h.log.Info("graceful shutdown began", "limit", time.Duration(h.settings.Shutdown.Limit))
+	h.step(node.Leave{Cause: "signal"})
+	callers.SetKeepAlivesEnabled(false)
+	limit := time.NewTimer(time.Duration(h.settings.Shutdown.Limit))
+	defer limit.Stop()
+	h.sleep(time.Duration(h.settings.Shutdown.Notice))
+	for !h.idle() {
+		select {
+		case <-limit.C:
+			_ = callers.Close()
+			_ = local.Close()
+			return
+		case <-time.After(pollInterval):
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(h.settings.Shutdown.Limit))
+	defer cancel()
+	_ = callers.Shutdown(ctx)
+	_ = local.Shutdown(ctx)
+}
+
+func (h *Host) idle() bool {
+	idle := false
+	h.view(func(n *node.Node) { idle = n.Idle() })
+	return idle
+}
+
+// sleep waits for d or until the host stops, and reports whether d passed.
+func (h *Host) sleep(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-h.ctx.Done():
+		return false
+	}
+}
+
+func (h *Host) tick() {
+	for h.sleep(tickInterval) {
+		h.step(node.Tick{})
+	}
+}
+
+// readInstances reads the platform's list at random intervals.
+func (h *Host) readInstances() {
+	interval := time.Duration(h.settings.Platform.InstancesInterval)
+	for {
+		if list, err := h.instances.Instances(h.ctx); err == nil {
+			h.step(member.Listed{Instances: list})
+		} else if !h.sleep(rand.N(time.Second)) {
+			return
+		} else {
+			continue
+		}
+		if !h.sleep(interval/2 + rand.N(interval)) {
+			return
+		}
+	}
+}
+
+// checkHealth asks the backend server whether it takes work.
+func (h *Host) checkHealth() {
+	client := &http.Client{Timeout: time.Second}
+	defer client.CloseIdleConnections()
+	url := "http://" + h.settings.BackendServer.Address + h.settings.BackendServer.HealthPath
+	draining := false
+	for h.sleep(time.Duration(h.settings.BackendServer.HealthInterval)) {
+		resp, err := client.Get(url)
+		now := err != nil || resp.StatusCode != http.StatusOK
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		if now != draining {
+			draining = now
+			h.step(admission.Draining{Draining: draining})
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/journal.go
@@ -0,0 +1,50 @@
+package node
+
+import (
+	"strconv"
+	"time"
+
+	"heatherlift.example/heatherlift/internal/config"
+)
+
+// journalLength bounds the decisions kept in memory.
+const journalLength = 256
+
+// Entry is a decision of the proxy.
+type Entry struct {
+	At    time.Time `json:"at"`
+	What  string    `json:"what"`
+	Cause string    `json:"cause,omitempty"`
+}
+
+// journal is a ring of the last decisions.
+type journal struct {
+	entries []Entry
+	next    int
+	total   uint64
+}
+
+func (j *journal) add(now time.Time, what, cause string) {
+	e := Entry{At: now, What: what, Cause: cause}
+	j.total++
+	if len(j.entries) < journalLength {
+		j.entries = append(j.entries, e)
+		return
+	}
+	j.entries[j.next] = e
+	j.next = (j.next + 1) % journalLength
+}
+
+func (j *journal) addVersion(now time.Time, s *config.Snapshot) {
+	j.add(now, "version in force", strconv.FormatUint(s.Version, 10))
+	for _, r := range s.Rejected {
+		j.add(now, "organisation rejected", r.Organisation+": "+r.Problems.Error())
+	}
+}
+
+// list returns the entries, oldest first.
+func (j *journal) list() []Entry {
+	out := make([]Entry, 0, len(j.entries))
+	out = append(out, j.entries[j.next:]...)
+	return append(out, j.entries[:j.next]...)
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,182 @@
+// Package node joins the state machines of a proxy into one reducer over all
+// events. It is pure: the same configuration and the same events at the same
+// times give the same effects.
+package node
+
+import (
+	"time"
+
+	"heatherlift.example/heatherlift/internal/admission"
+	"heatherlift.example/heatherlift/internal/config"
+	"heatherlift.example/heatherlift/internal/dist"
+	"heatherlift.example/heatherlift/internal/member"
+	"heatherlift.example/heatherlift/internal/routing"
+)
+
+// Config configures the state machines of one proxy.
+type Config struct {
+	Member    member.Config
+	Dist      dist.Config
+	Routing   routing.Config
+	Admission admission.Config
+}
+
+// Event is a member.Event, dist.Event, routing.Event, admission.Event, or one
+// of the events of this package.
+type Event any
+
+// Events of the whole proxy.
+type (
+	// Tick passes time.
+	Tick struct{}
+	// Leave begins a graceful shutdown.
+	Leave struct{ Cause string }
+)
+
+// Effects is the output of one step, by the package that carries it out.
+type Effects struct {
+	Member    []member.Effect
+	Dist      []dist.Effect
+	Routing   []routing.Effect
+	Admission []admission.Effect
+}
+
+// Node is the reducer. It is not safe for concurrent use.
+type Node struct {
+	cfg       Config
+	members   *member.Members
+	dist      *dist.Dist
+	router    *routing.Router
+	admission *admission.Admission
+	journal   journal
+	leaving   bool
+}
+
+// New returns a node that knows nothing yet.
+func New(cfg Config) *Node {
+	return &Node{
+		cfg:       cfg,
+		members:   member.New(cfg.Member),
+		dist:      dist.New(cfg.Dist),
+		router:    routing.New(cfg.Routing),
+		admission: admission.New(cfg.Admission),
+	}
+}
+
+// Step applies an event at the given time and returns its effects.
+func (n *Node) Step(now time.Time, e Event) Effects {
+	var out Effects
+	switch e := e.(type) {
+	case Tick:
+		n.stepMember(now, member.Tick{}, &out)
+		n.stepDist(now, dist.Tick{}, &out)
+		n.stepRouting(now, routing.Tick{}, &out)
+		n.stepAdmission(now, admission.Tick{}, &out)
+	case Leave:
+		n.leave(now, e.Cause, &out)
+	case member.Event:
+		n.stepMember(now, e, &out)
+	case dist.Event:
+		n.stepDist(now, e, &out)
+	case routing.Event:
+		n.stepRouting(now, e, &out)
+	case admission.Event:
+		n.stepAdmission(now, e, &out)
+	}
+	return out
+}
+
+func (n *Node) leave(now time.Time, cause string, out *Effects) {
+	if n.leaving {
+		return
+	}
+	n.leaving = true
+	n.journal.add(now, "leaving", cause)
+	n.stepMember(now, member.Leave{}, out)
+	n.stepAdmission(now, admission.Leave{}, out)
+}
+
+func (n *Node) stepMember(now time.Time, e member.Event, out *Effects) {
+	for _, effect := range n.members.Step(now, e) {
+		switch effect := effect.(type) {
+		case member.Changed:
+			n.viewChanged(now, out)
+		case member.Transition:
+			n.journal.add(now, "instance "+effect.To.String(), effect.ID+": "+effect.Cause)
+		default:
+			out.Member = append(out.Member, effect)
+		}
+	}
+}
+
+// viewChanged passes the new view on to the other state machines.
+func (n *Node) viewChanged(now time.Time, out *Effects) {
+	view := n.members.View()
+	if n.members.Self().State == member.Leaving {
+		n.leave(now, "marked by the platform", out)
+	}
+	n.stepDist(now, dist.Peers{Records: view}, out)
+	n.stepRouting(now, routing.InstancesChanged{Instances: instances(view)}, out)
+}
+
+func instances(view []member.Record) []routing.Instance {
+	list := make([]routing.Instance, 0, len(view))
+	for _, r := range view {
+		if r.Service == "" || !r.Ready {
+			continue
+		}
+		list = append(list, routing.Instance{
+			ID:               r.ID,
+			Service:          r.Service,
+			AvailabilityZone: r.AvailabilityZone,
+			Address:          r.ForwardAddress,
+			Slots:            r.Slots,
+			Leaving:          r.State == member.Leaving,
+			Suspect:          r.State == member.Suspect,
+		})
+	}
+	return list
+}
+
+func (n *Node) stepDist(now time.Time, e dist.Event, out *Effects) {
+	for _, effect := range n.dist.Step(now, e) {
+		switch effect := effect.(type) {
+		case dist.Enforce:
+			n.enforce(now, effect.Snapshot, out)
+		case dist.Refused:
+			n.journal.add(now, "version refused", effect.Problems.Error())
+		case dist.RoleChanged:
+			n.journal.add(now, "role "+effect.To.String(), "was "+effect.From.String())
+		case dist.Violation:
+			n.journal.add(now, "violation by "+effect.From, effect.Cause)
+		default:
+			out.Dist = append(out.Dist, effect)
+		}
+	}
+}
+
+// enforce puts a snapshot in force and publishes that it is.
+func (n *Node) enforce(now time.Time, s *config.Snapshot, out *Effects) {
+	n.journal.addVersion(now, s)
+	n.stepRouting(now, routing.Enforced{Snapshot: s}, out)
+	n.stepMember(now, member.InForce{Version: s.Version, Root: s.Root, Ready: true}, out)
+}
+
+func (n *Node) stepRouting(now time.Time, e routing.Event, out *Effects) {
+	out.Routing = append(out.Routing, n.router.Step(now, e)...)
+}
+
+func (n *Node) stepAdmission(now time.Time, e admission.Event, out *Effects) {
+	out.Admission = append(out.Admission, n.admission.Step(now, e)...)
+}
+
+// Leaving reports whether a graceful shutdown has begun.
+func (n *Node) Leaving() bool {
+	return n.leaving
+}
+
+// Idle reports whether no request is in progress.
+func (n *Node) Idle() bool {
+	running, waiting := n.admission.InFlight()
+	return n.router.InFlight()+running+waiting == 0
+}
--- /dev/null
+++ b/internal/node/trace.go
@@ -0,0 +1,69 @@
+package node
+
+import (
+	"encoding/json"
+	"reflect"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"heatherlift.example/heatherlift/internal/admission"
+	"heatherlift.example/heatherlift/internal/dist"
+	"heatherlift.example/heatherlift/internal/member"
+	"heatherlift.example/heatherlift/internal/routing"
+)
+
+// ErrTrace marks a line of a trace that cannot be read.
+var ErrTrace = errors.New("malformed trace")
+
+// TraceLine is an event of a recorded trace.
+type TraceLine struct {
+	At    time.Time       `json:"at"`
+	Kind  string          `json:"kind"`
+	Event json.RawMessage `json:"event"`
+}
+
+// recordable lists every event type of the reducer. Routing.Enforced and
+// routing.InstancesChanged are made inside and need no line.
+var recordable = eventTypes(
+	Tick{}, Leave{},
+	member.Listed{}, member.Received{}, member.Answered{}, member.Failed{},
+	dist.Announced{}, dist.PullReceived{}, dist.Pulled{}, dist.SourceRead{},
+	routing.Arrived{}, routing.AttemptEnded{}, routing.Abandoned{},
+	admission.Arrived{}, admission.Ended{}, admission.Abandoned{}, admission.Draining{},
+)
+
+func eventTypes(events ...Event) map[string]reflect.Type {
+	types := make(map[string]reflect.Type, len(events))
+	for _, e := range events {
+		t := reflect.TypeOf(e)
+		types[t.String()] = t
+	}
+	return types
+}
+
+// EncodeEvent returns the trace line of an event.
+func EncodeEvent(now time.Time, e Event) (TraceLine, error) {
+	kind := reflect.TypeOf(e).String()
+	if _, ok := recordable[kind]; !ok {
+		return TraceLine{}, errors.Wrapf(ErrTrace, "event %s is not recorded", kind)
+	}
+	text, err := json.Marshal(e)
+	if err != nil {
+		return TraceLine{}, errors.Wrapf(ErrTrace, "%v", err)
+	}
+	return TraceLine{At: now, Kind: kind, Event: text}, nil
+}
+
+// DecodeEvent returns the event of a trace line.
+func DecodeEvent(line TraceLine) (Event, error) {
+	t, ok := recordable[line.Kind]
+	if !ok {
+		return nil, errors.Wrapf(ErrTrace, "unknown event %q", line.Kind)
+	}
+	v := reflect.New(t)
+	if err := json.Unmarshal(line.Event, v.Interface()); err != nil {
+		return nil, errors.Wrapf(ErrTrace, "%s: %v", line.Kind, err)
+	}
+	return v.Elem().Interface(), nil
+}
--- /dev/null
+++ b/internal/routing/events.go
@@ -0,0 +1,95 @@
+// Package routing decides for each request that a caller hands to this proxy
+// which route applies, which instance runs it, and whether it is tried again.
+//
+// It is a pure state machine: it does no I/O and reads no clock. Its first
+// invariant is that a request that is not repeatable is sent again only after
+// proof that it was not run.
+package routing
+
+import (
+	"time"
+
+	"heatherlift.example/heatherlift/internal/config"
+	"heatherlift.example/heatherlift/internal/outcome"
+)
+
+// Instance is a backend server with its proxy, as seen from here.
+type Instance struct {
+	ID               string
+	Service          string
+	AvailabilityZone string
+	// Address is the address at which the instance's proxy takes requests.
+	Address string
+	Slots   int
+	Leaving bool
+	Suspect bool
+}
+
+// Event is an input of the state machine.
+type Event interface{ routingEvent() }
+
+// Events.
+type (
+	// Arrived is a new request.
+	Arrived struct {
+		ID           uint64
+		Organisation string
+		Method       string
+		Path         string
+		// Budget is the time that the caller allows, 0 if it set none.
+		Budget time.Duration
+		// Fingerprint identifies equal requests.
+		Fingerprint uint64
+	}
+	// AttemptEnded is the outcome of the Send effect.
+	AttemptEnded struct {
+		ID      uint64
+		Outcome outcome.Outcome
+		Reason  outcome.Reason
+		// RetryAfter is what the instance asked for, 0 if nothing.
+		RetryAfter time.Duration
+		// Latency is the time from Send to the answer's header.
+		Latency time.Duration
+	}
+	// Abandoned reports that the caller left.
+	Abandoned struct{ ID uint64 }
+	// Enforced is a new snapshot.
+	Enforced struct{ Snapshot *config.Snapshot }
+	// InstancesChanged is a new view of the instances.
+	InstancesChanged struct{ Instances []Instance }
+	// Tick passes time.
+	Tick struct{}
+)
+
+func (Arrived) routingEvent()          {}
+func (AttemptEnded) routingEvent()     {}
+func (Abandoned) routingEvent()        {}
+func (Enforced) routingEvent()         {}
+func (InstancesChanged) routingEvent() {}
+func (Tick) routingEvent()             {}
+
+// Effect is an output of the state machine.
+type Effect interface{ routingEffect() }
+
+// Effects.
+type (
+	// Send sends the request to an instance; the host reports AttemptEnded.
+	Send struct {
+		ID         uint64
+		Instance   string
+		Address    string
+		Route      string
+		Version    uint64
+		Repeatable bool
+		Deadline   time.Time
+		Attempt    int
+	}
+	// Refuse gives the caller its final answer.
+	Refuse struct {
+		ID      uint64
+		Refusal outcome.Refusal
+	}
+)
+
+func (Send) routingEffect()   {}
+func (Refuse) routingEffect() {}
