Authenticate proxies to each other by TLS

Cause: any process that reached the peer port could gossip and hand out versions.

Change: package identity loads certificate, key and authorities, checks that the own certificate would be accepted by a peer, and follows replaced files without a restart; a failed reload keeps what was read before. The JSON-RPC transport uses it; plaintext only where the settings say so. Settings tests.

Ruled out: the library's verification of server names, because peers are addressed by IP numbers; the chain and one common DNS name are checked instead.

Conclusion: JSON-RPC between proxies is authenticated. The hop that carries requests is still plaintext.

--- a/internal/cli/proxy.go
+++ b/internal/cli/proxy.go
@@ -57,7 +57,10 @@
 	defer flush()
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	h := host.New(s, newLogger(c.stderr, s.Log), recorder)
+	h, err := host.New(s, newLogger(c.stderr, s.Log), recorder)
+	if err != nil {
+		return c.fail(err)
+	}
 	if err := h.Run(ctx, admin.Handler(h)); err != nil {
 		return c.fail(err)
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -14,6 +14,7 @@
 	"heatherlift.example/heatherlift/internal/admission"
 	"heatherlift.example/heatherlift/internal/dist"
 	"heatherlift.example/heatherlift/internal/forward"
+	"heatherlift.example/heatherlift/internal/identity"
 	"heatherlift.example/heatherlift/internal/member"
 	"heatherlift.example/heatherlift/internal/node"
 	"heatherlift.example/heatherlift/internal/peer"
@@ -39,6 +40,8 @@
 	calls  waiters[any]
 	nextID atomic.Uint64
 
+	// identity is nil if peers talk plaintext.
+	identity  *identity.Identity
 	transport *peer.Transport
 	source    *source.Client
 	instances *source.Client
@@ -55,24 +58,30 @@
 	fetchMu sync.Mutex
 }
 
-// New returns a host that is not running yet. The recorder may be nil.
-func New(s settings.Settings, logger *log.Logger, recorder *Recorder) *Host {
+// New returns a host that is not running yet. The recorder may be nil. It
+// returns identity.ErrMaterial if the TLS files are not usable.
+func New(s settings.Settings, logger *log.Logger, recorder *Recorder) (*Host, error) {
+	id, err := loadIdentity(s.Peers)
+	if err != nil {
+		return nil, err
+	}
 	now := time.Now()
 	h := &Host{
 		settings: s,
 		log:      logger,
 		node:     node.New(nodeConfig(s, now)),
 		recorder: recorder,
+		identity: id,
 		pool:     forward.NewPool(),
 		origin:   origin(s.ID, now),
 	}
 	h.metrics = newMetrics(h)
-	h.transport = peer.NewTransport(h, h.metrics, nil)
+	h.transport = peer.NewTransport(h, h.metrics, h.peerTLS())
 	h.source = source.NewClient(s.Platform.Source, h.metrics.sourceCall)
 	h.instances = source.NewClient(s.Platform.Instances, h.metrics.sourceCall)
 	h.fetcher = source.NewFetcher(h.source)
 	recorder.start(nodeConfig(s, now))
-	return h
+	return h, nil
 }
 
 // step feeds an event to the reducer and carries out the effects.
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -80,6 +80,7 @@
 	h.group.Go(func() error { h.tick(); return nil })
 	h.group.Go(func() error { h.readInstances(); return nil })
 	h.group.Go(func() error { h.checkHealth(); return nil })
+	h.group.Go(func() error { h.watchIdentity(); return nil })
 	h.log.Info("proxy started", "id", h.settings.ID, "callers", h.settings.Listen.Callers)
 	<-ctx.Done()
 	h.shutDown(callers, local)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -86,6 +86,14 @@
 type Peers struct {
 	// Plaintext turns authentication off.
 	Plaintext bool `toml:"plaintext"`
+	// Certificate, Key and Authorities are files in PEM.
+	Certificate string `toml:"certificate"`
+	Key         string `toml:"key"`
+	Authorities string `toml:"authorities"`
+	// Name is the DNS name that the certificate of every proxy carries.
+	Name string `toml:"name"`
+	// ReloadInterval is the time between two readings of the files.
+	ReloadInterval config.Duration `toml:"reload_interval"`
 }
 
 // Shutdown bounds a graceful shutdown.
@@ -127,6 +135,7 @@
 			Gossip:    config.Duration(time.Second),
 		},
 		Requests: Requests{MaxAttempts: 3},
+		Peers:    Peers{Name: "heatherlift-proxy", ReloadInterval: config.Duration(10 * time.Second)},
 		Shutdown: Shutdown{Notice: config.Duration(3 * time.Second), Limit: config.Duration(30 * time.Second)},
 		Log:      Log{Level: "info", Format: "logfmt"},
 	}
@@ -193,9 +202,28 @@
 	c.duration("shutdown.limit", s.Shutdown.Limit, time.Second, time.Hour)
 	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
 	c.oneOf("log.format", s.Log.Format, "logfmt", "json")
-	if !s.Peers.Plaintext {
-		c.add("peers.plaintext", "must be true: no keys are configured")
+	c.peers(s.Peers)
+}
+
+// peers requires either plaintext or a full set of files.
+func (c checker) peers(p Peers) {
+	files := []struct{ key, value string }{
+		{"peers.certificate", p.Certificate},
+		{"peers.key", p.Key},
+		{"peers.authorities", p.Authorities},
+	}
+	for _, f := range files {
+		switch {
+		case p.Plaintext && f.value != "":
+			c.add(f.key, "must be empty if peers.plaintext is true")
+		case !p.Plaintext && f.value == "":
+			c.add(f.key, "missing: name a file in PEM, or set peers.plaintext to true")
+		}
+	}
+	if p.Name == "" {
+		c.add("peers.name", "missing: name the DNS name in the certificates of proxies")
 	}
+	c.duration("peers.reload_interval", p.ReloadInterval, 100*time.Millisecond, time.Hour)
 }
 
 func (c checker) name(key, value string) {
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,93 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"heatherlift.example/heatherlift/internal/config"
+)
+
+const valid = `
+id = "desk-1"
+availability_zone = "tanga"
+service = "desk"
+
+[listen]
+callers = "127.0.0.1:8080"
+forward = "127.0.0.1:8081"
+peers = "127.0.0.1:8082"
+admin = "127.0.0.1:8083"
+
+[backend_server]
+address = "127.0.0.1:9000"
+
+[platform]
+source = "http://127.0.0.1:7000"
+instances = "http://127.0.0.1:7000"
+
+[peers]
+plaintext = true
+`
+
+func TestParseValid(t *testing.T) {
+	is := is.New(t)
+	s, err := Parse("p.toml", []byte(valid))
+	is.NoErr(err)
+	is.Equal(s.BackendServer.Slots, 10)
+	is.Equal(s.ID, "desk-1")
+}
+
+func TestParseNamesFileAndKey(t *testing.T) {
+	cases := []struct{ name, old, replacement, want string }{
+		{"unknown key", "id =", "idd = 1\nid =", "p.toml:idd: unknown key"},
+		{"wrong type", `"desk-1"`, "7", "p.toml:id:"},
+		{"no IP", `"127.0.0.1:8080"`, `"host:8080"`, `p.toml:listen.callers: "host" is no IP address`},
+		{"port", `"127.0.0.1:8081"`, `"127.0.0.1:0"`, "p.toml:listen.forward:"},
+		{"url", `"http://127.0.0.1:7000"`, `"ftp://x"`, "p.toml:platform.source:"},
+		{"plaintext with key", "plaintext = true", "plaintext = true\nkey = \"k\"", "p.toml:peers.key: must be empty"},
+		{"no certificate", "plaintext = true", "", "p.toml:peers.certificate: missing"},
+		{"missing id", `id = "desk-1"`, "", `p.toml:id: ""`},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := Parse("p.toml", []byte(strings.Replace(valid, c.old, c.replacement, 1)))
+			is.True(errors.Is(err, config.ErrInvalid))
+			is.True(strings.Contains(err.Error(), c.want))
+		})
+	}
+}
+
+func TestParseReportsAllProblemsAtOnce(t *testing.T) {
+	is := is.New(t)
+	_, err := Parse("p.toml", []byte("id = \"\"\n"))
+	var problems config.Problems
+	is.True(errors.As(err, &problems))
+	keys := make(map[string]bool)
+	for _, p := range problems {
+		keys[p.Key] = true
+	}
+	for _, key := range []string{"id", "availability_zone", "service", "listen.admin", "backend_server.address", "platform.source", "peers.key"} {
+		is.True(keys[key])
+	}
+}
+
+func TestExamplesAreValid(t *testing.T) {
+	files, err := filepath.Glob("../../examples/*/proxies/*.toml")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no examples: %v", err)
+	}
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			text, err := os.ReadFile(file)
+			is.New(t).NoErr(err)
+			_, err = Parse(file, text)
+			is.New(t).NoErr(err)
+		})
+	}
+}
