Measure the distribution with real proxies

Ruled out: the platform's lag alone, since naive proxies need no list.

Change: bench/fleet starts real proxies for both designs, measures steady state, changes, frozen, killed and restarted proxies and an outage of the source, and writes table, CSV and plot. The node passes its first view on at the first tick. /v1/head tells when the version in force was accepted. The lab remembers what it published, since its reads were counted as the fleet's.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SKIP := $(if $(KNOWN_RED),-skip '$(KNOWN_RED)')
 
 build:
-	go build -o bin/ ./cmd/... ./demo
+	go build -o bin/ ./cmd/... ./demo ./bench/...
 
 test:
 	go test -race -count=1 $(SKIP) ./...
--- /dev/null
+++ b/bench/fleet/plot.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Size of the plot in pixels.
+const (
+	plotWidth  = 640
+	plotHeight = 360
+	margin     = 50
+)
+
+var colours = map[string]string{"naive": "#c0392b", "peers": "#2c6fbb"}
+
+// writePlot draws reads of the source per change over the number of proxies.
+func writePlot(dir string, rows []row) error {
+	file, err := os.Create(filepath.Join(dir, "fleet.svg"))
+	if err != nil {
+		return errors.Wrap(err, "write plot")
+	}
+	defer file.Close()
+	return errors.Wrap(plot(file, rows), "write plot")
+}
+
+// point is one measured value.
+type point struct{ x, y float64 }
+
+func plot(w io.Writer, rows []row) error {
+	lines := make(map[string][]point)
+	var top point
+	for _, r := range rows {
+		if r.scenario != "change" || r.changes == 0 {
+			continue
+		}
+		p := point{float64(r.proxies), float64(r.reads) / float64(r.changes)}
+		lines[r.mode] = append(lines[r.mode], p)
+		top = point{max(top.x, p.x), max(top.y, p.y)}
+	}
+	top = point{max(top.x, 1), max(top.y, 1)}
+	fmt.Fprintf(w, "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"%d\" height=\"%d\" font-family=\"sans-serif\" font-size=\"12\">\n", plotWidth, plotHeight)
+	fmt.Fprintf(w, "<rect width=\"100%%\" height=\"100%%\" fill=\"white\"/>\n")
+	fmt.Fprintf(w, "<text x=\"%d\" y=\"20\">reads of the source per change (up to %.0f) over proxies (up to %.0f)</text>\n", margin, top.y, top.x)
+	fmt.Fprintf(w, "<path d=\"M%d %d V%d H%d\" fill=\"none\" stroke=\"black\"/>\n", margin, margin, plotHeight-margin, plotWidth-margin)
+	legend := 0
+	for _, mode := range []string{"naive", "peers"} {
+		if len(lines[mode]) == 0 {
+			continue
+		}
+		legend++
+		plotLine(w, mode, lines[mode], top, legend)
+	}
+	_, err := fmt.Fprintln(w, "</svg>")
+	return err
+}
+
+func plotLine(w io.Writer, mode string, points []point, top point, legend int) {
+	fmt.Fprintf(w, "<polyline fill=\"none\" stroke=\"%s\" stroke-width=\"2\" points=\"", colours[mode])
+	for _, p := range points {
+		x := margin + p.x/top.x*(plotWidth-2*margin)
+		y := plotHeight - margin - p.y/top.y*(plotHeight-2*margin)
+		fmt.Fprintf(w, "%.1f,%.1f ", x, y)
+	}
+	fmt.Fprintf(w, "\"/>\n<text x=\"%d\" y=\"%d\" fill=\"%s\">%s</text>\n", margin+10, margin+16*legend, colours[mode], mode)
+}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -16,6 +16,7 @@
 
 // Proxy is what the interface shows.
 type Proxy interface {
+	Head() node.Head
 	Status() node.Status
 	Dump() node.Dump
 	Explain(org, method, path string) routing.Explanation
@@ -24,6 +25,7 @@
 
 // Paths of the interface.
 const (
+	HeadPath    = "/v1/head"
 	StatusPath  = "/v1/status"
 	DumpPath    = "/v1/dump"
 	ExplainPath = "/v1/explain"
@@ -34,6 +36,7 @@
 	r := chi.NewRouter()
 	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	r.Get("/readyz", func(w http.ResponseWriter, _ *http.Request) { ready(w, p.Status()) })
+	r.Get(HeadPath, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.Head()) })
 	r.Get(StatusPath, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.Status()) })
 	r.Get(DumpPath, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.Dump()) })
 	r.Get(ExplainPath, func(w http.ResponseWriter, r *http.Request) {
--- a/internal/host/report.go
+++ b/internal/host/report.go
@@ -7,6 +7,12 @@
 	"heatherlift.example/heatherlift/internal/routing"
 )
 
+// Head implements admin.Proxy.
+func (h *Host) Head() (head node.Head) {
+	h.view(func(n *node.Node) { head = n.Head() })
+	return head
+}
+
 // Status implements admin.Proxy.
 func (h *Host) Status() (s node.Status) {
 	h.view(func(n *node.Node) { s = n.Status() })
--- a/internal/lab/http.go
+++ b/internal/lab/http.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -15,12 +14,17 @@
 	"github.com/prometheus/common/model"
 
 	"heatherlift.example/heatherlift/internal/admin"
-	"heatherlift.example/heatherlift/internal/config"
 	"heatherlift.example/heatherlift/internal/node"
 	"heatherlift.example/heatherlift/internal/source"
 	"heatherlift.example/heatherlift/internal/standin/platform"
 )
 
+// Head reads the version in force at a proxy.
+func (l *Lab) Head(i *Instance) (h node.Head, err error) {
+	err = l.get("http://"+i.Settings.Listen.Admin+admin.HeadPath, &h)
+	return h, err
+}
+
 // Status reads the status of a proxy.
 func (l *Lab) Status(i *Instance) (s node.Status, err error) {
 	err = l.get("http://"+i.Settings.Listen.Admin+admin.StatusPath, &s)
@@ -93,13 +97,6 @@
 	return resp.Header, nil
 }
 
-// published reads the manifest and blobs that the platform holds.
-func (l *Lab) published() (*config.Manifest, map[config.Hash][]byte, error) {
-	client := source.NewClient(l.PlatformURL(), nil)
-	defer client.Close()
-	return source.Published(context.Background(), client)
-}
-
 // await polls a URL until it answers 200.
 func (l *Lab) await(url string) error {
 	deadline := time.Now().Add(startTimeout)
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -58,6 +58,10 @@
 	network  int
 	client   *http.Client
 
+	// manifest and blobs are what was published last.
+	manifest *config.Manifest
+	blobs    map[config.Hash][]byte
+
 	mu        sync.Mutex
 	processes []*Process
 	instances int
@@ -165,18 +169,18 @@
 }
 
 // Publish packs a configuration directory as an operator does, even if it is
-// invalid, and returns the version.
+// invalid, and returns the version. It reads nothing from the platform.
 func (l *Lab) Publish(d *config.Directory) (uint64, error) {
-	previous, blobs, err := l.published()
-	if err != nil {
-		return 0, err
-	}
-	manifest, packed := d.Pack(previous, blobs)
+	manifest, packed := d.Pack(l.manifest, l.blobs)
 	for hash, text := range packed {
+		if _, ok := l.blobs[hash]; ok {
+			continue
+		}
 		if _, err := l.putValue(config.BlobPrefix+string(hash), text); err != nil {
 			return 0, err
 		}
 	}
+	l.manifest, l.blobs = manifest, packed
 	return l.putValue(config.ManifestKey, manifest.Encode())
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -49,7 +49,11 @@
 	router    *routing.Router
 	admission *admission.Admission
 	journal   journal
+	begun     bool
 	leaving   bool
+	// inForceSince is when the version in force was accepted.
+	inForceSince   time.Time
+	inForceVersion uint64
 }
 
 // New returns a node that knows nothing yet.
@@ -68,6 +72,7 @@
 	var out Effects
 	switch e := e.(type) {
 	case Tick:
+		n.begin(now, &out)
 		n.stepMember(now, member.Tick{}, &out)
 		n.stepDist(now, dist.Tick{}, &out)
 		n.stepRouting(now, routing.Tick{}, &out)
@@ -86,6 +91,16 @@
 	return out
 }
 
+// begin passes the view that holds only this instance to the other state
+// machines, once.
+func (n *Node) begin(now time.Time, out *Effects) {
+	if n.begun {
+		return
+	}
+	n.begun = true
+	n.viewChanged(now, out)
+}
+
 func (n *Node) leave(now time.Time, cause string, out *Effects) {
 	if n.leaving {
 		return
@@ -157,6 +172,10 @@
 
 // enforce puts a snapshot in force and publishes that it is.
 func (n *Node) enforce(now time.Time, s *config.Snapshot, out *Effects) {
+	if s.Version > n.inForceVersion {
+		n.inForceVersion = s.Version
+		n.inForceSince = now
+	}
 	n.journal.addVersion(now, s)
 	n.stepRouting(now, routing.Enforced{Snapshot: s}, out)
 	n.stepMember(now, member.InForce{Version: s.Version, Root: s.Root, Ready: true}, out)
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -1,8 +1,9 @@
 package node
 
 import (
+	"time"
+
 	"heatherlift.example/heatherlift/internal/config"
-	"heatherlift.example/heatherlift/internal/dist"
 	"heatherlift.example/heatherlift/internal/member"
 	"heatherlift.example/heatherlift/internal/routing"
 )
@@ -56,6 +57,30 @@
 	return lowest
 }
 
+// Head is the version in force at one proxy.
+type Head struct {
+	ID      string      `json:"id"`
+	Version uint64      `json:"version"`
+	Root    config.Hash `json:"root"`
+	// Since is when the proxy began to enforce the version.
+	Since time.Time `json:"since"`
+	Role  string    `json:"role"`
+	Ready bool      `json:"ready"`
+}
+
+// Head returns the version in force.
+func (n *Node) Head() Head {
+	h := n.dist.Head()
+	return Head{
+		ID:      n.cfg.Dist.ID,
+		Version: h.Version,
+		Root:    h.Root,
+		Since:   n.inForceSince,
+		Role:    n.dist.Role().String(),
+		Ready:   n.Ready(),
+	}
+}
+
 // Ready reports whether the proxy takes requests.
 func (n *Node) Ready() bool {
 	return n.dist.Snapshot() != nil && !n.leaving
@@ -93,8 +118,3 @@
 func (n *Node) Explain(org, method, path string) routing.Explanation {
 	return n.router.Explain(org, method, path)
 }
-
-// Head returns the version in force.
-func (n *Node) Head() dist.Head {
-	return n.dist.Head()
-}
