Tick every 100 ms

Change: the tick of the reducer goes from 20 ms to 100 ms.

Deadlines shorter than a tick must not depend on it.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -23,7 +23,7 @@
 	"heatherlift.example/heatherlift/internal/source"
 )
 
-const tickInterval = 20 * time.Millisecond
+const tickInterval = 100 * time.Millisecond
 
 // Host runs one proxy.
 type Host struct {
