Run whole proxies in virtual time under pairs of faults

Cause: the joined reducer had no test.

Change: a network of nodes in virtual time with a fake source, messages that are lost, cut and late, proxies that are paused, killed and restarted. Property-based tests start from a fixed seed.

Readiness after a restart, requests and membership invariants are not covered here.

--- a/internal/config/compile_test.go
+++ b/internal/config/compile_test.go
@@ -6,6 +6,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	_ "heatherlift.example/heatherlift/internal/fixedseed"
 )
 
 const testTemplate = `
--- /dev/null
+++ b/internal/node/network_test.go
@@ -0,0 +1,379 @@
+package node
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"regexp"
+	"slices"
+	"time"
+
+	"heatherlift.example/heatherlift/internal/admission"
+	"heatherlift.example/heatherlift/internal/config"
+	"heatherlift.example/heatherlift/internal/dist"
+	"heatherlift.example/heatherlift/internal/member"
+	"heatherlift.example/heatherlift/internal/routing"
+	"heatherlift.example/heatherlift/internal/source"
+)
+
+// Parameters of the simulated network.
+const (
+	testTick    = 100 * time.Millisecond
+	testLatency = 2 * time.Millisecond
+	testTimeout = 2 * time.Second
+	testListLag = 2 * time.Second
+)
+
+// epoch is the begin of virtual time.
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// action is something that happens at a time.
+type action struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+// agenda is a heap of actions by time.
+type agenda []action
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	if a[i].at.Equal(a[j].at) {
+		return a[i].seq < a[j].seq
+	}
+	return a[i].at.Before(a[j].at)
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(action)) }
+func (a *agenda) Pop() any {
+	old := *a
+	last := old[len(old)-1]
+	*a = old[:len(old)-1]
+	return last
+}
+
+// simProxy is one proxy of the simulated network.
+type simProxy struct {
+	id      string
+	node    *Node
+	life    int
+	dead    bool
+	paused  bool
+	backlog []Event
+	highest uint64
+	trace   []TraceLine
+	outputs []string
+	// watch is the pending watch of the source.
+	watch *dist.WatchSource
+}
+
+// network is a fleet in virtual time with a fake source.
+type network struct {
+	now     time.Time
+	agenda  agenda
+	seq     int
+	rng     *rand.Rand
+	proxies map[string]*simProxy
+	order   []string
+	zones   map[string]string
+	calls   map[uint64]func(any)
+	nextID  uint64
+	// cut reports whether messages between two proxies are lost.
+	cut func(a, b string) bool
+	// loss is the share of messages lost.
+	loss       float64
+	sourceDown bool
+	published  *config.Snapshot
+	stale      *config.Snapshot
+	breach     string
+}
+
+func newNetwork(seed uint64, n, zones int) *network {
+	w := &network{
+		now:     epoch,
+		rng:     rand.New(rand.NewPCG(seed, 0)),
+		proxies: make(map[string]*simProxy),
+		zones:   make(map[string]string),
+		calls:   make(map[uint64]func(any)),
+		cut:     func(string, string) bool { return false },
+	}
+	for i := range n {
+		id := fmt.Sprintf("desk-%d", i)
+		w.order = append(w.order, id)
+		w.zones[id] = fmt.Sprintf("zone-%d", i%zones)
+		w.proxies[id] = &simProxy{id: id}
+		w.start(id)
+	}
+	return w
+}
+
+// start begins a new life of a proxy, with no memory.
+func (w *network) start(id string) {
+	p := w.proxies[id]
+	p.life++
+	*p = simProxy{id: id, life: p.life}
+	p.node = New(w.config(id))
+	life := p.life
+	var tick func()
+	tick = func() {
+		if p.life != life || p.dead {
+			return
+		}
+		w.feed(p, Tick{})
+		w.after(testTick, tick)
+	}
+	w.after(time.Duration(w.rng.Int64N(int64(testTick))), tick)
+	w.after(testListLag, func() {
+		if p.life == life {
+			w.feed(p, member.Listed{Instances: w.list()})
+		}
+	})
+}
+
+func (w *network) config(id string) Config {
+	seed := w.rng.Uint64()
+	return Config{
+		Member: member.Config{
+			Self: member.Record{
+				ID: id, Incarnation: uint64(w.now.UnixNano()), AvailabilityZone: w.zones[id],
+				Service: "desk", PeerAddress: id, ForwardAddress: id, Slots: 10,
+			},
+			Interval: time.Second, SuspectAfter: 3 * time.Second, ForgetAfter: 5 * time.Minute, Seed: seed,
+		},
+		Dist: dist.Config{
+			ID: id, AvailabilityZone: w.zones[id], Services: []string{"desk"}, WatchWait: 30 * time.Second,
+			PullTimeout: 5 * time.Second, BackoffMin: 50 * time.Millisecond, BackoffMax: 5 * time.Second, Seed: seed,
+		},
+		Routing:   routing.Config{AvailabilityZone: w.zones[id], MaxAttempts: 3, Seed: seed},
+		Admission: admission.Config{Slots: 10, QueueLength: 10},
+	}
+}
+
+func (w *network) list() []source.Instance {
+	var list []source.Instance
+	for _, id := range w.order {
+		list = append(list, source.Instance{
+			ID: id, Service: "desk", AvailabilityZone: w.zones[id], State: source.InstanceLive, Address: id,
+		})
+	}
+	return list
+}
+
+func (w *network) after(d time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.agenda, action{at: w.now.Add(d), seq: w.seq, do: do})
+}
+
+// run passes virtual time.
+func (w *network) run(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.agenda) > 0 && !w.agenda[0].at.After(end) {
+		a := heap.Pop(&w.agenda).(action)
+		w.now = a.at
+		a.do()
+	}
+	w.now = end
+}
+
+// feed steps a proxy, or keeps the event until it wakes.
+func (w *network) feed(p *simProxy, e Event) {
+	switch {
+	case p.dead:
+	case p.paused:
+		p.backlog = append(p.backlog, e)
+	default:
+		w.step(p, e)
+	}
+}
+
+func (w *network) step(p *simProxy, e Event) {
+	if line, err := EncodeEvent(w.now, e); err == nil {
+		p.trace = append(p.trace, line)
+	}
+	effects := p.node.Step(w.now, e)
+	p.outputs = append(p.outputs, fmt.Sprintf("%+v", effects))
+	w.check(p)
+	for _, effect := range effects.Member {
+		w.carryOutMember(p, effect)
+	}
+	for _, effect := range effects.Dist {
+		w.carryOutDist(p, effect)
+	}
+}
+
+// check records a breach of an invariant.
+func (w *network) check(p *simProxy) {
+	version := p.node.Head().Version
+	if version < p.highest {
+		w.breach = fmt.Sprintf("%s fell from version %d to %d", p.id, p.highest, version)
+	}
+	p.highest = max(p.highest, version)
+	if s := p.node.dist.Snapshot(); s != nil {
+		if err := s.Consistent(); err != nil {
+			w.breach = fmt.Sprintf("%s: %v", p.id, err)
+		}
+	}
+}
+
+// call carries a message to a proxy and its answer back, or reports failure.
+func (w *network) call(from, to string, deliver func(call uint64) Event, answered func(any), failed func()) {
+	w.nextID++
+	id, target, life := w.nextID, w.proxies[to], w.proxies[from].life
+	done := false
+	finish := func(f func()) {
+		if done || w.proxies[from].life != life {
+			return
+		}
+		done = true
+		f()
+	}
+	w.calls[id] = func(reply any) {
+		if w.lost(from, to) {
+			return
+		}
+		w.after(w.latency(), func() { finish(func() { answered(reply) }) })
+	}
+	w.after(testTimeout, func() { finish(failed) })
+	if !w.lost(from, to) {
+		w.after(w.latency(), func() { w.feed(target, deliver(id)) })
+	}
+}
+
+func (w *network) lost(a, b string) bool {
+	return w.cut(a, b) || w.rng.Float64() < w.loss
+}
+
+func (w *network) latency() time.Duration {
+	return testLatency/2 + time.Duration(w.rng.Int64N(int64(testLatency)))
+}
+
+func (w *network) carryOutMember(p *simProxy, effect member.Effect) {
+	switch e := effect.(type) {
+	case member.Send:
+		w.call(p.id, e.To,
+			func(call uint64) Event { return member.Received{Call: call, Message: e.Message} },
+			func(reply any) { w.feed(p, member.Answered{Message: reply.(member.Gossip)}) },
+			func() { w.feed(p, member.Failed{ID: e.To}) })
+	case member.Reply:
+		w.calls[e.Call](e.Message)
+	}
+}
+
+func (w *network) carryOutDist(p *simProxy, effect dist.Effect) {
+	switch e := effect.(type) {
+	case dist.Pull:
+		w.call(p.id, e.To,
+			func(call uint64) Event { return dist.PullReceived{Call: call, Request: e.Request} },
+			func(reply any) { w.feed(p, dist.Pulled{From: e.To, Reply: reply.(dist.PullReply)}) },
+			func() { w.feed(p, dist.Pulled{From: e.To, Err: "timeout"}) })
+	case dist.ReplyPull:
+		w.calls[e.Call](e.Reply)
+	case dist.Announce:
+		if !w.lost(p.id, e.To) {
+			w.after(w.latency(), func() { w.feed(w.proxies[e.To], dist.Announced{Announcement: e.Announcement}) })
+		}
+	case dist.WatchSource:
+		p.watch = &e
+		w.after(e.Wait, func() { w.endWatch(p, &e) })
+		w.answerWatches()
+	case dist.StopSource:
+		p.watch = nil
+	}
+}
+
+func (w *network) endWatch(p *simProxy, watch *dist.WatchSource) {
+	if p.watch == watch {
+		p.watch = nil
+		w.feed(p, dist.SourceRead{})
+	}
+}
+
+// publish puts a version into the source.
+func (w *network) publish(s *config.Snapshot) {
+	w.published = s
+	w.answerWatches()
+}
+
+// answerWatches answers the watches that need not wait.
+func (w *network) answerWatches() {
+	visible := w.published
+	if w.stale != nil {
+		visible = w.stale
+	}
+	for _, id := range w.order {
+		p := w.proxies[id]
+		watch := p.watch
+		switch {
+		case watch == nil:
+		case w.sourceDown:
+			p.watch = nil
+			w.after(w.latency(), func() { w.feed(p, dist.SourceRead{Err: "down"}) })
+		case visible != nil && visible.Version > watch.After:
+			p.watch = nil
+			w.after(w.latency(), func() { w.feed(p, dist.SourceRead{Version: visible.Version, Snapshot: visible}) })
+		}
+	}
+}
+
+func (w *network) kill(id string) {
+	w.proxies[id].dead = true
+	w.proxies[id].life++
+	w.proxies[id].watch = nil
+}
+
+func (w *network) pause(id string) { w.proxies[id].paused = true }
+
+// wake lets a paused proxy act on what it last knew.
+func (w *network) wake(id string) {
+	p := w.proxies[id]
+	p.paused = false
+	backlog := p.backlog
+	p.backlog = nil
+	for _, e := range backlog {
+		w.feed(p, e)
+	}
+}
+
+// converged reports whether all live proxies enforce the version.
+func (w *network) converged(version uint64) bool {
+	return !slices.ContainsFunc(w.order, func(id string) bool {
+		p := w.proxies[id]
+		return !p.dead && !p.paused && p.node.Head().Version != version
+	})
+}
+
+// snapshot compiles a version in which the organisation has the given rate.
+func snapshot(version uint64, rate int) *config.Snapshot {
+	d := &config.Directory{
+		Templates: map[string][]byte{"std": []byte(`
+[parameters.rate]
+type = "integer"
+[limits]
+requests_per_second = "${rate}"
+concurrency = 5
+[groups.desk]
+service = "desk"
+[[routes]]
+name = "read"
+methods = ["GET"]
+path = "/a/{id}"
+group = "desk"
+deadline = "1s"
+`)},
+		Organisations: map[string][]byte{"acme": fmt.Appendf(nil, "template = \"std\"\n[parameters]\nrate = %d\n", rate)},
+	}
+	manifest, blobs := d.Pack(nil, nil)
+	s, err := config.NewCompiler().Compile(version, manifest, blobs)
+	if err != nil {
+		panic(err)
+	}
+	return s
+}
+
+// sameOutput compares printed effects without the addresses of pointers.
+func sameOutput(a, b string) bool {
+	return pointer.ReplaceAllString(a, "") == pointer.ReplaceAllString(b, "")
+}
+
+var pointer = regexp.MustCompile(`0x[0-9a-f]+`)
