--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -34,6 +34,7 @@
 // Handler returns the interface of a proxy.
 func Handler(p Proxy) http.Handler {
 	r := chi.NewRouter()
+	r.Get("/", func(w http.ResponseWriter, _ *http.Request) { writePage(w, p.Status()) })
 	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	r.Get("/readyz", func(w http.ResponseWriter, _ *http.Request) { ready(w, p.Status()) })
 	r.Get(HeadPath, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.Head()) })
--- /dev/null
+++ b/internal/admin/page.go
@@ -0,0 +1,101 @@
+package admin
+
+import (
+	"bytes"
+	_ "embed"
+	"fmt"
+	"html/template"
+	"maps"
+	"net/http"
+	"slices"
+
+	"heatherlift.example/heatherlift/internal/member"
+	"heatherlift.example/heatherlift/internal/node"
+)
+
+// eventsShown bounds the decisions on the page.
+const eventsShown = 30
+
+//go:embed page.html
+var pageText string
+
+var pageTemplate = template.Must(template.New("page").Parse(pageText))
+
+// page is the content of the status page.
+type page struct {
+	Status  node.Status
+	Newest  uint64
+	Lagging int
+	Zones   []zone
+	Events  []node.Entry
+}
+
+// zone is an availability zone on the page.
+type zone struct {
+	Name    string
+	Lagging int
+	Cells   []cell
+}
+
+// cell is an instance on the page.
+type cell struct {
+	Label, Title, Class string
+}
+
+// newPage arranges a status by availability zone.
+func newPage(s node.Status) page {
+	p := page{Status: s}
+	for _, r := range s.Fleet {
+		p.Newest = max(p.Newest, r.Version)
+	}
+	byZone := make(map[string]*zone)
+	for _, r := range s.Fleet {
+		z, ok := byZone[r.AvailabilityZone]
+		if !ok {
+			z = &zone{Name: r.AvailabilityZone}
+			byZone[r.AvailabilityZone] = z
+		}
+		z.Cells = append(z.Cells, newCell(r, p.Newest))
+		if r.Version < p.Newest {
+			z.Lagging++
+			p.Lagging++
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(byZone)) {
+		p.Zones = append(p.Zones, *byZone[name])
+	}
+	for _, e := range slices.Backward(s.Events) {
+		if len(p.Events) == eventsShown {
+			break
+		}
+		p.Events = append(p.Events, e)
+	}
+	return p
+}
+
+func newCell(r member.Record, newest uint64) cell {
+	c := cell{
+		Label: r.ID,
+		Title: fmt.Sprintf("%s, %s, version %d, ready %t", r.Service, r.State, r.Version, r.Ready),
+	}
+	switch {
+	case r.State >= member.Suspect:
+		c.Class = "away"
+	case r.State == member.Leaving:
+		c.Class = "leaving"
+	case r.Version < newest || !r.Ready:
+		c.Class = "lags"
+	}
+	return c
+}
+
+// writePage answers with the status page.
+func writePage(w http.ResponseWriter, s node.Status) {
+	var text bytes.Buffer
+	if err := pageTemplate.Execute(&text, newPage(s)); err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "text/html; charset=utf-8")
+	_, _ = w.Write(text.Bytes())
+}
