Add rumours, region and refused version to the membership

The membership gains the events Publish and Refused, the effects Learnt and Violation, and the fields Region and Refused of a record.

--- a/internal/host/build.go
+++ b/internal/host/build.go
@@ -32,6 +32,7 @@
 			Self: member.Record{
 				ID:               s.ID,
 				Incarnation:      uint64(start.UnixNano()),
+				Region:           s.Region,
 				AvailabilityZone: s.AvailabilityZone,
 				Service:          s.Service,
 				Calls:            s.Calls,
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -132,6 +132,8 @@
 		h.goDo(func() { h.gossip(e) })
 	case member.Reply:
 		h.calls.deliver(e.Call, e.Message)
+	case member.Violation:
+		h.metrics.Refused(e.Cause)
 	}
 }
 
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -8,7 +8,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"heatherlift.example/heatherlift/internal/config"
 	"heatherlift.example/heatherlift/internal/source"
 )
 
@@ -25,72 +24,6 @@
 	Seed uint64
 }
 
-// Event is an input of the state machine.
-type Event interface{ memberEvent() }
-
-// Events.
-type (
-	// Tick passes time.
-	Tick struct{}
-	// Listed is a new reading of the platform's list.
-	Listed struct{ Instances []source.Instance }
-	// Received is a gossip message of a peer; the effect Reply answers it.
-	Received struct {
-		Call    uint64
-		Message Gossip
-	}
-	// Answered is the answer to a gossip message.
-	Answered struct{ Message Gossip }
-	// Failed reports that a peer did not answer.
-	Failed struct{ ID string }
-	// InForce is a change of the version in force here.
-	InForce struct {
-		Version uint64
-		Root    config.Hash
-		Ready   bool
-	}
-	// Leave marks this instance as leaving.
-	Leave struct{}
-)
-
-func (Tick) memberEvent()     {}
-func (Listed) memberEvent()   {}
-func (Received) memberEvent() {}
-func (Answered) memberEvent() {}
-func (Failed) memberEvent()   {}
-func (InForce) memberEvent()  {}
-func (Leave) memberEvent()    {}
-
-// Effect is an output of the state machine.
-type Effect interface{ memberEffect() }
-
-// Effects.
-type (
-	// Send sends a gossip message; the host reports Answered or Failed.
-	Send struct {
-		To, Address string
-		Message     Gossip
-	}
-	// Reply answers the message with the same Call.
-	Reply struct {
-		Call    uint64
-		Message Gossip
-	}
-	// Changed reports a new view.
-	Changed struct{}
-	// Transition reports a change of an instance's state.
-	Transition struct {
-		ID       string
-		From, To State
-		Cause    string
-	}
-)
-
-func (Send) memberEffect()       {}
-func (Reply) memberEffect()      {}
-func (Changed) memberEffect()    {}
-func (Transition) memberEffect() {}
-
 // entry is a record with the time of its last change of state.
 type entry struct {
 	Record
@@ -105,6 +38,7 @@
 	listed   map[string]source.Instance
 	rng      *rand.Rand
 	lastSent time.Time
+	rumours  rumours
 	changed  bool
 	effects  []Effect
 }
@@ -117,6 +51,7 @@
 		entries: make(map[string]*entry),
 		listed:  make(map[string]source.Instance),
 		rng:     rand.New(rand.NewPCG(cfg.Seed, 0)),
+		rumours: newRumours(),
 	}
 }
 
@@ -130,9 +65,11 @@
 	case Listed:
 		m.list(e.Instances)
 	case Received:
+		m.learn(now, e.Message)
 		m.merge(now, e.Message.Records)
-		m.reply(e)
+		m.reply(now, e)
 	case Answered:
+		m.learn(now, e.Message)
 		m.merge(now, e.Message.Records)
 	case Failed:
 		m.suspect(now, e.ID)
@@ -140,6 +77,10 @@
 		m.inForce(e)
 	case Leave:
 		m.leave()
+	case Refused:
+		m.refusedVersion(e.Version)
+	case Publish:
+		m.learnRumour(now, m.self.ID, e.Rumour)
 	}
 	if m.changed {
 		m.emit(Changed{})
@@ -176,12 +117,13 @@
 
 func (m *Members) tick(now time.Time) {
 	m.expire(now)
+	m.rumours.expire(now)
 	if now.Sub(m.lastSent) < m.cfg.Interval {
 		return
 	}
 	m.lastSent = now
 	if to, ok := m.target(); ok {
-		m.emit(Send{To: to.ID, Address: to.PeerAddress, Message: m.message(false)})
+		m.emit(Send{To: to.ID, Address: to.PeerAddress, Message: m.message(now)})
 	}
 }
 
@@ -225,17 +167,20 @@
 }
 
 // message returns a gossip message with all records.
-func (m *Members) message(pull bool) Gossip {
-	g := Gossip{From: m.self.ID, Table: m.tableHash(), Pull: pull}
+func (m *Members) message(now time.Time) Gossip {
+	g := Gossip{From: m.self.ID, Table: m.tableHash()}
 	g.Records = append(g.Records, m.self)
 	for _, id := range slices.Sorted(maps.Keys(m.entries)) {
 		g.Records = append(g.Records, m.entries[id].Record)
 	}
+	for _, h := range m.rumours.held {
+		g.Rumours = append(g.Rumours, h.remaining(now))
+	}
 	return g
 }
 
-func (m *Members) reply(e Received) {
-	g := m.message(false)
+func (m *Members) reply(now time.Time, e Received) {
+	g := m.message(now)
 	if g.Table == e.Message.Table {
 		g.Records = nil
 	}
@@ -355,3 +300,28 @@
 	m.self.Seq++
 	m.changed = true
 }
+
+func (m *Members) refusedVersion(v uint64) {
+	if v <= m.self.Refused {
+		return
+	}
+	m.self.Refused = v
+	m.self.Seq++
+	m.changed = true
+}
+
+func (m *Members) learn(now time.Time, g Gossip) {
+	for _, r := range g.Rumours {
+		m.learnRumour(now, g.From, r)
+	}
+}
+
+func (m *Members) learnRumour(now time.Time, from string, r Rumour) {
+	if !r.valid() {
+		m.emit(Violation{From: from, Cause: "invalid rumour"})
+		return
+	}
+	if _, ok := m.rumours.add(now, r); ok {
+		m.emit(Learnt{Rumour: r})
+	}
+}
--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -40,6 +40,8 @@
 	Seq   uint64 `json:"seq"`
 	State State  `json:"state"`
 
+	// Region is empty in a fleet of one region.
+	Region           string   `json:"region,omitempty"`
 	AvailabilityZone string   `json:"zone"`
 	Service          string   `json:"service"`
 	Calls            []string `json:"calls,omitempty"`
@@ -53,6 +55,8 @@
 	// Version is the version in force at the instance, 0 before the first.
 	Version uint64      `json:"version"`
 	Root    config.Hash `json:"root,omitempty"`
+	// Refused is the highest version that the instance refused as a whole.
+	Refused uint64 `json:"refused,omitempty"`
 	// Ready reports that the instance takes requests.
 	Ready bool `json:"ready"`
 }
@@ -82,6 +86,5 @@
 	Table uint64 `json:"table"`
 	// Records holds records that the receiver may not know.
 	Records []Record `json:"records,omitempty"`
-	// Pull asks the receiver for all its records.
-	Pull bool `json:"pull,omitempty"`
+	Rumours []Rumour `json:"rumours,omitempty"`
 }
--- /dev/null
+++ b/internal/member/rumour_test.go
@@ -0,0 +1,48 @@
+package member
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+func rumour(key string, ttl time.Duration) Rumour {
+	return Rumour{Key: key, Payload: json.RawMessage(`{"n":1}`), TTL: ttl}
+}
+
+func TestRumourTableIsBounded(t *testing.T) {
+	is := is.New(t)
+	table := newRumours()
+	big := json.RawMessage(fmt.Sprintf("\"%01000d\"", 1))
+	for i := range 2 * MaxRumours {
+		table.add(epoch, Rumour{Key: fmt.Sprint("k", i), Payload: big, TTL: time.Minute})
+	}
+	is.True(len(table.held) <= MaxRumours)
+	is.True(table.bytes <= MaxRumoursBytes)
+	is.Equal(table.dropped, uint64(2*MaxRumours-len(table.held)))
+	is.Equal(table.held[len(table.held)-1].Key, fmt.Sprint("k", 2*MaxRumours-1)) // the newest stays
+	table.expire(epoch.Add(time.Minute))
+	is.Equal(len(table.held), 0)
+	is.Equal(table.bytes, 0)
+	is.Equal(table.hash, uint64(0))
+}
+
+func TestLateCopyOfAnExpiredRumourIsNotNew(t *testing.T) {
+	is := is.New(t)
+	table := newRumours()
+	_, first := table.add(epoch, rumour("k", time.Second))
+	is.True(first)
+	late := epoch.Add(time.Second)
+	table.expire(late)
+	_, again := table.add(late, rumour("k", time.Millisecond))
+	is.True(!again)
+	later := late.Add(rumourMemory)
+	table.expire(later)
+	_, again = table.add(later, rumour("k", time.Second))
+	is.True(again)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -103,6 +103,9 @@
 			n.viewChanged(now, out)
 		case member.Transition:
 			n.journal.add(now, "instance "+effect.To.String(), effect.ID+": "+effect.Cause)
+		case member.Violation:
+			n.journal.add(now, "violation by "+effect.From, effect.Cause)
+			out.Member = append(out.Member, effect)
 		default:
 			out.Member = append(out.Member, effect)
 		}
@@ -145,6 +148,7 @@
 			n.enforce(now, effect.Snapshot, out)
 		case dist.Refused:
 			n.journal.add(now, "version refused", effect.Problems.Error())
+			n.stepMember(now, member.Refused{Version: effect.Version}, out)
 		case dist.RoleChanged:
 			n.journal.add(now, "role "+effect.To.String(), "was "+effect.From.String())
 		case dist.Violation:
--- a/internal/node/trace.go
+++ b/internal/node/trace.go
@@ -27,7 +27,7 @@
 // routing.InstancesChanged are made inside and need no line.
 var recordable = eventTypes(
 	Tick{}, Leave{},
-	member.Listed{}, member.Received{}, member.Answered{}, member.Failed{},
+	member.Listed{}, member.Received{}, member.Answered{}, member.Failed{}, member.Publish{},
 	dist.Announced{}, dist.PullReceived{}, dist.Pulled{}, dist.SourceRead{},
 	routing.Arrived{}, routing.AttemptEnded{}, routing.Abandoned{},
 	admission.Arrived{}, admission.Ended{}, admission.Abandoned{}, admission.Draining{},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -18,6 +18,8 @@
 	// ID names the instance; unique in the fleet.
 	ID               string `toml:"id"`
 	AvailabilityZone string `toml:"availability_zone"`
+	// Region holds the availability zone; empty in a fleet of one region.
+	Region string `toml:"region"`
 	// Service is the service of the backend server beside the proxy.
 	Service string `toml:"service"`
 	// Calls names the other services that requests handed to this proxy reach.
@@ -169,6 +171,9 @@
 func (c checker) check(s Settings) {
 	c.name("id", s.ID)
 	c.name("availability_zone", s.AvailabilityZone)
+	if s.Region != "" {
+		c.name("region", s.Region)
+	}
 	c.name("service", s.Service)
 	for _, service := range s.Calls {
 		c.name("calls", service)
