Bound the bytes of gossip and detect failures without a centre

Cause: each round sent the whole table, so a proxy's control traffic grew with the fleet. Now a round carries hashes and a bounded number of changes; news is pushed at once to three neighbours; tables that differ for two rounds exchange the buckets that differ. Neighbours come from a bounded set that spans availability zones and regions. Failure detection probes directly and through peers, suspects, and takes the loss of a large share for a partition.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -166,10 +166,10 @@
 func (h *Host) gossip(e member.Send) {
 	answer, err := h.transport.Gossip(h.ctx, e.Address, e.Message)
 	if err != nil {
-		h.step(member.Failed{ID: e.To})
+		h.step(member.Failed{Call: e.Call, ID: e.To})
 		return
 	}
-	h.step(member.Answered{Message: answer})
+	h.step(member.Answered{Call: e.Call, From: e.To, Message: answer})
 }
 
 func (h *Host) pull(e dist.Pull) {
--- a/internal/member/events.go
+++ b/internal/member/events.go
@@ -19,10 +19,18 @@
 		Call    uint64
 		Message Gossip
 	}
-	// Answered is the answer to a gossip message.
-	Answered struct{ Message Gossip }
-	// Failed reports that a peer did not answer.
-	Failed struct{ ID string }
+	// Answered is the answer of the instance From to the Send with the same Call.
+	Answered struct {
+		Call    uint64
+		From    string
+		Message Gossip
+	}
+	// Failed reports that the instance ID did not answer the Send with the
+	// same Call.
+	Failed struct {
+		Call uint64
+		ID   string
+	}
 	// InForce is a change of the version in force here.
 	InForce struct {
 		Version uint64
@@ -52,8 +60,10 @@
 
 // Effects.
 type (
-	// Send sends a gossip message; the host reports Answered or Failed.
+	// Send sends a gossip message; the host reports Answered or Failed with
+	// the same Call.
 	Send struct {
+		Call        uint64
 		To, Address string
 		Message     Gossip
 	}
@@ -64,15 +74,18 @@
 	}
 	// Changed reports a new view.
 	Changed struct{}
-	// Transition reports a change of an instance's state.
+	// Transition reports a change of an instance's state. With More set it
+	// stands for that many further changes in the same step.
 	Transition struct {
 		ID       string
 		From, To State
 		Cause    string
+		More     int
 	}
 	// Learnt reports a rumour, once at each instance, the publisher included.
 	Learnt struct{ Rumour Rumour }
-	// Violation reports a message that was refused.
+	// Violation reports a message that was refused; Cause is one of a small
+	// set of texts.
 	Violation struct{ From, Cause string }
 )
 
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -1,13 +1,9 @@
 package member
 
 import (
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"heatherlift.example/heatherlift/internal/source"
 )
 
@@ -24,55 +20,86 @@
 	Seed uint64
 }
 
-// entry is a record with the time of its last change of state.
-type entry struct {
-	Record
-	since time.Time
-}
+const (
+	// maxTransitions bounds the Transition effects of one step.
+	maxTransitions = 32
+	// pauseRounds is the gap between two ticks, in intervals, from which this
+	// process is taken to have been paused.
+	pauseRounds = 2
+)
 
 // Members is the state machine. The zero value is not usable.
 type Members struct {
-	cfg      Config
-	self     Record
-	entries  map[string]*entry
-	listed   map[string]source.Instance
-	rng      *rand.Rand
-	lastSent time.Time
-	rumours  rumours
-	changed  bool
-	effects  []Effect
+	cfg     Config
+	me      *entry
+	table   table
+	queue   queue
+	rumours rumours
+	listed  map[string]source.Instance
+	rng     *rand.Rand
+
+	lastTick, lastRound, lastExpiry, lastPush time.Time
+	// lastContact is when a peer was last heard.
+	lastContact time.Time
+	rounds      uint64
+
+	nextCall    uint64
+	outstanding map[uint64]*sent
+	inquiries   map[string]*inquiry
+	asks        map[string][]uint64
+	retries     map[string]*retry
+
+	neighbours      []*entry
+	neighboursUntil time.Time
+	neighbour       int
+	reachChanged    bool
+
+	exchange exchange
+
+	corrections []Record
+	changed     bool
+	transitions int
+	effects     []Effect
 }
 
 // New returns a list that holds only this instance.
 func New(cfg Config) *Members {
-	return &Members{
-		cfg:     cfg,
-		self:    cfg.Self,
-		entries: make(map[string]*entry),
-		listed:  make(map[string]source.Instance),
-		rng:     rand.New(rand.NewPCG(cfg.Seed, 0)),
-		rumours: newRumours(),
-	}
+	m := &Members{
+		cfg:          cfg,
+		table:        newTable(),
+		queue:        newQueue(),
+		rumours:      newRumours(),
+		listed:       make(map[string]source.Instance),
+		rng:          rand.New(rand.NewPCG(cfg.Seed, 0)),
+		outstanding:  make(map[uint64]*sent),
+		inquiries:    make(map[string]*inquiry),
+		asks:         make(map[string][]uint64),
+		retries:      make(map[string]*retry),
+		reachChanged: true,
+		exchange:     exchange{due: true},
+	}
+	m.me = m.table.put(cfg.Self)
+	m.queue.add(&update{entry: m.me, whole: true, hot: true})
+	return m
 }
 
 // Step applies an event at the given time and returns its effects.
 func (m *Members) Step(now time.Time, e Event) []Effect {
 	m.effects = nil
 	m.changed = false
+	m.transitions = 0
+	m.notePause(now)
 	switch e := e.(type) {
 	case Tick:
 		m.tick(now)
 	case Listed:
-		m.list(e.Instances)
+		m.list(now, e.Instances)
 	case Received:
-		m.learn(now, e.Message)
-		m.merge(now, e.Message.Records)
-		m.reply(now, e)
+		m.received(now, e)
 	case Answered:
-		m.learn(now, e.Message)
-		m.merge(now, e.Message.Records)
+		m.answered(now, e)
 	case Failed:
-		m.suspect(now, e.ID)
+		m.failed(now, e)
 	case InForce:
 		m.inForce(e)
 	case Leave:
@@ -80,34 +107,37 @@
 	case Refused:
 		m.refusedVersion(e.Version)
 	case Publish:
-		m.learnRumour(now, m.self.ID, e.Rumour)
+		m.learnRumour(now, m.me.ID, e.Rumour)
+	}
+	m.push(now)
+	m.finish()
+	return m.effects
+}
+
+// finish emits what sums up the step.
+func (m *Members) finish() {
+	if more := m.transitions - maxTransitions; more > 0 {
+		m.emit(Transition{More: more})
 	}
 	if m.changed {
 		m.emit(Changed{})
 	}
-	return m.effects
 }
 
 // Self returns this instance's record.
 func (m *Members) Self() Record {
-	return m.self
+	return m.me.Record
 }
 
 // View returns the records of all known instances but the dead, this one
 // included, sorted by ID.
 func (m *Members) View() []Record {
-	view := []Record{m.self}
-	for _, e := range m.entries {
+	view := make([]Record, 0, len(m.table.sorted))
+	for _, e := range m.table.sorted {
 		if e.State != Dead {
-			view = append(view, e.Record)
+			view = append(view, e.view())
 		}
 	}
-	slices.SortFunc(view, func(a, b Record) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
 	return view
 }
 
@@ -115,213 +145,99 @@
 	m.effects = append(m.effects, e)
 }
 
-func (m *Members) tick(now time.Time) {
-	m.expire(now)
-	m.rumours.expire(now)
-	if now.Sub(m.lastSent) < m.cfg.Interval {
+// transition reports that an instance's state changed from the given one.
+func (m *Members) transition(e *entry, from State, cause string) {
+	to := e.state()
+	if from == to {
 		return
 	}
-	m.lastSent = now
-	if to, ok := m.target(); ok {
-		m.emit(Send{To: to.ID, Address: to.PeerAddress, Message: m.message(now)})
-	}
-}
-
-// expire turns old suspects dead and forgets old dead.
-func (m *Members) expire(now time.Time) {
-	for _, id := range slices.Sorted(maps.Keys(m.entries)) {
-		e := m.entries[id]
-		age := now.Sub(e.since)
-		switch {
-		case e.State == Suspect && age >= m.cfg.SuspectAfter:
-			m.setState(now, e, Dead, "no answer")
-		case e.State == Dead && age >= m.cfg.ForgetAfter:
-			delete(m.entries, id)
-		}
-	}
-}
-
-// target picks a peer at random: a known one, or one of the platform's list.
-func (m *Members) target() (Record, bool) {
-	var candidates []Record
-	for id, instance := range m.listed {
-		if _, known := m.entries[id]; !known && id != m.self.ID {
-			candidates = append(candidates, Record{ID: id, PeerAddress: instance.Address})
-		}
-	}
-	for _, e := range m.entries {
-		if e.State != Dead {
-			candidates = append(candidates, e.Record)
-		}
-	}
-	if len(candidates) == 0 {
-		return Record{}, false
-	}
-	slices.SortFunc(candidates, func(a, b Record) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
-	return candidates[m.rng.IntN(len(candidates))], true
-}
-
-// message returns a gossip message with all records.
-func (m *Members) message(now time.Time) Gossip {
-	g := Gossip{From: m.self.ID, Table: m.tableHash()}
-	g.Records = append(g.Records, m.self)
-	for _, id := range slices.Sorted(maps.Keys(m.entries)) {
-		g.Records = append(g.Records, m.entries[id].Record)
-	}
-	for _, h := range m.rumours.held {
-		g.Rumours = append(g.Rumours, h.remaining(now))
-	}
-	return g
-}
-
-func (m *Members) reply(now time.Time, e Received) {
-	g := m.message(now)
-	if g.Table == e.Message.Table {
-		g.Records = nil
+	m.changed = true
+	m.reachChanged = true
+	if m.transitions++; m.transitions <= maxTransitions {
+		m.emit(Transition{ID: e.ID, From: from, To: to, Cause: cause})
 	}
-	m.emit(Reply{Call: e.Call, Message: g})
 }
 
-// tableHash is the sum of the hashes of all records, in any order.
-func (m *Members) tableHash() uint64 {
-	sum := recordHash(m.self)
-	for _, e := range m.entries {
-		sum += recordHash(e.Record)
+func (m *Members) tick(now time.Time) {
+	if m.lastTick.IsZero() {
+		m.lastContact = now
+		// Start at a random phase, so that instances do not gossip in step.
+		m.lastRound = now.Add(-m.jitter(m.cfg.Interval))
 	}
-	return sum
-}
-
-func recordHash(r Record) uint64 {
-	d := xxhash.New()
-	_, _ = d.WriteString(r.ID)
-	var b [25]byte
-	putUint64(b[0:], r.Incarnation)
-	putUint64(b[8:], r.Seq)
-	putUint64(b[16:], uint64(r.State))
-	_, _ = d.Write(b[:])
-	return d.Sum64()
-}
-
-func putUint64(b []byte, v uint64) {
-	for i := range 8 {
-		b[i] = byte(v >> (8 * i))
+	m.lastTick = now
+	m.rumours.expire(now)
+	m.expireCalls(now)
+	m.expireStates(now)
+	if now.Sub(m.lastRound) >= m.cfg.Interval {
+		m.lastRound = now
+		m.round(now)
+		m.heal(now)
 	}
 }
 
-func (m *Members) merge(now time.Time, records []Record) {
-	for _, r := range records {
-		if r.ID == m.self.ID {
-			m.refute(r)
-			continue
-		}
-		m.mergeOne(now, r)
-	}
+// jitter returns a random time from 0 to below d.
+func (m *Members) jitter(d time.Duration) time.Duration {
+	return time.Duration(m.rng.Int64N(int64(d)))
 }
 
-// refute raises this instance's record above a claim of others about it.
-func (m *Members) refute(claim Record) {
-	if compare(claim, m.self) <= 0 {
+// notePause starts all timers anew if this process did not run for a while:
+// what it last knew says nothing about the others.
+func (m *Members) notePause(now time.Time) {
+	if m.lastTick.IsZero() || now.Sub(m.lastTick) < pauseRounds*m.cfg.Interval {
 		return
 	}
-	if claim.Incarnation > m.self.Incarnation {
-		m.self.Incarnation = claim.Incarnation + 1
-	}
-	m.self.Seq = max(m.self.Seq, claim.Seq) + 1
-	m.changed = true
-}
-
-func (m *Members) mergeOne(now time.Time, r Record) {
-	e, ok := m.entries[r.ID]
-	if !ok {
-		if r.State == Dead {
-			return
+	m.lastTick = now
+	m.lastContact = now
+	clear(m.outstanding)
+	clear(m.inquiries)
+	clear(m.retries)
+	m.releaseAsks()
+	m.exchange.due = true
+	m.lastRound = time.Time{}
+	for _, e := range m.table.sorted {
+		if !e.suspected.IsZero() {
+			e.suspected = now
 		}
-		m.entries[r.ID] = &entry{Record: r, since: now}
-		m.changed = true
-		m.emit(Transition{ID: r.ID, From: Dead, To: r.State, Cause: "joined"})
-		return
-	}
-	if compare(r, e.Record) <= 0 {
-		return
-	}
-	from := e.State
-	e.Record = r
-	m.changed = true
-	if from != r.State {
-		e.since = now
-		m.emit(Transition{ID: r.ID, From: from, To: r.State, Cause: "gossip"})
 	}
 }
 
-func (m *Members) suspect(now time.Time, id string) {
-	if e, ok := m.entries[id]; ok && e.State < Suspect {
-		m.setState(now, e, Suspect, "gossip failed")
+// updateSelf replaces this instance's record by a newer one.
+func (m *Members) updateSelf(r Record, whole bool) {
+	if r.Seq++; r.Seq > maxSeq {
+		r.Incarnation++
+		r.Seq = 0
+		whole = true
 	}
-}
-
-func (m *Members) setState(now time.Time, e *entry, s State, cause string) {
-	m.emit(Transition{ID: e.ID, From: e.State, To: s, Cause: cause})
-	e.State = s
-	e.since = now
+	m.table.put(r)
+	m.queue.add(&update{entry: m.me, whole: whole, hot: true})
 	m.changed = true
 }
 
-func (m *Members) list(instances []source.Instance) {
-	clear(m.listed)
-	for _, i := range instances {
-		m.listed[i.ID] = i
-		if i.ID == m.self.ID && i.State == source.InstanceLeaving {
-			m.leave()
-		}
-	}
-}
-
 func (m *Members) inForce(e InForce) {
-	if e.Version == m.self.Version && e.Root == m.self.Root && e.Ready == m.self.Ready {
+	r := m.me.Record
+	if e.Version == r.Version && e.Root == r.Root && e.Ready == r.Ready {
 		return
 	}
-	m.self.Version = e.Version
-	m.self.Root = e.Root
-	m.self.Ready = e.Ready
-	m.self.Seq++
-	m.changed = true
-}
-
-func (m *Members) leave() {
-	if m.self.State == Leaving {
-		return
-	}
-	m.self.State = Leaving
-	m.self.Seq++
-	m.changed = true
+	r.Version = e.Version
+	r.Root = e.Root
+	r.Ready = e.Ready
+	m.updateSelf(r, false)
 }
 
 func (m *Members) refusedVersion(v uint64) {
-	if v <= m.self.Refused {
+	r := m.me.Record
+	if v <= r.Refused {
 		return
 	}
-	m.self.Refused = v
-	m.self.Seq++
-	m.changed = true
-}
-
-func (m *Members) learn(now time.Time, g Gossip) {
-	for _, r := range g.Rumours {
-		m.learnRumour(now, g.From, r)
-	}
+	r.Refused = v
+	m.updateSelf(r, false)
 }
 
-func (m *Members) learnRumour(now time.Time, from string, r Rumour) {
-	if !r.valid() {
-		m.emit(Violation{From: from, Cause: "invalid rumour"})
+func (m *Members) leave() {
+	r := m.me.Record
+	if r.State == Leaving {
 		return
 	}
-	if _, ok := m.rumours.add(now, r); ok {
-		m.emit(Learnt{Rumour: r})
-	}
+	r.State = Leaving
+	m.updateSelf(r, false)
 }
--- /dev/null
+++ b/internal/member/network_test.go
@@ -0,0 +1,367 @@
+package member
+
+import (
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/klauspost/compress/zstd"
+
+	"heatherlift.example/heatherlift/internal/source"
+)
+
+const (
+	testInterval     = time.Second
+	testSuspectAfter = 3 * time.Second
+	testForgetAfter  = 5 * time.Minute
+	testTick         = 100 * time.Millisecond
+	// callTimeout and dialTimeout are those of the transport.
+	callTimeout = 5 * time.Second
+	dialTimeout = 2 * time.Second
+)
+
+// network runs state machines in virtual time.
+type network struct {
+	now   time.Time
+	rng   *rand.Rand
+	queue eventQueue
+	seq   int
+	nodes []*testNode
+	byID  map[string]*testNode
+	// origins routes an answer to its question.
+	origins map[uint64]origin
+
+	delay           time.Duration
+	loss, duplicate float64
+	// cut reports whether messages between two instances are lost.
+	cut func(a, b *testNode) bool
+	// check is called after every step.
+	check func(n *testNode, effects []Effect)
+	// measure turns the count of bytes on.
+	measure bool
+}
+
+type testNode struct {
+	net    *network
+	m      *Members
+	cfg    Config
+	life   int
+	down   bool
+	paused time.Time // until when, if in the future
+
+	sent, received, messages int
+	learnt                   map[string]int
+	violations               int
+}
+
+type pending struct {
+	at  time.Time
+	seq int
+	f   func()
+}
+
+type eventQueue []pending
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	if !q[i].at.Equal(q[j].at) {
+		return q[i].at.Before(q[j].at)
+	}
+	return q[i].seq < q[j].seq
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(pending)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	x := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return x
+}
+
+func (n *network) after(d time.Duration, f func()) {
+	n.seq++
+	heap.Push(&n.queue, pending{at: n.now.Add(d), seq: n.seq, f: f})
+}
+
+// run lets virtual time pass.
+func (n *network) run(d time.Duration) {
+	end := n.now.Add(d)
+	for len(n.queue) > 0 && !n.queue[0].at.After(end) {
+		p := heap.Pop(&n.queue).(pending)
+		n.now = p.at
+		p.f()
+	}
+	n.now = end
+}
+
+// runUntil lets time pass until done holds or the limit is over.
+func (n *network) runUntil(limit time.Duration, done func() bool) (time.Duration, bool) {
+	start := n.now
+	for n.now.Sub(start) < limit {
+		if done() {
+			return n.now.Sub(start), true
+		}
+		n.run(testTick)
+	}
+	return n.now.Sub(start), done()
+}
+
+// newNetwork starts size instances in zones of two regions, all listed.
+func newNetwork(seed uint64, size, zones int) *network {
+	n := &network{
+		now:     epoch,
+		rng:     rand.New(rand.NewPCG(seed, 7)),
+		byID:    make(map[string]*testNode),
+		origins: make(map[uint64]origin),
+		delay:   time.Millisecond,
+	}
+	for i := range size {
+		n.add(i, zones)
+	}
+	return n
+}
+
+func (n *network) add(i, zones int) *testNode {
+	zone := i % zones
+	region := "east"
+	if zone >= (zones+1)/2 {
+		region = "west"
+	}
+	node := &testNode{net: n, cfg: Config{
+		Self: Record{
+			ID:               fmt.Sprintf("service-%d-%d", i%41, i),
+			Incarnation:      uint64(n.now.UnixNano()),
+			Region:           region,
+			AvailabilityZone: fmt.Sprintf("zone-%d", zone),
+			Service:          fmt.Sprintf("service-%d", i%41),
+			Calls:            []string{fmt.Sprintf("service-%d", (i+1)%41), fmt.Sprintf("service-%d", (i+2)%41)},
+			PeerAddress:      fmt.Sprintf("10.%d.%d.1:8082", i/250, i%250),
+			ForwardAddress:   fmt.Sprintf("10.%d.%d.1:8081", i/250, i%250),
+			Slots:            10,
+		},
+		Interval:     testInterval,
+		SuspectAfter: testSuspectAfter,
+		ForgetAfter:  testForgetAfter,
+		Seed:         n.rng.Uint64(),
+	}}
+	n.nodes = append(n.nodes, node)
+	n.byID[node.cfg.Self.ID] = node
+	node.start()
+	return node
+}
+
+// start begins a new life of the process.
+func (t *testNode) start() {
+	t.life++
+	t.down = false
+	t.m = New(t.cfg)
+	t.learnt = make(map[string]int)
+	life := t.life
+	var tick func()
+	tick = func() {
+		if t.life != life || t.down {
+			return
+		}
+		t.step(Tick{})
+		t.net.after(testTick, tick)
+	}
+	t.net.after(time.Duration(t.net.rng.Int64N(int64(testTick))), tick)
+}
+
+func (t *testNode) id() string { return t.cfg.Self.ID }
+
+// whenAwake calls f now, or when the process is no longer paused.
+func (t *testNode) whenAwake(f func()) {
+	if wait := t.paused.Sub(t.net.now); wait > 0 {
+		t.net.after(wait, func() { t.whenAwake(f) })
+		return
+	}
+	f()
+}
+
+// step feeds an event and carries out the effects.
+func (t *testNode) step(e Event) {
+	life := t.life
+	t.whenAwake(func() {
+		if t.down || t.life != life {
+			return
+		}
+		effects := t.m.Step(t.net.now, e)
+		for _, effect := range effects {
+			t.carryOut(effect)
+		}
+		if t.net.check != nil {
+			t.net.check(t, effects)
+		}
+	})
+}
+
+func (t *testNode) carryOut(effect Effect) {
+	switch e := effect.(type) {
+	case Send:
+		t.net.deliver(t, e)
+	case Reply:
+		t.net.answer(t, e)
+	case Learnt:
+		t.learnt[e.Rumour.Key]++
+	case Violation:
+		t.violations++
+	}
+}
+
+// latency is the delay of a message; reordering follows from its spread.
+func (n *network) latency() time.Duration {
+	return n.delay + time.Duration(n.rng.Int64N(int64(n.delay)+1))
+}
+
+func (n *network) lost(a, b *testNode) bool {
+	return n.cut != nil && n.cut(a, b) || n.loss > 0 && n.rng.Float64() < n.loss
+}
+
+// origin is the sender of a message that waits for an answer.
+type origin struct {
+	from *testNode
+	life int
+	send Send
+}
+
+func (n *network) deliver(from *testNode, s Send) {
+	n.count(from, nil, "gossip", s.Message)
+	to := n.byID[s.To]
+	failed := Failed{Call: s.Call, ID: s.To}
+	switch {
+	case to == nil:
+		n.after(dialTimeout, func() { from.step(failed) })
+		return
+	case n.lost(from, to):
+		n.after(dialTimeout, func() { from.step(failed) })
+		return
+	case to.down:
+		n.after(n.latency(), func() { from.step(failed) })
+		return
+	}
+	n.after(callTimeout, func() { from.step(failed) })
+	copies := 1
+	if n.rng.Float64() < n.duplicate {
+		copies = 2
+	}
+	for range copies {
+		n.seq++
+		call := uint64(n.seq)
+		n.origins[call] = origin{from: from, life: from.life, send: s}
+		n.after(n.latency(), func() {
+			n.count(nil, to, "gossip", s.Message)
+			to.step(Received{Call: call, Message: s.Message})
+		})
+	}
+}
+
+func (n *network) answer(from *testNode, r Reply) {
+	o, ok := n.origins[r.Call]
+	delete(n.origins, r.Call)
+	n.count(from, nil, "", r.Message)
+	if !ok || n.lost(from, o.from) || o.from.life != o.life {
+		return
+	}
+	n.after(n.latency(), func() {
+		n.count(nil, o.from, "", r.Message)
+		o.from.step(Answered{Call: o.send.Call, From: o.send.To, Message: r.Message})
+	})
+}
+
+var encoder, _ = zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithWindowSize(1<<17))
+
+// frameSize is the size of a message as the transport frames it.
+func frameSize(method string, g Gossip) int {
+	var envelope any = struct {
+		Method  string `json:"method"`
+		Params  Gossip `json:"params"`
+		ID      int    `json:"id"`
+		Version string `json:"jsonrpc"`
+	}{method, g, 100_000, "2.0"}
+	if method == "" {
+		envelope = struct {
+			ID      int    `json:"id"`
+			Result  Gossip `json:"result"`
+			Version string `json:"jsonrpc"`
+		}{100_000, g, "2.0"}
+	}
+	text, err := json.Marshal(envelope)
+	if err != nil {
+		panic(err)
+	}
+	const lengthBytes, compressFrom = 4, 512
+	if len(text) >= compressFrom {
+		text = encoder.EncodeAll(text, nil)
+	}
+	return lengthBytes + len(text)
+}
+
+func (n *network) count(from, to *testNode, method string, g Gossip) {
+	if !n.measure {
+		return
+	}
+	size := frameSize(method, g)
+	if from != nil {
+		from.sent += size
+		from.messages++
+	}
+	if to != nil {
+		to.received += size
+	}
+}
+
+// list gives every running instance the platform's list.
+func (n *network) list(absent ...string) {
+	var instances []source.Instance
+	for _, t := range n.nodes {
+		gone := false
+		for _, id := range absent {
+			gone = gone || id == t.id()
+		}
+		if !gone {
+			instances = append(instances, source.Instance{ID: t.id(), Address: t.cfg.Self.PeerAddress})
+		}
+	}
+	for _, t := range n.nodes {
+		t.step(Listed{Instances: instances})
+	}
+}
+
+// agreed reports whether all running instances have the same table, which
+// holds every running instance as alive or leaving.
+func (n *network) agreed() bool {
+	var hash uint64
+	var first *testNode
+	for _, t := range n.nodes {
+		if t.down {
+			continue
+		}
+		if first == nil {
+			first, hash = t, t.m.table.hash
+		}
+		if t.m.table.hash != hash {
+			return false
+		}
+		for _, o := range n.nodes {
+			e := t.m.table.byID[o.id()]
+			if !o.down && (e == nil || !e.live() || compare(e.Record, o.m.Self()) != 0) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// settle runs until all tables agree.
+func (n *network) settle(t testing.TB, limit time.Duration) time.Duration {
+	t.Helper()
+	took, ok := n.runUntil(limit, n.agreed)
+	if !ok {
+		t.Fatalf("tables differ after %v", limit)
+	}
+	return took
+}
--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -5,6 +5,9 @@
 
 import (
 	"cmp"
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
 
 	"heatherlift.example/heatherlift/internal/config"
 )
@@ -12,15 +15,20 @@
 // State is the state of an instance as other proxies see it.
 type State int
 
-// States, in the order in which they override each other at equal Seq.
+// States, in the order in which they override each other at equal Seq. Suspect
+// and Partitioned are conclusions of one proxy and never part of a record that
+// is sent.
 const (
 	Alive State = iota
 	Leaving
+	// Suspect did not answer, neither directly nor through other peers.
 	Suspect
+	// Partitioned became unreachable together with a large share of the fleet.
+	Partitioned
 	Dead
 )
 
-var stateNames = [...]string{"alive", "leaving", "suspect", "dead"}
+var stateNames = [...]string{"alive", "leaving", "suspect", "partitioned", "dead"}
 
 // String returns the state's name.
 func (s State) String() string {
@@ -70,6 +78,28 @@
 	return scope
 }
 
+// key names the instance and its incarnation in compact messages.
+func (r Record) key() uint64 {
+	return mix(xxhash.Sum64String(r.ID), r.Incarnation)
+}
+
+// hash is the record's part in the hash of a table. Dead records have none, so
+// that tables agree whether or not a dead record has been forgotten.
+func (r Record) hash() uint64 {
+	if r.State == Dead {
+		return 0
+	}
+	return mix(r.key(), r.Seq<<1|uint64(r.State&1))
+}
+
+// mix hashes two numbers.
+func mix(a, b uint64) uint64 {
+	var buf [16]byte
+	binary.LittleEndian.PutUint64(buf[:], a)
+	binary.LittleEndian.PutUint64(buf[8:], b)
+	return xxhash.Sum64(buf[:])
+}
+
 // compare orders two records of one instance by age.
 func compare(a, b Record) int {
 	return cmp.Or(
@@ -78,13 +108,3 @@
 		cmp.Compare(a.State, b.State),
 	)
 }
-
-// Gossip is a message of the protocol and its answer.
-type Gossip struct {
-	From string `json:"from"`
-	// Table is the hash of the sender's records.
-	Table uint64 `json:"table"`
-	// Records holds records that the receiver may not know.
-	Records []Record `json:"records,omitempty"`
-	Rumours []Rumour `json:"rumours,omitempty"`
-}
--- /dev/null
+++ b/internal/member/scale_test.go
@@ -0,0 +1,90 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"heatherlift.example/heatherlift/internal/config"
+)
+
+var sizes = []int{100, 200, 400, 770}
+
+// fleet returns a measured network whose tables agree.
+func fleet(b *testing.B, size int) *network {
+	n := newNetwork(1, size, 7)
+	n.list()
+	n.settle(b, 2*time.Minute)
+	n.run(20 * time.Second)
+	n.measure = true
+	return n
+}
+
+// bytesPerNode runs f over the given time and reports the mean and the highest
+// number of bytes sent and received by an instance in a second.
+func (n *network) bytesPerNode(b *testing.B, f func()) {
+	start := n.now
+	for _, t := range n.nodes {
+		t.sent, t.received, t.messages = 0, 0, 0
+	}
+	f()
+	seconds := n.now.Sub(start).Seconds()
+	var sent, received, messages, highest float64
+	for _, t := range n.nodes {
+		sent += float64(t.sent)
+		received += float64(t.received)
+		messages += float64(t.messages)
+		highest = max(highest, float64(t.sent+t.received))
+	}
+	count := float64(len(n.nodes))
+	b.ReportMetric(sent/count/seconds, "sentB/s")
+	b.ReportMetric(received/count/seconds, "recvB/s")
+	b.ReportMetric(highest/seconds, "maxB/s")
+	b.ReportMetric(messages/count/seconds, "messages/s")
+	b.ReportMetric(0, "ns/op")
+}
+
+func version(v uint64) InForce {
+	return InForce{Version: v, Root: config.HashOf(fmt.Append(nil, v)), Ready: true}
+}
+
+// enforce puts a version in force at every instance within the spread.
+func (n *network) enforce(v uint64, spread time.Duration) {
+	for _, t := range n.nodes {
+		n.after(time.Duration(n.rng.Int64N(int64(spread)+1)), func() { t.step(version(v)) })
+	}
+}
+
+func benchmarkSizes(b *testing.B, f func(b *testing.B, n *network)) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprint("n=", size), func(b *testing.B) {
+			for b.Loop() {
+				f(b, fleet(b, size))
+			}
+		})
+	}
+}
+
+func BenchmarkSteadyState(b *testing.B) {
+	benchmarkSizes(b, func(b *testing.B, n *network) {
+		n.bytesPerNode(b, func() { n.run(30 * time.Second) })
+	})
+}
+
+// BenchmarkVersionInForce has every instance report a new version within two
+// seconds and reports bytes over ten.
+func BenchmarkVersionInForce(b *testing.B) {
+	benchmarkSizes(b, func(b *testing.B, n *network) {
+		var took time.Duration
+		n.bytesPerNode(b, func() {
+			start := n.now
+			n.enforce(1, 2*time.Second)
+			n.run(2 * time.Second)
+			took = 2*time.Second + n.settle(b, time.Minute)
+			if rest := 10*time.Second - n.now.Sub(start); rest > 0 {
+				n.run(rest)
+			}
+		})
+		b.ReportMetric(took.Seconds(), "s-to-agree")
+	})
+}
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"heatherlift.example/heatherlift/internal/config"
+	"heatherlift.example/heatherlift/internal/member"
 )
 
 // journalLength bounds the decisions kept in memory.
@@ -42,6 +43,14 @@
 	}
 }
 
+func (j *journal) addTransition(now time.Time, t member.Transition) {
+	if t.More > 0 {
+		j.add(now, "further instances changed state", strconv.Itoa(t.More))
+		return
+	}
+	j.add(now, "instance "+t.To.String(), t.ID+": "+t.Cause)
+}
+
 // list returns the entries, oldest first.
 func (j *journal) list() []Entry {
 	out := make([]Entry, 0, len(j.entries))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -102,7 +102,7 @@
 		case member.Changed:
 			n.viewChanged(now, out)
 		case member.Transition:
-			n.journal.add(now, "instance "+effect.To.String(), effect.ID+": "+effect.Cause)
+			n.journal.addTransition(now, effect)
 		case member.Violation:
 			n.journal.add(now, "violation by "+effect.From, effect.Cause)
 			out.Member = append(out.Member, effect)
@@ -125,7 +125,7 @@
 func instances(view []member.Record) []routing.Instance {
 	list := make([]routing.Instance, 0, len(view))
 	for _, r := range view {
-		if r.Service == "" || !r.Ready {
+		if r.Service == "" || !r.Ready || r.State > member.Suspect {
 			continue
 		}
 		list = append(list, routing.Instance{
