Show who lags, refuses or is out of reach in the fleet's status

A version counts as in force everywhere only if every instance that is not dead has reported it; one that is listed but was never heard keeps it at 0.

--- /dev/null
+++ b/internal/cli/fleet.go
@@ -0,0 +1,28 @@
+package cli
+
+import (
+	"fmt"
+	"strings"
+
+	"heatherlift.example/heatherlift/internal/node"
+)
+
+// printFleet prints which version is in force everywhere and what is missing.
+func (c *statusCommand) printFleet(f node.Fleet) {
+	fmt.Fprintf(c.stdout, "in force everywhere: %d\n", f.InForce)
+	if p := f.Partition; p != nil {
+		fmt.Fprintf(c.stdout, "partition: %d of %d instances out of reach, availability zones %v\n", p.Unreachable, p.Known, p.AvailabilityZones)
+		if p.CutOff {
+			fmt.Fprintln(c.stdout, "this proxy is cut off from most of the fleet")
+		}
+	}
+	c.printNames("lagging", f.Lagging)
+	c.printNames("unreachable", f.Unreachable)
+	c.printNames("refused at", f.RefusedAt)
+}
+
+func (c *statusCommand) printNames(what string, names []string) {
+	if len(names) > 0 {
+		fmt.Fprintf(c.stdout, "%s: %s\n", what, strings.Join(names, " "))
+	}
+}
--- a/internal/cli/operate.go
+++ b/internal/cli/operate.go
@@ -129,7 +129,7 @@
 }
 
 func (c *statusCommand) print(s node.Status) {
-	fmt.Fprintf(c.stdout, "in force everywhere: %d\n", s.InForce)
+	c.printFleet(s.Summary)
 	if s.Refused != 0 {
 		fmt.Fprintf(c.stdout, "refused version %d:\n%v\n", s.Refused, s.Problems)
 	}
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -20,8 +20,9 @@
 	Problems config.Problems    `json:"refused_problems,omitempty"`
 	Rejected []config.Rejection `json:"rejected,omitempty"`
 	Fleet    []member.Record    `json:"fleet"`
-	// InForce is the highest version in force at every live instance.
+	// InForce is Summary.InForce.
 	InForce uint64  `json:"in_force_everywhere"`
+	Summary Fleet   `json:"summary"`
 	Events  []Entry `json:"events,omitempty"`
 }
 
@@ -42,20 +43,12 @@
 	if current := n.dist.Snapshot(); current != nil {
 		s.Rejected = current.Rejected
 	}
-	s.InForce = inForceEverywhere(s.Fleet)
+	s.Summary = summarise(s.Fleet, n.members.Unknown())
+	s.Summary.Partition = n.members.Partition()
+	s.InForce = s.Summary.InForce
 	return s
 }
 
-func inForceEverywhere(fleet []member.Record) uint64 {
-	var lowest uint64
-	for i, r := range fleet {
-		if i == 0 || r.Version < lowest {
-			lowest = r.Version
-		}
-	}
-	return lowest
-}
-
 // Ready reports whether the proxy takes requests.
 func (n *Node) Ready() bool {
 	return n.dist.Snapshot() != nil && !n.leaving
