--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -117,7 +117,10 @@
 		case member.Changed:
 			n.viewChanged(now, out)
 		case member.Transition:
-			n.journal.add(now, "instance "+effect.To.String(), effect.ID+": "+effect.Cause)
+			n.journal.addTransition(now, effect)
+		case member.Violation:
+			n.journal.add(now, "violation by "+effect.From, effect.Cause)
+			out.Member = append(out.Member, effect)
 		default:
 			out.Member = append(out.Member, effect)
 		}
@@ -137,7 +140,7 @@
 func instances(view []member.Record) []routing.Instance {
 	list := make([]routing.Instance, 0, len(view))
 	for _, r := range view {
-		if r.Service == "" || !r.Ready {
+		if r.Service == "" || !r.Ready || r.State > member.Suspect {
 			continue
 		}
 		list = append(list, routing.Instance{
@@ -160,6 +163,7 @@
 			n.enforce(now, effect.Snapshot, out)
 		case dist.Refused:
 			n.journal.add(now, "version refused", effect.Problems.Error())
+			n.stepMember(now, member.Refused{Version: effect.Version}, out)
 		case dist.RoleChanged:
 			n.journal.add(now, "role "+effect.To.String(), "was "+effect.From.String())
 		case dist.Violation:
