--- a/internal/config/delta.go
+++ b/internal/config/delta.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"reflect"
 	"slices"
 
 	"github.com/cockroachdb/errors"
@@ -12,6 +13,8 @@
 	Version  uint64      `json:"version"`
 	Root     Hash        `json:"root"`
 	Rejected []Rejection `json:"rejected,omitempty"`
+	// KeepRejected means that the rejections of the base stand.
+	KeepRejected bool `json:"keep_rejected,omitempty"`
 	// Base is the root of the snapshot to which Index applies; empty means
 	// that Index is whole.
 	Base Hash `json:"base,omitempty"`
@@ -32,14 +35,30 @@
 	Removed []string `json:"removed,omitempty"`
 }
 
+// Size returns the bytes of the slices that the delta carries.
+func (d *Delta) Size() int {
+	size := 0
+	for _, set := range d.Sets {
+		for _, s := range set.Put {
+			size += s.Size()
+		}
+	}
+	return size
+}
+
 // Diff returns the delta from base to target for a receiver with the scope.
 // A nil base yields a whole transfer. Target must be complete in scope.
 func Diff(base, target *Snapshot, scope Scope) *Delta {
-	d := &Delta{Version: target.Version, Root: target.Root, Rejected: target.Rejected}
+	d := &Delta{Version: target.Version, Root: target.Root}
 	if base == nil {
 		base = &Snapshot{}
 	}
 	d.Base = base.Root
+	if len(target.Rejected) > 0 && d.Base != "" && reflect.DeepEqual(base.Rejected, target.Rejected) {
+		d.KeepRejected = true
+	} else {
+		d.Rejected = target.Rejected
+	}
 	d.Index = diffIndex(base.Index, target.Index)
 	for service, set := range target.Sets {
 		if !scope.Covers(service) {
@@ -94,26 +113,59 @@
 }
 
 // Apply returns the snapshot that d makes of base, complete in scope.
-// It returns ErrHashMismatch if d was made for another base or was altered,
-// and ErrDangling if a route names an absent group.
+// It returns ErrBase if d was made for another base, ErrIncomplete if d was
+// made for a narrower scope, ErrHashMismatch if d was altered, and ErrDangling
+// if a route names an absent group.
 func Apply(base *Snapshot, d *Delta, scope Scope) (*Snapshot, error) {
+	out, err := applyDelta(base, d, scope)
+	if err != nil {
+		return nil, err
+	}
+	if !out.Complete(scope) {
+		return nil, errors.Wrapf(ErrIncomplete, "version %d", d.Version)
+	}
+	return out, out.Consistent()
+}
+
+// ApplyPart returns the snapshot that the whole transfer d makes, which may
+// lack sets of the scope. Sets that d lacks are taken from held if their hash
+// is that of d's index.
+func ApplyPart(held []*Snapshot, d *Delta, scope Scope) (*Snapshot, error) {
+	if d.Base != "" {
+		return nil, errors.Wrap(ErrBase, "part")
+	}
+	out, err := applyDelta(nil, d, scope)
+	if err != nil {
+		return nil, err
+	}
+	for _, s := range held {
+		for service, set := range s.Sets {
+			if out.Sets[service] == nil && scope.Covers(service) && out.Index[service] == set.Hash {
+				out.Sets[service] = set
+			}
+		}
+	}
+	return out, out.Consistent()
+}
+
+func applyDelta(base *Snapshot, d *Delta, scope Scope) (*Snapshot, error) {
 	if base == nil {
 		base = &Snapshot{}
 	}
 	if d.Base != base.Root && d.Base != "" {
-		return nil, errors.Wrapf(ErrHashMismatch, "delta for base %s, have %s", d.Base.Short(), base.Root.Short())
+		return nil, errors.Wrapf(ErrBase, "delta for base %s, have %s", d.Base.Short(), base.Root.Short())
 	}
 	out := &Snapshot{Version: d.Version, Root: d.Root, Rejected: d.Rejected}
+	if d.KeepRejected {
+		out.Rejected = base.Rejected
+	}
 	out.Index = applyIndex(base, d)
 	sets, err := applySets(base, d, out.Index, scope)
 	if err != nil {
 		return nil, err
 	}
 	out.Sets = sets
-	if !out.Complete(scope) {
-		return nil, errors.Wrapf(ErrHashMismatch, "version %d is incomplete", d.Version)
-	}
-	return out, out.Consistent()
+	return out, nil
 }
 
 func applyIndex(base *Snapshot, d *Delta) map[string]Hash {
@@ -155,7 +207,7 @@
 	bySlice := make(map[string]*Slice)
 	if d.Base != "" {
 		if base == nil || base.Hash != d.Base {
-			return nil, errors.Wrap(ErrHashMismatch, "set delta for another base")
+			return nil, errors.Wrap(ErrBase, "set")
 		}
 		maps.Copy(bySlice, base.Slices)
 	}
@@ -163,8 +215,7 @@
 		if s == nil {
 			return nil, errors.Wrap(ErrHashMismatch, "empty slice")
 		}
-		s.seal()
-		bySlice[s.Organisation] = s
+		bySlice[s.Organisation] = s.sealed()
 	}
 	for _, org := range d.Removed {
 		delete(bySlice, org)
--- a/internal/config/errors.go
+++ b/internal/config/errors.go
@@ -15,6 +15,10 @@
 	ErrMissingBlob = errors.New("missing blob")
 	// ErrHashMismatch marks content whose hash differs from the announced one.
 	ErrHashMismatch = errors.New("hash mismatch")
+	// ErrBase marks a delta made for a snapshot that is not held here.
+	ErrBase = errors.New("delta for another base")
+	// ErrIncomplete marks a delta that lacks a set of the receiver's scope.
+	ErrIncomplete = errors.New("incomplete snapshot")
 	// ErrDangling marks a snapshot in which a route names an absent group.
 	ErrDangling = errors.New("dangling reference")
 )
--- a/internal/config/slice.go
+++ b/internal/config/slice.go
@@ -16,6 +16,7 @@
 	Limits       Limits           `json:"limits"`
 
 	hash Hash
+	size int
 }
 
 // Hash returns the hash of the slice's canonical text.
@@ -34,10 +35,30 @@
 	return text
 }
 
-// seal computes the hash once, before the slice is shared.
+// Size returns the length of the slice's canonical text in bytes.
+func (s *Slice) Size() int {
+	if s.size != 0 {
+		return s.size
+	}
+	return len(s.encode())
+}
+
+// seal computes hash and size once, before the slice is shared.
 func (s *Slice) seal() {
-	s.hash = ""
-	s.hash = s.Hash()
+	text := s.encode()
+	s.hash = HashOf(text)
+	s.size = len(text)
+}
+
+// sealed returns s if its hash is known, else a sealed copy. The slice of a
+// received message is not changed, so that the message may be read again.
+func (s *Slice) sealed() *Slice {
+	if s.hash != "" {
+		return s
+	}
+	out := *s
+	out.seal()
+	return &out
 }
 
 // consistent reports ErrDangling if a route names an absent group or a group
--- a/internal/dist/backoff.go
+++ b/internal/dist/backoff.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// maxDoublings keeps the window of a backoff from overflowing.
+const maxDoublings = 20
+
 // backoff is an exponential backoff with full jitter.
 type backoff struct {
 	base, limit time.Duration
@@ -19,12 +22,14 @@
 
 // fail schedules the next try at a random time within the grown window.
 func (b *backoff) fail(now time.Time, rng *rand.Rand) {
-	window := b.limit
-	if b.failures < 30 {
-		window = min(b.limit, b.base<<b.failures)
-	}
+	window := min(b.limit, b.base<<min(b.failures, maxDoublings))
 	b.failures++
-	b.next = now.Add(time.Duration(rng.Int64N(int64(window) + 1)))
+	b.next = now.Add(jitter(rng, window))
+}
+
+// wait schedules the next try between wait and twice wait from now.
+func (b *backoff) wait(now time.Time, wait time.Duration, rng *rand.Rand) {
+	b.next = now.Add(wait + jitter(rng, wait))
 }
 
 // reset allows the next try at once.
@@ -32,3 +37,8 @@
 	b.failures = 0
 	b.next = time.Time{}
 }
+
+// jitter returns a random duration from 0 to window.
+func jitter(rng *rand.Rand, window time.Duration) time.Duration {
+	return time.Duration(rng.Int64N(int64(window) + 1))
+}
--- a/internal/dist/dist.go
+++ b/internal/dist/dist.go
@@ -2,11 +2,10 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"heatherlift.example/heatherlift/internal/config"
-	"heatherlift.example/heatherlift/internal/member"
+	"heatherlift.example/heatherlift/internal/source"
 )
 
 // Config sets the parameters of the distribution.
@@ -27,244 +26,169 @@
 	Seed uint64
 }
 
-// historyLength is the number of snapshots kept as bases of deltas.
-const historyLength = 8
-
 // Dist is the state machine. The zero value is not usable.
 type Dist struct {
-	cfg     Config
-	rng     *rand.Rand
-	role    Role
-	records []member.Record
-	ranked  []member.Record
+	cfg Config
+	rng *rand.Rand
+	// started is the time of the first step; lastStep that of the latest.
+	started, lastStep time.Time
+	// wokeAt is the end of the last pause of this process.
+	wokeAt time.Time
+
+	fleet  fleet
+	listed []source.Instance
+	peers  map[string]peerHead
+	role   roleState
 
 	current *config.Snapshot
 	history []*config.Snapshot
-	// refused is the highest version refused as a whole.
-	refused         uint64
-	refusedProblems config.Problems
-	// heads is the newest head heard from each peer.
-	heads map[string]Head
+	// partial is a version under assembly from several peers.
+	partial *config.Snapshot
+	refusal *Refusal
+	// highest is the highest head heard from any peer.
+	highest    uint64
+	violations uint64
 
-	watching    bool
-	sourceRetry backoff
-	pulling     string
-	pullSince   time.Time
-	pullRetry   backoff
+	source sourceState
+	pull   pullState
+	serve  serveState
+	ready  readyState
 
-	effects []Effect
+	reported HeadChanged
+	effects  []Effect
 }
 
 // New returns a state machine that holds no version.
 func New(cfg Config) *Dist {
-	return &Dist{
-		cfg:         cfg,
-		rng:         rand.New(rand.NewPCG(cfg.Seed, 1)),
-		heads:       make(map[string]Head),
-		sourceRetry: backoff{base: cfg.BackoffMin, limit: cfg.BackoffMax},
-		pullRetry:   backoff{base: cfg.BackoffMin, limit: cfg.BackoffMax},
+	d := &Dist{
+		cfg:   cfg,
+		rng:   rand.New(rand.NewPCG(cfg.Seed, 1)),
+		peers: make(map[string]peerHead),
+	}
+	d.source.retry = backoff{base: cfg.BackoffMin, limit: cfg.BackoffMax}
+	d.pull.retry = backoff{base: cfg.BackoffMin, limit: cfg.BackoffMax}
+	if cfg.Naive {
+		d.role.current = Reader
 	}
+	return d
 }
 
 // Step applies an event at the given time and returns its effects.
 func (d *Dist) Step(now time.Time, e Event) []Effect {
 	d.effects = nil
+	d.passTime(now)
 	switch e := e.(type) {
 	case Tick:
 	case Peers:
-		d.setPeers(e.Records)
+		d.setPeers(now, e.Records)
+	case Listed:
+		d.setListed(now, e.Instances)
 	case Announced:
-		d.heard(e.From, e.Head)
+		d.announced(now, e.Announcement)
 	case PullReceived:
-		d.answer(e)
+		d.answer(now, e)
 	case Pulled:
 		d.pulled(now, e)
 	case SourceRead:
 		d.sourceRead(now, e)
 	}
-	d.schedule(now)
+	d.updateRole(now)
+	d.watchSource(now)
+	d.startPull(now)
+	d.updateReady(now)
+	d.report()
 	return d.effects
 }
 
+// wakeGap is the time between two steps from which the process counts as
+// having been paused.
+const wakeGap = 2 * time.Second
+
+func (d *Dist) passTime(now time.Time) {
+	if d.started.IsZero() {
+		d.started = now
+		d.lastStep = now
+	}
+	if now.Sub(d.lastStep) >= wakeGap {
+		d.wokeAt = now
+		d.pull.recheck = now
+	}
+	d.lastStep = now
+}
+
 // Snapshot returns the snapshot in force, nil before the first.
 func (d *Dist) Snapshot() *config.Snapshot {
+	if !d.ready.ready {
+		return nil
+	}
 	return d.current
 }
 
 // Role returns the present role.
 func (d *Dist) Role() Role {
-	return d.role
+	return d.role.current
+}
+
+// Held returns the head of the version that this instance holds. It is in
+// force once the instance is ready.
+func (d *Dist) Held() Head {
+	return headOf(d.current)
 }
 
 // Head returns the head of the version in force.
 func (d *Dist) Head() Head {
-	if d.current == nil {
+	return headOf(d.Snapshot())
+}
+
+func headOf(s *config.Snapshot) Head {
+	if s == nil {
 		return Head{}
 	}
-	return Head{Version: d.current.Version, Root: d.current.Root}
+	return Head{Version: s.Version, Root: s.Root}
 }
 
-// RefusedVersion returns the highest version refused as a whole and why.
+// RefusedVersion returns the refused version above the one held, and why; 0 if
+// there is none.
 func (d *Dist) RefusedVersion() (uint64, config.Problems) {
-	return d.refused, d.refusedProblems
+	if d.refusal == nil {
+		return 0, nil
+	}
+	return d.refusal.Version, d.refusal.Problems
+}
+
+// Violations returns the number of violations of the rules seen so far.
+func (d *Dist) Violations() uint64 {
+	return d.violations
 }
 
 func (d *Dist) emit(e Effect) {
 	d.effects = append(d.effects, e)
 }
 
+func (d *Dist) violation(from, cause string) {
+	d.violations++
+	d.emit(Violation{From: from, Cause: cause})
+}
+
 // scope returns the services that the present role must hold.
 func (d *Dist) scope() config.Scope {
-	if d.role != Leaf {
+	if d.role.current != Leaf {
 		return nil
 	}
 	return config.NewScope(d.cfg.Services...)
 }
 
-func (d *Dist) setPeers(records []member.Record) {
-	d.records = records
-	d.ranked = ranking(records, d.cfg.AvailabilityZone)
-	for _, r := range records {
-		if r.ID != d.cfg.ID && r.Version != 0 {
-			d.heard(r.ID, Head{Version: r.Version, Root: r.Root})
-		}
-	}
-	d.setRole()
-}
-
-func (d *Dist) setRole() {
-	rank := slices.IndexFunc(d.ranked, func(r member.Record) bool { return r.ID == d.cfg.ID })
-	role := roleOf(rank, len(d.ranked))
-	if d.cfg.Naive {
-		role = Reader
-	}
-	if role == d.role {
-		return
-	}
-	d.emit(RoleChanged{From: d.role, To: role})
-	if d.role == Reader && d.watching {
-		d.watching = false
-		d.emit(StopSource{})
-	}
-	d.role = role
-}
-
-// heard records the head of a peer; versions of a peer only grow.
-func (d *Dist) heard(from string, h Head) {
-	if d.cfg.Naive || h.Version < d.heads[from].Version {
-		return
-	}
-	d.heads[from] = h
-	if d.current != nil && h.Version == d.current.Version && h.Root != d.current.Root {
-		d.emit(Violation{From: from, Cause: "other content under the same version"})
-	}
-}
-
-// schedule starts the work that the state calls for.
-func (d *Dist) schedule(now time.Time) {
-	d.watch(now)
-	d.pull(now)
-}
-
-func (d *Dist) watch(now time.Time) {
-	if d.role != Reader || d.watching || !d.sourceRetry.due(now) {
-		return
-	}
-	d.watching = true
-	d.emit(WatchSource{After: d.watchAfter(), Wait: d.cfg.WatchWait})
-}
-
-// watchAfter is the version above which a watch answers at once.
-func (d *Dist) watchAfter() uint64 {
-	if d.current == nil || !d.current.Complete(d.scope()) {
-		return d.refused
-	}
-	return max(d.current.Version, d.refused)
+// complete reports whether the snapshot held covers the scope.
+func (d *Dist) complete() bool {
+	return d.current != nil && d.current.Complete(d.scope())
 }
 
-func (d *Dist) sourceRead(now time.Time, e SourceRead) {
-	if !d.watching {
+// report tells the membership what changed about this instance.
+func (d *Dist) report() {
+	state := HeadChanged{Head: d.Held(), Ready: d.ready.ready, SourceFailing: d.source.failing}
+	if state == d.reported {
 		return
 	}
-	d.watching = false
-	switch {
-	case e.Err != "":
-		d.sourceRetry.fail(now, d.rng)
-		return
-	case e.Snapshot != nil:
-		d.accept(e.Snapshot)
-	case e.Version > d.refused:
-		d.refused = e.Version
-		d.refusedProblems = e.Refused
-		d.emit(Refused{Version: e.Version, Problems: e.Refused})
-	}
-	if e.Version != 0 && e.Version <= d.Head().Version && e.Snapshot != d.current {
-		// The source is behind the fleet; do not ask again at once.
-		d.sourceRetry.fail(now, d.rng)
-		return
-	}
-	d.sourceRetry.reset()
-}
-
-// accept puts a snapshot in force if it is newer, or holds more of the same.
-func (d *Dist) accept(s *config.Snapshot) bool {
-	if d.current != nil {
-		same := s.Version == d.current.Version && s.Root == d.current.Root
-		wider := same && len(s.Sets) > len(d.current.Sets)
-		if s.Version <= d.current.Version && !wider {
-			return false
-		}
-	}
-	newer := d.current == nil || s.Version > d.current.Version
-	d.current = s
-	d.remember(s)
-	d.emit(Enforce{Snapshot: s})
-	if newer {
-		d.announce()
-	}
-	return true
-}
-
-func (d *Dist) remember(s *config.Snapshot) {
-	d.history = append(d.history, s)
-	if len(d.history) > historyLength {
-		d.history = slices.Delete(d.history, 0, len(d.history)-historyLength)
-	}
-}
-
-// announce tells the peers that depend on this instance of the new version.
-func (d *Dist) announce() {
-	if d.role == Leaf || d.cfg.Naive {
-		return
-	}
-	a := Announcement{From: d.cfg.ID, Head: d.Head()}
-	for _, r := range d.ranked {
-		if r.ID != d.cfg.ID && d.heads[r.ID].Version < a.Head.Version {
-			d.emit(Announce{To: r.ID, Address: r.PeerAddress, Announcement: a})
-		}
-	}
-}
-
-// answer sends a delta from what the peer has to the version in force.
-func (d *Dist) answer(e PullReceived) {
-	reply := PullReply{}
-	scope := config.NewScope(e.Request.Services...)
-	if e.Request.All {
-		scope = nil
-	}
-	if d.current != nil && d.current.Complete(scope) && e.Request.Have.Version <= d.current.Version {
-		reply.Delta = config.Diff(d.base(e.Request.Have, scope), d.current, scope)
-	}
-	d.emit(ReplyPull{Call: e.Call, Reply: reply})
-}
-
-// base returns the snapshot that the peer holds, if it is remembered here and
-// complete for its scope.
-func (d *Dist) base(have Head, scope config.Scope) *config.Snapshot {
-	for _, s := range slices.Backward(d.history) {
-		if s.Version == have.Version && s.Root == have.Root && s.Complete(scope) {
-			return s.Restrict(scope)
-		}
-	}
-	return nil
+	d.reported = state
+	d.emit(state)
 }
--- a/internal/dist/events.go
+++ b/internal/dist/events.go
@@ -11,39 +11,9 @@
 
 	"heatherlift.example/heatherlift/internal/config"
 	"heatherlift.example/heatherlift/internal/member"
+	"heatherlift.example/heatherlift/internal/source"
 )
 
-// Head names a version and its content.
-type Head struct {
-	Version uint64      `json:"version"`
-	Root    config.Hash `json:"root"`
-}
-
-// Announcement tells peers that the sender holds a version.
-type Announcement struct {
-	From string `json:"from"`
-	Head Head   `json:"head"`
-}
-
-// PullRequest asks a peer for its version.
-type PullRequest struct {
-	From string `json:"from"`
-	// Have is the version that the sender holds, zero if none.
-	Have Head `json:"have"`
-	// Services is the sender's scope; empty with All set.
-	Services []string `json:"services,omitempty"`
-	// All asks for every service.
-	All bool `json:"all,omitempty"`
-}
-
-// PullReply answers a PullRequest.
-type PullReply struct {
-	// Delta is nil if the answering proxy has nothing newer.
-	Delta *config.Delta `json:"delta,omitempty"`
-	// RetryAfter asks the receiver to come back, in milliseconds.
-	RetryAfterMs int64 `json:"retry_after_ms,omitempty"`
-}
-
 // Event is an input of the state machine.
 type Event interface{ distEvent() }
 
@@ -53,6 +23,8 @@
 	Tick struct{}
 	// Peers is a new view of the fleet, this instance included.
 	Peers struct{ Records []member.Record }
+	// Listed is a new reading of the platform's list of instances.
+	Listed struct{ Instances []source.Instance }
 	// Announced is an announcement of a peer.
 	Announced struct{ Announcement }
 	// PullReceived is a peer's request; the effect ReplyPull answers it.
@@ -60,8 +32,9 @@
 		Call    uint64
 		Request PullRequest
 	}
-	// Pulled is the answer to the Pull effect.
+	// Pulled is the answer to the Pull effect with the same Call.
 	Pulled struct {
+		Call  uint64
 		From  string
 		Reply PullReply
 		// Err is empty if the call succeeded.
@@ -79,6 +52,7 @@
 
 func (Tick) distEvent()         {}
 func (Peers) distEvent()        {}
+func (Listed) distEvent()       {}
 func (Announced) distEvent()    {}
 func (PullReceived) distEvent() {}
 func (Pulled) distEvent()       {}
@@ -93,11 +67,14 @@
 	WatchSource struct {
 		After uint64
 		Wait  time.Duration
+		// Rate bounds the reads of blobs, in calls a second.
+		Rate float64
 	}
 	// StopSource ends the watch in progress; no SourceRead follows.
 	StopSource struct{}
 	// Pull calls a peer; the host reports Pulled.
 	Pull struct {
+		Call        uint64
 		To, Address string
 		Request     PullRequest
 	}
@@ -113,6 +90,14 @@
 	}
 	// Enforce puts a snapshot in force.
 	Enforce struct{ Snapshot *config.Snapshot }
+	// HeadChanged reports what this instance tells the fleet about itself.
+	HeadChanged struct {
+		Head          Head
+		Ready         bool
+		SourceFailing bool
+	}
+	// BecameReady reports that the instance may take requests, and why.
+	BecameReady struct{ Cause string }
 	// Refused reports a version that is not accepted.
 	Refused struct {
 		Version  uint64
@@ -130,6 +115,8 @@
 func (Announce) distEffect()    {}
 func (ReplyPull) distEffect()   {}
 func (Enforce) distEffect()     {}
+func (HeadChanged) distEffect() {}
+func (BecameReady) distEffect() {}
 func (Refused) distEffect()     {}
 func (RoleChanged) distEffect() {}
 func (Violation) distEffect()   {}
--- /dev/null
+++ b/internal/dist/network_test.go
@@ -0,0 +1,339 @@
+package dist
+
+import (
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"heatherlift.example/heatherlift/internal/config"
+	"heatherlift.example/heatherlift/internal/member"
+)
+
+const (
+	testTick        = 100 * time.Millisecond
+	testGossip      = time.Second
+	testForget      = 6 * time.Second
+	testWatchWait   = 5 * time.Second
+	testPullTimeout = 2 * time.Second
+)
+
+// delivery is an event on its way to one life of a proxy.
+type delivery struct {
+	at   time.Time
+	seq  int
+	to   *proxy
+	life uint64
+	run  func(p *proxy) []Effect
+}
+
+type deliveries []delivery
+
+func (q deliveries) Len() int { return len(q) }
+func (q deliveries) Less(i, j int) bool {
+	if !q[i].at.Equal(q[j].at) {
+		return q[i].at.Before(q[j].at)
+	}
+	return q[i].seq < q[j].seq
+}
+func (q deliveries) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *deliveries) Push(x any)   { *q = append(*q, x.(delivery)) }
+func (q *deliveries) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+// proxy is one machine with its membership view.
+type proxy struct {
+	id, zone string
+	services []string
+	naive    bool
+	d        *Dist
+	life     uint64
+	up       bool
+	// pausedUntil holds back every event.
+	pausedUntil time.Time
+	record      member.Record
+	view        map[string]seen
+	enforced    *config.Snapshot
+	watch       *watch
+	readyAt     time.Time
+	refused     uint64
+	violations  int
+	bytes       int
+}
+
+type seen struct {
+	record member.Record
+	at     time.Time
+}
+
+type watch struct {
+	after    uint64
+	deadline time.Time
+}
+
+// network is a fleet in virtual time.
+type network struct {
+	fail       func(format string, args ...any)
+	rng        *rand.Rand
+	now        time.Time
+	nextGossip time.Time
+	proxies    []*proxy
+	byID       map[string]*proxy
+	source     *fakeSource
+	queue      deliveries
+	seq        int
+	loss, dup  float64
+	delay      time.Duration
+	// side puts availability zones into partitions.
+	side map[string]int
+	// noSource lists the zones that cannot reach the source.
+	noSource map[string]bool
+	calls    uint64
+	// floor is the lowest version that a new life may enforce.
+	floor uint64
+}
+
+func newNetwork(seed uint64, zones, perZone int, fail func(string, ...any)) *network {
+	n := &network{
+		fail:     fail,
+		rng:      rand.New(rand.NewPCG(seed, 7)),
+		now:      time.Unix(1_000_000, 0),
+		byID:     make(map[string]*proxy),
+		source:   newFakeSource(),
+		delay:    2 * time.Millisecond,
+		side:     make(map[string]int),
+		noSource: make(map[string]bool),
+	}
+	scopes := [][]string{{"desk"}, {"stock"}, {"desk", "stock"}, {"other"}}
+	for z := range zones {
+		for i := range perZone {
+			p := &proxy{
+				id:       fmt.Sprintf("p-%d-%d", z, i),
+				zone:     fmt.Sprintf("zone-%d", z),
+				services: scopes[(z+i)%len(scopes)],
+			}
+			n.proxies = append(n.proxies, p)
+			n.byID[p.id] = p
+			n.start(p)
+		}
+	}
+	return n
+}
+
+// start begins a new life of the proxy without memory.
+func (n *network) start(p *proxy) {
+	p.life++
+	p.up = true
+	p.pausedUntil = time.Time{}
+	p.enforced = nil
+	p.watch = nil
+	p.refused = 0
+	p.view = make(map[string]seen)
+	p.readyAt = time.Time{}
+	p.record = member.Record{
+		ID: p.id, Incarnation: p.life, AvailabilityZone: p.zone,
+		Service: p.services[0], Calls: p.services[1:], PeerAddress: p.id,
+	}
+	p.d = New(Config{
+		ID: p.id, AvailabilityZone: p.zone, Services: p.services, Naive: p.naive,
+		WatchWait: testWatchWait, PullTimeout: testPullTimeout,
+		BackoffMin: 50 * time.Millisecond, BackoffMax: 5 * time.Second,
+		Seed: n.rng.Uint64(),
+	})
+}
+
+func (n *network) reachable(a, b *proxy) bool {
+	return a.up && b.up && n.side[a.zone] == n.side[b.zone]
+}
+
+// later queues an event for the present life of p.
+func (n *network) later(after time.Duration, p *proxy, run func(p *proxy) []Effect) {
+	n.seq++
+	heap.Push(&n.queue, delivery{at: n.now.Add(after), seq: n.seq, to: p, life: p.life, run: run})
+}
+
+// send queues a message with delay, loss, duplication and reordering.
+func (n *network) send(from, to *proxy, run func(p *proxy) []Effect) bool {
+	if !n.reachable(from, to) || n.rng.Float64() < n.loss {
+		return false
+	}
+	copies := 1
+	if n.rng.Float64() < n.dup {
+		copies = 2
+	}
+	for range copies {
+		n.later(time.Millisecond+time.Duration(n.rng.Int64N(int64(n.delay))), to, run)
+	}
+	return true
+}
+
+// run passes virtual time.
+func (n *network) run(d time.Duration) {
+	n.runBy(testTick, d)
+}
+
+func (n *network) runBy(tick, d time.Duration) {
+	for end := n.now.Add(d); n.now.Before(end); {
+		next := n.now.Add(tick)
+		for len(n.queue) > 0 && !n.queue[0].at.After(next) {
+			n.deliver(heap.Pop(&n.queue).(delivery))
+		}
+		n.now = next
+		if !n.now.Before(n.nextGossip) {
+			n.nextGossip = n.now.Add(testGossip)
+			n.gossip()
+		}
+		for _, p := range n.proxies {
+			n.pollSource(p)
+			n.step(p, Tick{})
+		}
+	}
+}
+
+func (n *network) deliver(x delivery) {
+	p := x.to
+	if !p.up || p.life != x.life {
+		return
+	}
+	if p.pausedUntil.After(x.at) {
+		x.at = p.pausedUntil
+		heap.Push(&n.queue, x)
+		return
+	}
+	if x.at.After(n.now) {
+		n.now = x.at
+	}
+	n.carryOut(p, x.run(p))
+}
+
+func (n *network) step(p *proxy, e Event) {
+	if p.up && !p.pausedUntil.After(n.now) {
+		n.carryOut(p, p.d.Step(n.now, e))
+	}
+}
+
+// gossip spreads the records of those that can be reached.
+func (n *network) gossip() {
+	for _, p := range n.proxies {
+		if !p.up || p.pausedUntil.After(n.now) {
+			continue
+		}
+		for _, q := range n.proxies {
+			if q != p && n.reachable(p, q) && !q.pausedUntil.After(n.now) && n.rng.Float64() >= n.loss {
+				p.view[q.id] = seen{record: q.record, at: n.now}
+			}
+		}
+		records := []member.Record{p.record}
+		for id, s := range p.view {
+			if n.now.Sub(s.at) > testForget {
+				delete(p.view, id)
+				continue
+			}
+			records = append(records, s.record)
+		}
+		slices.SortFunc(records, func(a, b member.Record) int { return compareRanked(ranked{id: a.ID}, ranked{id: b.ID}) })
+		n.step(p, Peers{Records: records})
+	}
+}
+
+func (n *network) carryOut(p *proxy, effects []Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case Announce:
+			a := viaJSON(p, e.Announcement)
+			n.send(p, n.byID[e.To], func(to *proxy) []Effect { return to.d.Step(n.now, Announced{a}) })
+		case Pull:
+			n.pull(p, e)
+		case WatchSource:
+			p.watch = &watch{after: e.After, deadline: n.now.Add(e.Wait)}
+			n.calls++
+		case StopSource:
+			p.watch = nil
+		case Enforce:
+			n.enforce(p, e.Snapshot)
+		case HeadChanged:
+			p.record.Version, p.record.Root = e.Head.Version, e.Head.Root
+			p.record.Ready, p.record.SourceFailing = e.Ready, e.SourceFailing
+		case BecameReady:
+			p.readyAt = n.now
+		case Refused:
+			p.refused = e.Version
+		case Violation:
+			p.violations++
+		}
+	}
+}
+
+// pull carries a request and its reply, or reports the error after a while.
+func (n *network) pull(p *proxy, e Pull) {
+	request := viaJSON(p, e.Request)
+	answered := false
+	respond := func(to *proxy) []Effect {
+		effects := to.d.Step(n.now, PullReceived{Call: e.Call, Request: request})
+		for i, effect := range effects {
+			reply, ok := effect.(ReplyPull)
+			if !ok {
+				continue
+			}
+			text := viaJSON(to, reply.Reply)
+			answered = answered || n.send(to, p, func(p *proxy) []Effect {
+				return p.d.Step(n.now, Pulled{Call: e.Call, From: to.id, Reply: text})
+			})
+			return slices.Delete(effects, i, i+1)
+		}
+		n.fail("no reply to a pull")
+		return nil
+	}
+	if n.send(p, n.byID[e.To], respond) && n.rng.Float64() >= n.loss {
+		return
+	}
+	n.later(testPullTimeout/2, p, func(p *proxy) []Effect {
+		if answered {
+			return nil
+		}
+		return p.d.Step(n.now, Pulled{Call: e.Call, From: e.To, Err: "unreachable"})
+	})
+}
+
+// viaJSON copies a message as the transport does and counts its bytes.
+func viaJSON[T any](from *proxy, v T) T {
+	text, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	from.bytes += len(text)
+	var out T
+	if err := json.Unmarshal(text, &out); err != nil {
+		panic(err)
+	}
+	return out
+}
+
+// enforce checks the invariants of every version put in force.
+func (n *network) enforce(p *proxy, s *config.Snapshot) {
+	if p.enforced != nil && s.Version < p.enforced.Version {
+		n.fail("%s fell from version %d to %d", p.id, p.enforced.Version, s.Version)
+	}
+	if p.enforced != nil && s.Version == p.enforced.Version && s.Root != p.enforced.Root {
+		n.fail("%s changed the content of version %d", p.id, s.Version)
+	}
+	if p.enforced == nil && s.Version < n.floor {
+		n.fail("%s started with version %d below %d, which was in force everywhere", p.id, s.Version, n.floor)
+	}
+	if err := s.Consistent(); err != nil {
+		n.fail("%s enforces an inconsistent version %d: %v", p.id, s.Version, err)
+	}
+	if !s.Complete(config.NewScope(p.services...)) {
+		n.fail("%s enforces version %d in part", p.id, s.Version)
+	}
+	if !n.source.published(s) {
+		n.fail("%s enforces version %d that was not published as such", p.id, s.Version)
+	}
+	p.enforced = s
+}
--- a/internal/dist/pull.go
+++ b/internal/dist/pull.go
@@ -1,114 +1,193 @@
 package dist
 
 import (
-	"slices"
 	"time"
 
-	"heatherlift.example/heatherlift/internal/config"
 	"heatherlift.example/heatherlift/internal/member"
 )
 
-// pull starts a transfer if some peer holds what this instance lacks.
-func (d *Dist) pull(now time.Time) {
-	if d.pulling != "" && now.Sub(d.pullSince) >= d.cfg.PullTimeout {
-		d.pulling = ""
-		d.pullRetry.fail(now, d.rng)
+const (
+	// searchInterval is the time between two searches for a provider.
+	searchInterval = 100 * time.Millisecond
+	// readerPatience is how long a reader waits for its own watch before it
+	// pulls a version that a peer holds.
+	readerPatience = 500 * time.Millisecond
+	// farHolderDelay and farLeafDelay are how long, with as much jitter, a
+	// proxy waits for its own zone before it pulls from another.
+	farHolderDelay = 100 * time.Millisecond
+	farLeafDelay   = 2 * time.Second
+	// skipInterval is how long a peer is passed over that lacked what its
+	// head and role promise.
+	skipInterval = 5 * time.Second
+	// recheckInterval is the least time between two exchanges of heads with
+	// a holder; the most is twice as long.
+	recheckInterval = 4 * time.Second
+	// unreadyInterval is recheckInterval of a proxy that is not ready.
+	unreadyInterval = 250 * time.Millisecond
+)
+
+// pullState is the one transfer in flight and what governs the next.
+type pullState struct {
+	call  uint64
+	to    string
+	since time.Time
+	retry backoff
+	// avoid is the peer that failed last.
+	avoid string
+	// recheck is when heads are exchanged although nothing is missing.
+	recheck time.Time
+	// behindSince is when a newer version was first heard of, farAt when it
+	// may be pulled from another zone. Zero while nothing is missing.
+	behindSince, farAt time.Time
+}
+
+// succeeded ends the backoff.
+func (p *pullState) succeeded(now time.Time) {
+	p.retry.reset()
+	p.avoid = ""
+	p.behindSince = time.Time{}
+	if !p.recheck.IsZero() && p.recheck.Before(now) {
+		p.recheck = now
+	}
+}
+
+// startPull starts a transfer if some peer holds what this instance lacks, or
+// an exchange of heads if one is due. At most one is in flight.
+func (d *Dist) startPull(now time.Time) {
+	p := &d.pull
+	if p.to != "" && now.Sub(p.since) >= d.cfg.PullTimeout {
+		d.pullFailed(now)
+	}
+	if d.cfg.Naive || p.to != "" || !p.retry.due(now) {
+		return
+	}
+	d.updateBehind(now)
+	if !p.behindSince.IsZero() {
+		if from, ok := d.provider(now); ok {
+			d.pullFrom(now, from)
+			return
+		}
+		p.retry.wait(now, searchInterval, d.rng)
+	}
+	if !now.Before(p.recheck) {
+		d.recheckHeads(now)
 	}
-	if d.cfg.Naive || d.pulling != "" || !d.pullRetry.due(now) {
+}
+
+// updateBehind notes since when a newer version, or a part of the present
+// one, is missing.
+func (d *Dist) updateBehind(now time.Time) {
+	p := &d.pull
+	if d.complete() && d.highest <= d.Held().Version {
+		p.behindSince = time.Time{}
 		return
 	}
-	from, ok := d.provider()
-	if !ok {
+	if !p.behindSince.IsZero() {
 		return
 	}
-	d.pulling = from.ID
-	d.pullSince = now
-	d.emit(Pull{To: from.ID, Address: from.PeerAddress, Request: d.request()})
+	delay := farLeafDelay
+	if d.role.current != Leaf {
+		delay = farHolderDelay
+	}
+	p.behindSince = now
+	p.farAt = now.Add(delay + jitter(d.rng, delay))
+}
+
+func (d *Dist) pullFrom(now time.Time, from member.Record) {
+	p := &d.pull
+	p.call++
+	p.to = from.ID
+	p.since = now
+	interval := recheckInterval
+	if !d.ready.ready {
+		interval = unreadyInterval
+	}
+	p.recheck = now.Add(interval + jitter(d.rng, interval))
+	d.emit(Pull{Call: p.call, To: from.ID, Address: from.PeerAddress, Request: d.request()})
 }
 
 func (d *Dist) request() PullRequest {
-	r := PullRequest{From: d.cfg.ID, All: d.role != Leaf}
-	if !r.All {
+	r := PullRequest{From: d.cfg.ID, All: d.role.current != Leaf}
+	missing := d.missing()
+	switch {
+	case len(missing) > 0:
+		r.All = false
+		r.Services = missing
+	case !r.All:
 		r.Services = d.cfg.Services
 	}
-	if d.current != nil && d.current.Complete(d.scope()) {
-		r.Have = d.Head()
+	if d.complete() && len(missing) == 0 {
+		r.Have = d.Held()
 	}
+	r.Refused, _ = d.RefusedVersion()
 	return r
 }
 
-// provider picks a peer that holds a newer version for this scope, or the
-// missing part of the present one.
-func (d *Dist) provider() (member.Record, bool) {
-	need := d.Head().Version
-	if d.current == nil || d.current.Complete(d.scope()) {
-		need++
-	}
-	var near, far []member.Record
-	for _, r := range d.records {
-		if r.ID == d.cfg.ID || r.State > member.Leaving || d.heads[r.ID].Version < need || !d.covers(r) {
-			continue
-		}
-		if r.AvailabilityZone == d.cfg.AvailabilityZone {
-			near = append(near, r)
-		} else {
-			far = append(far, r)
-		}
-	}
-	candidates := near
-	if len(near) == 0 {
-		candidates = far
-	}
-	if len(candidates) == 0 {
-		return member.Record{}, false
+func (d *Dist) recheckHeads(now time.Time) {
+	if to, ok := d.recheckPeer(); ok {
+		d.pullFrom(now, to)
+		return
 	}
-	return candidates[d.rng.IntN(len(candidates))], true
+	d.pull.recheck = now.Add(unreadyInterval)
 }
 
-// covers reports whether the peer holds every service of this scope.
-func (d *Dist) covers(r member.Record) bool {
-	if d.isHolder(r) {
-		return true
+// skip passes a peer over for a while that lacks what it was asked for.
+func (d *Dist) skip(now time.Time, id string) {
+	if p, known := d.peers[id]; known {
+		p.skipUntil = now.Add(skipInterval)
+		d.peers[id] = p
 	}
-	if d.role != Leaf {
-		return false
-	}
-	scope := r.Scope()
-	return !slices.ContainsFunc(d.cfg.Services, func(s string) bool { return !scope.Covers(s) })
 }
 
-// isHolder reports whether the peer is a reader or relay of its zone.
-func (d *Dist) isHolder(r member.Record) bool {
-	ranked := d.ranked
-	if r.AvailabilityZone != d.cfg.AvailabilityZone {
-		ranked = ranking(d.records, r.AvailabilityZone)
-	}
-	rank := slices.IndexFunc(ranked, func(o member.Record) bool { return o.ID == r.ID })
-	return roleOf(rank, len(ranked)) != Leaf
+func (d *Dist) pullFailed(now time.Time) {
+	d.pull.avoid = d.pull.to
+	d.pull.to = ""
+	d.pull.retry.fail(now, d.rng)
 }
 
+// pulled takes the answer to a pull. An answer that comes late still counts by
+// the version that it carries.
 func (d *Dist) pulled(now time.Time, e Pulled) {
-	if e.From != d.pulling {
+	if d.cfg.Naive {
 		return
 	}
-	d.pulling = ""
-	if e.Err != "" || e.Reply.Delta == nil {
-		d.pullRetry.fail(now, d.rng)
+	p := &d.pull
+	usable := e.Err == "" && (e.Reply.Delta == nil || d.apply(e.From, e.Reply.Delta))
+	if e.Err == "" {
+		d.refuse(e.Reply.Refusal)
+	}
+	if p.to == "" || e.Call != p.call {
 		return
 	}
-	base := d.current
-	if e.Reply.Delta.Base == "" {
-		base = nil
+	if !usable {
+		d.skip(now, e.From)
 	}
-	s, err := config.Apply(base, e.Reply.Delta, d.scope())
-	if err != nil {
-		d.emit(Violation{From: e.From, Cause: err.Error()})
-		d.pullRetry.fail(now, d.rng)
+	if !usable || now.Sub(p.since) >= d.cfg.PullTimeout {
+		d.pullFailed(now)
 		return
 	}
-	if !d.accept(s) {
-		d.pullRetry.fail(now, d.rng)
-		return
+	d.learnCheck(p.since, e.Reply)
+	d.learnHead(e.From, e.Reply.Head)
+	missing := e.Reply.Delta == nil && (!d.complete() || d.Held().Version < e.Reply.Head.Version)
+	switch {
+	case e.Reply.RetryAfterMs > 0:
+		p.avoid, p.to = p.to, ""
+		p.retry.wait(now, time.Duration(e.Reply.RetryAfterMs)*time.Millisecond, d.rng)
+	case missing:
+		d.skip(now, e.From)
+		d.pullFailed(now)
+	default:
+		p.to = ""
+		p.succeeded(now)
+	}
+}
+
+// learnHead sets the head of a peer to what it answered, which may be lower
+// than what was heard: a restarted peer remembers nothing.
+func (d *Dist) learnHead(from string, h Head) {
+	d.heard(from, h)
+	if p, known := d.peers[from]; known {
+		p.head = h
+		d.peers[from] = p
 	}
-	d.pullRetry.reset()
 }
--- a/internal/dist/role.go
+++ b/internal/dist/role.go
@@ -1,13 +1,6 @@
 package dist
 
-import (
-	"cmp"
-	"slices"
-
-	"github.com/cespare/xxhash/v2"
-
-	"heatherlift.example/heatherlift/internal/member"
-)
+import "time"
 
 // Role is the part that an instance takes in the distribution.
 type Role int
@@ -32,29 +25,15 @@
 const (
 	readersPerZone = 2
 	leavesPerRelay = 64
+	// promoteAfter and demoteAfter are how long the view must call for a
+	// higher or lower role before it is taken. Promotion is jittered by as
+	// much again, so that a herd that knows little does not rise at once.
+	promoteAfter = time.Second
+	demoteAfter  = 10 * time.Second
 )
 
-// ranking orders the eligible instances of a zone by rendezvous hashing.
-// Two instances with the same view compute the same order; different views
-// differ only by extra or missing holders, which is harmless.
-func ranking(records []member.Record, zone string) []member.Record {
-	var ranked []member.Record
-	for _, r := range records {
-		if r.AvailabilityZone == zone && r.State <= member.Leaving {
-			ranked = append(ranked, r)
-		}
-	}
-	slices.SortFunc(ranked, func(a, b member.Record) int {
-		return cmp.Or(
-			cmp.Compare(a.State, b.State),
-			cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)),
-			cmp.Compare(a.ID, b.ID),
-		)
-	})
-	return ranked
-}
-
 // holders returns the number of readers and relays of a zone with n instances.
+// The number of readers does not grow with n.
 func holders(n int) (readers, relays int) {
 	readers = min(n, readersPerZone)
 	if n > leavesPerRelay {
@@ -77,3 +56,51 @@
 		return Leaf
 	}
 }
+
+// roleState is the role with the change that the view calls for.
+type roleState struct {
+	current, wanted Role
+	changeAt        time.Time
+}
+
+// updateRole takes the role that the view has called for long enough.
+func (d *Dist) updateRole(now time.Time) {
+	if d.cfg.Naive {
+		return
+	}
+	if d.listed != nil && now.Sub(d.started) >= listTrust {
+		d.rank(now, d.records())
+	}
+	r := &d.role
+	wanted, known := d.fleet.roles[d.cfg.ID]
+	if !known || wanted == r.current {
+		r.wanted = r.current
+		return
+	}
+	if wanted != r.wanted {
+		r.wanted = wanted
+		r.changeAt = now.Add(d.roleDelay(wanted))
+	}
+	if now.Before(r.changeAt) {
+		return
+	}
+	d.setRole(wanted)
+}
+
+func (d *Dist) roleDelay(wanted Role) time.Duration {
+	if wanted < d.role.current {
+		return demoteAfter
+	}
+	return promoteAfter + jitter(d.rng, promoteAfter)
+}
+
+func (d *Dist) setRole(role Role) {
+	d.emit(RoleChanged{From: d.role.current, To: role})
+	if d.role.current == Reader {
+		d.stopSource()
+	}
+	d.role.current = role
+	if role == Leaf && d.current != nil {
+		d.current = d.current.Restrict(d.scope())
+	}
+}
--- /dev/null
+++ b/internal/dist/rules_test.go
@@ -0,0 +1,283 @@
+package dist
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"heatherlift.example/heatherlift/internal/config"
+	"heatherlift.example/heatherlift/internal/member"
+)
+
+// settled returns a fleet that enforces version 1 everywhere.
+func settled(t *testing.T, zones, perZone int) *network {
+	n := newNetwork(1, zones, perZone, t.Fatalf)
+	n.source.publish("a-desk", 1)
+	n.run(30 * time.Second)
+	converged(n)
+	return n
+}
+
+func TestChangeIsInForceEverywhereWithinASecond(t *testing.T) {
+	n := settled(t, 7, 12)
+	n.source.publish("a-desk", 2)
+	n.run(time.Second)
+	converged(n)
+}
+
+func TestRefusalReachesEveryProxyAndNextVersionPasses(t *testing.T) {
+	n := settled(t, 3, 8)
+	n.source.publishBad()
+	n.run(time.Second)
+	for _, p := range n.proxies {
+		version, problems := p.d.RefusedVersion()
+		if version != 2 || len(problems) == 0 {
+			t.Errorf("%s (%v): refused version %d, want 2 with its problems", p.id, p.d.Role(), version)
+		}
+	}
+	n.source.publish("b-stock", 5)
+	n.run(time.Second)
+	converged(n)
+	version, _ := n.proxies[0].d.RefusedVersion()
+	is.New(t).Equal(version, uint64(0))
+}
+
+// TestRefusalReachesProxyThatMissedIt covers repair without an announcement.
+func TestRefusalReachesProxyThatMissedIt(t *testing.T) {
+	n := settled(t, 3, 8)
+	n.source.publishBad()
+	n.loss = 1
+	n.run(2 * time.Second)
+	n.loss = 0
+	n.run(30 * time.Second)
+	for _, p := range n.proxies {
+		version, _ := p.d.RefusedVersion()
+		is.New(t).Equal(version, uint64(2))
+	}
+}
+
+func TestOtherContentUnderSameVersionHarmsNothing(t *testing.T) {
+	is := is.New(t)
+	n := settled(t, 3, 6)
+	n.source.publish("a-desk", 2)
+	first := n.source.latest()
+	n.source.rates["a-desk"] = 9
+	m, blobs := n.source.directory().Pack(nil, nil)
+	other, err := config.NewCompiler().Compile(first.Version, m, blobs)
+	is.NoErr(err)
+	n.source.other = other
+	n.source.roots[first.Version] = append(n.source.roots[first.Version], other.Root)
+	n.run(20 * time.Second)
+	violations := 0
+	for _, p := range n.proxies {
+		for _, content := range []*config.Snapshot{first, other} {
+			n.step(p, Announced{Announcement{From: "p-0-0", Head: headOf(content), Delta: config.Diff(nil, content, nil)}})
+		}
+		violations += p.violations
+		is.Equal(p.enforced.Version, first.Version)
+	}
+	is.True(violations > 0)
+	n.source.publish("b-stock", 7)
+	n.run(10 * time.Second)
+	converged(n)
+}
+
+func TestSourceDownForAnHour(t *testing.T) {
+	n := settled(t, 3, 6)
+	n.source.down = true
+	before := n.calls
+	n.runBy(time.Second, time.Hour)
+	// Six readers with a mean backoff of 2.5 s and a look a second.
+	if calls := n.calls - before; calls > 6*3600 {
+		t.Errorf("%d calls of a source that is down for an hour", calls)
+	}
+	for i, p := range n.proxies {
+		if i%3 == 0 {
+			n.start(p)
+		}
+	}
+	n.run(30 * time.Second)
+	converged(n)
+	n.source.down = false
+	n.source.publish("a-desk", 2)
+	n.run(20 * time.Second)
+	converged(n)
+}
+
+// TestRestartedProxyEnforcesNothingOlder restarts part of the fleet while the
+// source is stale. What was in force everywhere binds the new lives too.
+func TestRestartedProxyEnforcesNothingOlder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := newNetwork(rapid.Uint64().Draw(t, "seed"), 3, 6, t.Fatalf)
+		n.source.publish("a-desk", 1)
+		settle(n)
+		n.source.setStale(true)
+		n.source.stale = false
+		n.floor = n.source.publish("a-desk", 2)
+		settle(n)
+		n.source.stale = rapid.Bool().Draw(t, "stale")
+		n.source.down = rapid.Bool().Draw(t, "down")
+		survivor := rapid.IntRange(0, len(n.proxies)-1).Draw(t, "survivor")
+		for i, p := range n.proxies {
+			if i%6 != survivor%6 && rapid.Bool().Draw(t, "restart") {
+				n.start(p)
+			}
+		}
+		settle(n)
+	})
+}
+
+// TestVersionOutlivesItsHolders restarts every reader and relay at once while
+// the source is down. Only leaves remember, each a part.
+func TestVersionOutlivesItsHolders(t *testing.T) {
+	n := settled(t, 3, 6)
+	n.source.down = true
+	for _, p := range n.proxies {
+		if p.d.Role() != Leaf {
+			n.start(p)
+		}
+	}
+	settle(n)
+}
+
+func TestZoneWithoutSourceIsServedByOthersAndHandsOver(t *testing.T) {
+	n := settled(t, 3, 8)
+	n.noSource["zone-1"] = true
+	n.run(30 * time.Second)
+	n.source.publish("a-desk", 2)
+	n.run(3 * time.Second)
+	converged(n)
+	failing := 0
+	for _, p := range n.proxies {
+		if p.record.SourceFailing {
+			is.New(t).Equal(p.zone, "zone-1")
+			failing++
+		}
+	}
+	is.New(t).True(failing > 0)
+}
+
+func TestRoleDoesNotThrash(t *testing.T) {
+	is := is.New(t)
+	d := New(Config{ID: "a", AvailabilityZone: "z", Services: []string{"desk"}, WatchWait: testWatchWait, PullTimeout: testPullTimeout, BackoffMin: 1, BackoffMax: 1})
+	now := time.Unix(0, 0)
+	view := func(state member.State) Peers {
+		records := []member.Record{{ID: "a", AvailabilityZone: "z"}}
+		for i := range 6 {
+			records = append(records, member.Record{ID: fmt.Sprintf("p%d", i), AvailabilityZone: "z", State: state})
+		}
+		return Peers{Records: records}
+	}
+	d.Step(now, view(member.Suspect))
+	for range 50 {
+		now = now.Add(testTick)
+		d.Step(now, Tick{})
+	}
+	is.Equal(d.Role(), Reader)
+	changes := 0
+	for i := range 200 {
+		now = now.Add(testTick)
+		for _, e := range d.Step(now, view(member.State(2*(i/5%2)))) {
+			if _, ok := e.(RoleChanged); ok {
+				changes++
+			}
+		}
+	}
+	is.Equal(changes, 0) // the view flaps every half second
+}
+
+func TestHolderBoundsTransfersAndDefersTheRest(t *testing.T) {
+	is := is.New(t)
+	n := settled(t, 1, 3)
+	var s serveState
+	deferred := 0
+	var longest time.Duration
+	for range 100 {
+		if wait := s.admit(n.now, 1<<20); wait > 0 {
+			deferred++
+			longest = max(longest, wait)
+		}
+	}
+	is.Equal(deferred, 100-maxTransfers)
+	is.True(longest <= maxRetryAfter)
+	is.Equal(s.admit(n.now.Add(longest), 1<<20), time.Duration(0))
+	is.Equal(s.admit(n.now, 100), time.Duration(0)) // small ones pass
+}
+
+func TestDeferredReceiverComesBackAfterTheWait(t *testing.T) {
+	is := is.New(t)
+	n := settled(t, 2, 3)
+	p := n.proxies[0]
+	var call uint64
+	for call == 0 {
+		n.now = n.now.Add(testTick)
+		for _, e := range p.d.Step(n.now, Tick{}) {
+			if pull, ok := e.(Pull); ok {
+				call = pull.Call
+			}
+		}
+	}
+	p.d.Step(n.now, Pulled{Call: call, From: "p-1-0", Reply: PullReply{Head: Head{Version: 9}, RetryAfterMs: 1500}})
+	is.True(p.d.pull.retry.next.Sub(n.now) >= 1500*time.Millisecond)
+	is.True(p.d.pull.retry.next.Sub(n.now) <= 3000*time.Millisecond)
+}
+
+func TestWokenProxyActsOnNothingOld(t *testing.T) {
+	is := is.New(t)
+	n := settled(t, 3, 6)
+	old := n.source.latest()
+	n.source.publish("a-desk", 2)
+	n.run(2 * time.Second)
+	late := []Event{
+		Pulled{Call: 1, From: "p-0-0", Reply: PullReply{Head: headOf(old), Delta: config.Diff(nil, old, nil)}},
+		Announced{Announcement{From: "p-0-1", Head: headOf(old), Delta: config.Diff(nil, old, nil)}},
+		SourceRead{Version: old.Version, Snapshot: old},
+		SourceRead{Version: 1, Refused: config.Problems{{Message: "late"}}},
+	}
+	for _, p := range n.proxies {
+		for _, e := range late {
+			n.step(p, e)
+			is.Equal(p.d.Head().Version, uint64(2))
+		}
+		refused, _ := p.d.RefusedVersion()
+		is.Equal(refused, uint64(0))
+	}
+}
+
+func TestWaitingTellsWhy(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(3, 2, 3, t.Fatalf)
+	n.source.publish("a-desk", 1)
+	n.source.publishBad()
+	n.run(30 * time.Second)
+	for _, p := range n.proxies {
+		is.True(!p.d.Ready())
+		is.True(strings.Contains(p.d.Waiting(), "version 2 is refused"))
+	}
+}
+
+func TestReadyWithoutSourceNamesTheCause(t *testing.T) {
+	is := is.New(t)
+	n := settled(t, 2, 4)
+	n.source.down = true
+	n.run(30 * time.Second)
+	p := n.proxies[1]
+	n.start(p)
+	n.run(5 * time.Second)
+	is.True(!p.d.Ready())
+	is.Equal(p.d.Waiting(), "no fresh answer of the configuration source")
+	n.run(10 * time.Second)
+	is.True(p.d.Ready())
+	is.True(strings.Contains(p.d.ReadyCause(), "no fresh answer"))
+}
+
+func TestLoneProxyBecomesReady(t *testing.T) {
+	n := newNetwork(1, 1, 1, t.Fatalf)
+	n.source.publish("a-desk", 1)
+	n.run(10 * time.Second)
+	converged(n)
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -172,7 +172,7 @@
 
 func (h *Host) pull(e dist.Pull) {
 	reply, err := h.transport.Pull(h.ctx, e.Address, e.Request)
-	event := dist.Pulled{From: e.To, Reply: reply}
+	event := dist.Pulled{Call: e.Call, From: e.To, Reply: reply}
 	if err != nil {
 		event.Err = err.Error()
 	}
@@ -197,7 +197,7 @@
 
 func (h *Host) readSource(ctx context.Context, e dist.WatchSource) {
 	h.fetchMu.Lock()
-	reading, err := h.fetcher.Next(ctx, e.After, e.Wait)
+	reading, err := h.fetcher.Next(ctx, e.After, e.Wait, e.Rate)
 	h.fetchMu.Unlock()
 	if ctx.Err() != nil {
 		return
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -48,6 +48,8 @@
 		Version uint64
 		Root    config.Hash
 		Ready   bool
+		// SourceFailing is the flag of the same name in the record.
+		SourceFailing bool
 	}
 	// Leave marks this instance as leaving.
 	Leave struct{}
@@ -337,12 +339,14 @@
 }
 
 func (m *Members) inForce(e InForce) {
-	if e.Version == m.self.Version && e.Root == m.self.Root && e.Ready == m.self.Ready {
+	same := e.Version == m.self.Version && e.Root == m.self.Root
+	if same && e.Ready == m.self.Ready && e.SourceFailing == m.self.SourceFailing {
 		return
 	}
 	m.self.Version = e.Version
 	m.self.Root = e.Root
 	m.self.Ready = e.Ready
+	m.self.SourceFailing = e.SourceFailing
 	m.self.Seq++
 	m.changed = true
 }
--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -55,6 +55,9 @@
 	Root    config.Hash `json:"root,omitempty"`
 	// Ready reports that the instance takes requests.
 	Ready bool `json:"ready"`
+	// SourceFailing reports that the instance cannot read the configuration
+	// source while others can.
+	SourceFailing bool `json:"source_failing,omitempty"`
 }
 
 // Scope returns the services whose configuration the instance holds.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,6 +4,7 @@
 package node
 
 import (
+	"strconv"
 	"time"
 
 	"heatherlift.example/heatherlift/internal/admission"
@@ -74,6 +75,9 @@
 		n.stepAdmission(now, admission.Tick{}, &out)
 	case Leave:
 		n.leave(now, e.Cause, &out)
+	case member.Listed:
+		n.stepDist(now, dist.Listed{Instances: e.Instances}, &out)
+		n.stepMember(now, e, &out)
 	case member.Event:
 		n.stepMember(now, e, &out)
 	case dist.Event:
@@ -143,8 +147,12 @@
 		switch effect := effect.(type) {
 		case dist.Enforce:
 			n.enforce(now, effect.Snapshot, out)
+		case dist.HeadChanged:
+			n.publish(now, effect, out)
+		case dist.BecameReady:
+			n.journal.add(now, "ready", effect.Cause)
 		case dist.Refused:
-			n.journal.add(now, "version refused", effect.Problems.Error())
+			n.journal.add(now, "version refused", strconv.FormatUint(effect.Version, 10)+": "+effect.Problems.Error())
 		case dist.RoleChanged:
 			n.journal.add(now, "role "+effect.To.String(), "was "+effect.From.String())
 		case dist.Violation:
@@ -155,11 +163,22 @@
 	}
 }
 
-// enforce puts a snapshot in force and publishes that it is.
+// enforce puts a snapshot in force.
 func (n *Node) enforce(now time.Time, s *config.Snapshot, out *Effects) {
 	n.journal.addVersion(now, s)
 	n.stepRouting(now, routing.Enforced{Snapshot: s}, out)
-	n.stepMember(now, member.InForce{Version: s.Version, Root: s.Root, Ready: true}, out)
+}
+
+// publish tells the fleet which version this proxy holds and whether it is in
+// force here. A proxy that is not ready takes no requests, so it enforces
+// nothing older than what it holds.
+func (n *Node) publish(now time.Time, h dist.HeadChanged, out *Effects) {
+	n.stepMember(now, member.InForce{
+		Version:       h.Head.Version,
+		Root:          h.Head.Root,
+		Ready:         h.Ready,
+		SourceFailing: h.SourceFailing,
+	}, out)
 }
 
 func (n *Node) stepRouting(now time.Time, e routing.Event, out *Effects) {
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -9,17 +9,23 @@
 
 // Status is the fleet as this proxy sees it.
 type Status struct {
-	ID       string             `json:"id"`
-	Version  uint64             `json:"version"`
-	Root     config.Hash        `json:"root"`
-	Role     string             `json:"role"`
-	Ready    bool               `json:"ready"`
-	Waiting  string             `json:"waiting,omitempty"`
-	Leaving  bool               `json:"leaving"`
-	Refused  uint64             `json:"refused_version,omitempty"`
-	Problems config.Problems    `json:"refused_problems,omitempty"`
-	Rejected []config.Rejection `json:"rejected,omitempty"`
-	Fleet    []member.Record    `json:"fleet"`
+	ID      string      `json:"id"`
+	Version uint64      `json:"version"`
+	Root    config.Hash `json:"root"`
+	Role    string      `json:"role"`
+	Ready   bool        `json:"ready"`
+	Waiting string      `json:"waiting,omitempty"`
+	// ReadyCause tells why the proxy became ready.
+	ReadyCause string `json:"ready_cause,omitempty"`
+	// SourceError is the error of the last read of the source.
+	SourceError string `json:"source_error,omitempty"`
+	// Violations counts messages that broke the rules of versions.
+	Violations uint64             `json:"violations,omitempty"`
+	Leaving    bool               `json:"leaving"`
+	Refused    uint64             `json:"refused_version,omitempty"`
+	Problems   config.Problems    `json:"refused_problems,omitempty"`
+	Rejected   []config.Rejection `json:"rejected,omitempty"`
+	Fleet      []member.Record    `json:"fleet"`
 	// InForce is the highest version in force at every live instance.
 	InForce uint64  `json:"in_force_everywhere"`
 	Events  []Entry `json:"events,omitempty"`
@@ -37,7 +43,10 @@
 		Fleet:   n.members.View(),
 		Events:  n.journal.list(),
 	}
-	s.Waiting = n.waiting()
+	s.Waiting = n.dist.Waiting()
+	s.ReadyCause = n.dist.ReadyCause()
+	s.SourceError = n.dist.SourceError()
+	s.Violations = n.dist.Violations()
 	s.Refused, s.Problems = n.dist.RefusedVersion()
 	if current := n.dist.Snapshot(); current != nil {
 		s.Rejected = current.Rejected
@@ -58,14 +67,7 @@
 
 // Ready reports whether the proxy takes requests.
 func (n *Node) Ready() bool {
-	return n.dist.Snapshot() != nil && !n.leaving
-}
-
-func (n *Node) waiting() string {
-	if n.dist.Snapshot() == nil {
-		return "no version learnt from peers or source yet"
-	}
-	return ""
+	return n.dist.Ready() && !n.leaving
 }
 
 // Dump is the state of the proxy.
--- a/internal/source/fetcher.go
+++ b/internal/source/fetcher.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"heatherlift.example/heatherlift/internal/config"
 )
@@ -14,7 +15,8 @@
 const concurrentBlobReads = 4
 
 // Fetcher follows the manifest and compiles each version. It keeps the blobs
-// of the last version, so that a change costs the reads of what it changes.
+// of the last version, and those of a version whose reading failed, so that a
+// change costs the reads of what it changes.
 // It is not safe for concurrent use.
 type Fetcher struct {
 	client   *Client
@@ -37,10 +39,11 @@
 	Refused config.Problems
 }
 
-// Next waits for a manifest above the version after and compiles it. It
+// Next waits for a manifest above the version after and compiles it, reading
+// at most perSecond blobs a second; 0 means no bound. It
 // returns ErrUnavailable or ErrNotFound if the source could not be read; the
 // caller tries again later.
-func (f *Fetcher) Next(ctx context.Context, after uint64, wait time.Duration) (Reading, error) {
+func (f *Fetcher) Next(ctx context.Context, after uint64, wait time.Duration, perSecond float64) (Reading, error) {
 	value, err := f.client.Watch(ctx, config.ManifestKey, after, wait)
 	if err != nil || value.Revision == 0 {
 		return Reading{}, err
@@ -50,7 +53,7 @@
 	if err != nil {
 		return refuse(reading, err)
 	}
-	if err := f.fetch(ctx, manifest); err != nil {
+	if err := f.fetch(ctx, manifest, limiter(perSecond)); err != nil {
 		return Reading{}, err
 	}
 	reading.Snapshot, err = f.compiler.Compile(value.Revision, manifest, f.blobs)
@@ -70,33 +73,62 @@
 	return Reading{}, err
 }
 
-// fetch reads the blobs that are not held yet and drops those not named.
-func (f *Fetcher) fetch(ctx context.Context, m *config.Manifest) error {
+// limiter returns a limiter of blob reads.
+func limiter(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), concurrentBlobReads)
+}
+
+// fetch reads the blobs that are not held yet and drops those not named. Blobs
+// read before a failure are kept for the next try.
+func (f *Fetcher) fetch(ctx context.Context, m *config.Manifest, limit *rate.Limiter) error {
 	hashes := m.Blobs()
+	var missing []config.Hash
+	for _, h := range hashes {
+		if _, ok := f.blobs[h]; !ok {
+			missing = append(missing, h)
+		}
+	}
+	texts, err := f.read(ctx, missing, limit)
+	for i, h := range missing {
+		if texts[i] != nil {
+			f.blobs[h] = texts[i]
+		}
+	}
+	if err != nil {
+		return err
+	}
+	next := make(map[config.Hash][]byte, len(hashes))
+	for _, h := range hashes {
+		next[h] = f.blobs[h]
+	}
+	f.blobs = next
+	return nil
+}
+
+// read returns the blobs in the order of their hashes, nil for those that
+// could not be read.
+func (f *Fetcher) read(ctx context.Context, hashes []config.Hash, limit *rate.Limiter) ([][]byte, error) {
 	texts := make([][]byte, len(hashes))
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(concurrentBlobReads)
 	for i, h := range hashes {
-		if text, ok := f.blobs[h]; ok {
-			texts[i] = text
-			continue
-		}
 		group.Go(func() error {
+			if err := limit.Wait(ctx); err != nil {
+				return errors.Wrapf(ErrUnavailable, "%v", err)
+			}
 			value, err := f.client.Get(ctx, config.BlobPrefix+string(h))
+			if err != nil {
+				return err
+			}
+			if config.HashOf(value.Data) != h {
+				return errors.Wrapf(ErrMalformed, "blob %s: content does not match its hash", h.Short())
+			}
 			texts[i] = value.Data
-			return err
+			return nil
 		})
 	}
-	if err := group.Wait(); err != nil {
-		return err
-	}
-	next := make(map[config.Hash][]byte, len(hashes))
-	for i, h := range hashes {
-		if config.HashOf(texts[i]) != h {
-			return errors.Wrapf(ErrMalformed, "blob %s: content does not match its hash", h.Short())
-		}
-		next[h] = texts[i]
-	}
-	f.blobs = next
-	return nil
+	return texts, group.Wait()
 }
