--- a/internal/member/events.go
+++ b/internal/member/events.go
@@ -36,6 +36,8 @@
 		Version uint64
 		Root    config.Hash
 		Ready   bool
+		// SourceFailing is the flag of the same name in the record.
+		SourceFailing bool
 	}
 	// Leave marks this instance as leaving.
 	Leave struct{}
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -215,12 +215,14 @@
 
 func (m *Members) inForce(e InForce) {
 	r := m.me.Record
-	if e.Version == r.Version && e.Root == r.Root && e.Ready == r.Ready {
+	same := e.Version == r.Version && e.Root == r.Root
+	if same && e.Ready == r.Ready && e.SourceFailing == r.SourceFailing {
 		return
 	}
 	r.Version = e.Version
 	r.Root = e.Root
 	r.Ready = e.Ready
+	r.SourceFailing = e.SourceFailing
 	m.updateSelf(r, false)
 }
 
