Balance, eject and retry within budgets in the router

Cause: a request in doubt could be reported as not run. After an attempt that ended unknown, a refused second attempt or an expired deadline gave the caller "not-run". Load was seen as requests in flight only, the availability zone was left only when empty, failures had no effect, and every repeatable request was tried up to the bound, at each level.

Change: a call in doubt stays in doubt to its final refusal. Instances have a score of requests in flight, latency, failures, refusals and the reported load, with slow start, ejection under a floor and Retry-After. Charged retries need the budgets of the organisation and of the proxy, at most one on a request's whole path (Arrived.Retry, Send.Retry). Re-dispatch of work that no backend server began is free. Tables take unchanged organisations over from the previous table and compile at the first look-up; look-ups are indexed by method and first segment.

Broken variants, each seen failing: retry of a write in doubt ("request 1 is not repeatable and was sent again"), doubt forgotten ("not-run != unknown"), attempts unbounded ("6 != 3"), deadline unchecked ("request 1 sent at"), place not released ("1 attempts left at desk-00"), request not finished ("1 requests in flight, want 0"), ejection without floor ("1 of 1 ejected"), floor unchecked on a new view, budgets unpaid, retry marks ignored, final reasons retried, leaving, held or suspect instances used, spill-over off, slow start off, stale organisation kept ("a known true, want false"), routes out of order, table changed in place ("1 != 1000"), understated load rewarded.

--- a/internal/host/report.go
+++ b/internal/host/report.go
@@ -1,6 +1,8 @@
 package host
 
 import (
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	"heatherlift.example/heatherlift/internal/node"
@@ -21,7 +23,7 @@
 
 // Explain implements admin.Proxy.
 func (h *Host) Explain(org, method, path string) (e routing.Explanation) {
-	h.view(func(n *node.Node) { e = n.Explain(org, method, path) })
+	h.view(func(n *node.Node) { e = n.Explain(time.Now(), org, method, path) })
 	return e
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -133,6 +133,7 @@
 			Slots:            r.Slots,
 			Leaving:          r.State == member.Leaving,
 			Suspect:          r.State == member.Suspect,
+			Incarnation:      r.Incarnation,
 		})
 	}
 	return list
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"time"
+
 	"heatherlift.example/heatherlift/internal/config"
 	"heatherlift.example/heatherlift/internal/dist"
 	"heatherlift.example/heatherlift/internal/member"
@@ -89,9 +91,9 @@
 	}
 }
 
-// Explain returns what applies to a request.
-func (n *Node) Explain(org, method, path string) routing.Explanation {
-	return n.router.Explain(org, method, path)
+// Explain returns what applies to a request at the given time.
+func (n *Node) Explain(now time.Time, org, method, path string) routing.Explanation {
+	return n.router.Explain(now, org, method, path)
 }
 
 // Head returns the version in force.
--- a/internal/routing/events.go
+++ b/internal/routing/events.go
@@ -23,6 +23,11 @@
 	Slots   int
 	Leaving bool
 	Suspect bool
+	// Incarnation grows with each start of the instance's proxy.
+	Incarnation uint64
+	// Load is what the instance reports: requests running and waiting per
+	// slot, 0 if unknown.
+	Load float64
 }
 
 // Event is an input of the state machine.
@@ -40,6 +45,8 @@
 		Budget time.Duration
 		// Fingerprint identifies equal requests.
 		Fingerprint uint64
+		// Retry reports that a level above makes this request as a retry.
+		Retry bool
 	}
 	// AttemptEnded is the outcome of the Send effect.
 	AttemptEnded struct {
@@ -50,6 +57,11 @@
 		RetryAfter time.Duration
 		// Latency is the time from Send to the answer's header.
 		Latency time.Duration
+		// Status is the HTTP status of the answer or refusal, 0 if none came.
+		Status int
+		// Load is what the instance reports with its answer: requests running
+		// and waiting per slot, 0 if unknown.
+		Load float64
 	}
 	// Abandoned reports that the caller left.
 	Abandoned struct{ ID uint64 }
@@ -82,7 +94,10 @@
 		Version    uint64
 		Repeatable bool
 		Deadline   time.Time
-		Attempt    int
+		// Attempt counts the attempts made at this proxy, from 1.
+		Attempt int
+		// Retry tells deeper levels that they may not retry either.
+		Retry bool
 	}
 	// Refuse gives the caller its final answer.
 	Refuse struct {
--- a/internal/routing/explain.go
+++ b/internal/routing/explain.go
@@ -16,17 +16,35 @@
 	Limits     *config.Limits `json:"limits,omitempty"`
 	Deadline   time.Duration  `json:"deadline_ns,omitempty"`
 	Candidates []Candidate    `json:"candidates,omitempty"`
+	// Share is the part of the rate limit that applies here at present.
+	Share *Share `json:"share,omitempty"`
+	// InFlight counts the organisation's requests in progress here.
+	InFlight int `json:"in_flight"`
+	// RetriesLeft is what the retry budgets of the organisation and of the
+	// proxy hold.
+	RetriesLeft      float64 `json:"retries_left"`
+	ProxyRetriesLeft float64 `json:"proxy_retries_left"`
 }
 
 // Candidate is a backend server that the request may reach.
 type Candidate struct {
 	Instance
-	InFlight int  `json:"in_flight"`
-	Usable   bool `json:"usable"`
+	InFlight int   `json:"in_flight"`
+	Usable   bool  `json:"usable"`
+	State    State `json:"state"`
+	// Until is the end of the state, if it has one.
+	Until time.Time `json:"until,omitzero"`
+	// Saturated reports that load spills over to other availability zones.
+	Saturated bool          `json:"saturated"`
+	Latency   time.Duration `json:"latency_ns"`
+	// SlowStart is the share of its load that the instance may get.
+	SlowStart float64 `json:"slow_start"`
+	Score     float64 `json:"score"`
 }
 
-// Explain returns what applies to a request, without running it.
-func (r *Router) Explain(org, method, path string) Explanation {
+// Explain returns what applies to a request at the given time, without
+// running it.
+func (r *Router) Explain(now time.Time, org, method, path string) Explanation {
 	if r.table == nil {
 		return Explanation{Refused: outcome.NoVersion}
 	}
@@ -44,8 +62,44 @@
 	out.Group = &match.Group
 	out.Limits = &match.Limits
 	out.Deadline = time.Duration(match.Route.Deadline)
-	for _, i := range r.instances[match.Group.Service] {
-		out.Candidates = append(out.Candidates, Candidate{Instance: i, InFlight: r.inFlight[i.ID], Usable: !i.Leaving && !i.Suspect})
+	r.explainOrganisation(now, org, match, &out)
+	if p, ok := r.pools[match.Group.Service]; ok {
+		for _, i := range p.instances {
+			out.Candidates = append(out.Candidates, i.explain(now, &match.Group))
+		}
 	}
 	return out
 }
+
+func (r *Router) explainOrganisation(now time.Time, org string, m *Match, out *Explanation) {
+	out.RetriesLeft = organisationRetries / 2
+	out.ProxyRetriesLeft = r.budget.tokens
+	if state, ok := r.orgs[org]; ok {
+		out.InFlight = state.InFlight
+		out.RetriesLeft = state.budget.tokens
+	}
+	if r.limiter != nil {
+		share := r.limiter.Share(now, org, m.Limits.RequestsPerSecond)
+		out.Share = &share
+	}
+}
+
+func (i *instance) explain(now time.Time, g *config.Group) Candidate {
+	c := Candidate{
+		Instance:  i.Instance,
+		InFlight:  i.inFlight,
+		State:     i.state(now, g),
+		Saturated: i.saturated(now),
+		Latency:   i.expectedLatency(now),
+		SlowStart: i.ramp(now),
+		Score:     i.score(now),
+	}
+	c.Usable = c.State == Usable
+	switch c.State {
+	case Held:
+		c.Until = i.heldUntil
+	case Ejected:
+		c.Until = i.ejectedUntil
+	}
+	return c
+}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -3,9 +3,9 @@
 import (
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"time"
 
+	"heatherlift.example/heatherlift/internal/config"
 	"heatherlift.example/heatherlift/internal/outcome"
 )
 
@@ -18,41 +18,64 @@
 	Seed uint64
 }
 
-// call is a request in progress.
-type call struct {
-	organisation string
-	match        Match
-	version      uint64
-	deadline     time.Time
-	attempts     int
-	instance     string
-	tried        []string
+// Limiter enforces the rate limits of organisations over the fleet.
+type Limiter interface {
+	// Take reports whether a request is within the limit, and otherwise when
+	// the caller may come back.
+	Take(now time.Time, org string, requestsPerSecond int) (ok bool, retryAfter time.Duration)
+	// Share returns the requests per second allowed here at present.
+	Share(now time.Time, org string, requestsPerSecond int) Share
+}
+
+// Share is the part of a fleet-wide rate limit that applies at this proxy.
+type Share struct {
+	RequestsPerSecond float64 `json:"requests_per_second"`
+	// Source is "lease" or "static".
+	Source string `json:"source"`
+	// Owner is the proxy that divides the limit.
+	Owner string `json:"owner,omitempty"`
+}
+
+// organisationState is what the router keeps of an organisation.
+type organisationState struct {
+	OrganisationStats
+	budget budget
 }
 
 // Router is the state machine. The zero value is not usable.
 type Router struct {
-	cfg       Config
-	rng       *rand.Rand
-	table     *Table
-	instances map[string][]Instance
-	inFlight  map[string]int
-	orgs      map[string]int
-	calls     map[uint64]*call
-	effects   []Effect
+	cfg     Config
+	rng     *rand.Rand
+	limiter Limiter
+	table   *Table
+	pools   map[string]*pool
+	known   map[string]*instance
+	orgs    map[string]*organisationState
+	calls   map[uint64]*call
+	budget  budget
+	stats   Stats
+	scratch candidates
+	effects []Effect
 }
 
 // New returns a router without a version.
 func New(cfg Config) *Router {
 	return &Router{
-		cfg:       cfg,
-		rng:       rand.New(rand.NewPCG(cfg.Seed, 2)),
-		instances: make(map[string][]Instance),
-		inFlight:  make(map[string]int),
-		orgs:      make(map[string]int),
-		calls:     make(map[uint64]*call),
+		cfg:    cfg,
+		rng:    rand.New(rand.NewPCG(cfg.Seed, 2)),
+		pools:  make(map[string]*pool),
+		known:  make(map[string]*instance),
+		orgs:   make(map[string]*organisationState),
+		calls:  make(map[uint64]*call),
+		budget: newBudget(proxyRetries, proxyRefill),
 	}
 }
 
+// UseLimiter sets the limiter of rates; without one, rates are not limited.
+func (r *Router) UseLimiter(l Limiter) {
+	r.limiter = l
+}
+
 // Step applies an event at the given time and returns its effects.
 func (r *Router) Step(now time.Time, e Event) []Effect {
 	r.effects = nil
@@ -62,11 +85,11 @@
 	case AttemptEnded:
 		r.attemptEnded(now, e)
 	case Abandoned:
-		r.abandoned(e)
+		r.abandoned(now, e)
 	case Enforced:
-		r.table = NewTable(e.Snapshot)
+		r.enforce(e.Snapshot)
 	case InstancesChanged:
-		r.setInstances(e.Instances)
+		r.setInstances(now, e.Instances)
 	case Tick:
 	}
 	return r.effects
@@ -86,16 +109,30 @@
 	r.effects = append(r.effects, e)
 }
 
-func (r *Router) setInstances(list []Instance) {
-	clear(r.instances)
-	for _, i := range list {
-		r.instances[i.Service] = append(r.instances[i.Service], i)
+// enforce takes a new version and forgets organisations that it lacks.
+func (r *Router) enforce(s *config.Snapshot) {
+	r.table = NewTable(s, r.table)
+	for name, org := range r.orgs {
+		if _, ok := r.table.organisations[name]; !ok && org.InFlight == 0 {
+			delete(r.orgs, name)
+		}
+	}
+}
+
+func (r *Router) organisation(name string) *organisationState {
+	org, ok := r.orgs[name]
+	if !ok {
+		org = &organisationState{budget: newBudget(organisationRetries, organisationRefill)}
+		org.Organisation = name
+		r.orgs[name] = org
 	}
+	return org
 }
 
 func (r *Router) arrived(now time.Time, e Arrived) {
+	r.stats.Arrived++
 	if r.table == nil {
-		r.refuse(e.ID, notRun(outcome.NoVersion, http.StatusServiceUnavailable, time.Second))
+		r.refuse(e.ID, notRun(outcome.NoVersion, http.StatusServiceUnavailable, r.later(time.Second)))
 		return
 	}
 	match, known, ok := r.table.Lookup(e.Organisation, e.Method, e.Path)
@@ -106,140 +143,50 @@
 	case !ok:
 		r.refuse(e.ID, notRun(outcome.NoRoute, http.StatusNotFound, 0))
 		return
-	case r.orgs[e.Organisation] >= match.Limits.Concurrency:
-		r.refuse(e.ID, notRun(outcome.Concurrency, http.StatusTooManyRequests, time.Second))
+	}
+	org := r.organisation(e.Organisation)
+	if !r.withinLimits(now, e.ID, org, match) {
 		return
 	}
 	budget := time.Duration(match.Route.Deadline)
 	if e.Budget > 0 {
 		budget = min(budget, e.Budget)
 	}
-	c := &call{organisation: e.Organisation, match: match, version: r.table.Version, deadline: now.Add(budget)}
+	c := &call{id: e.ID, org: org, match: match, version: r.table.Version, deadline: now.Add(budget), retry: e.Retry}
 	r.calls[e.ID] = c
-	r.orgs[e.Organisation]++
-	r.attempt(now, e.ID, c, notRun(outcome.NoBackendServer, http.StatusServiceUnavailable, time.Second))
+	org.InFlight++
+	r.attempt(now, c, free, notRun(outcome.NoBackendServer, http.StatusServiceUnavailable, time.Second))
 }
 
-// attempt sends the request to an instance, or refuses it with last.
-func (r *Router) attempt(now time.Time, id uint64, c *call, last outcome.Refusal) {
-	if !now.Before(c.deadline) {
-		r.finish(id, c)
-		r.refuse(id, notRun(outcome.DeadlineExpired, http.StatusGatewayTimeout, time.Second))
-		return
-	}
-	target, ok := r.choose(c)
-	if !ok || c.attempts >= r.cfg.MaxAttempts {
-		r.finish(id, c)
-		r.refuse(id, last)
-		return
-	}
-	c.attempts++
-	c.instance = target.ID
-	c.tried = append(c.tried, target.ID)
-	r.inFlight[target.ID]++
-	r.emit(Send{
-		ID:         id,
-		Instance:   target.ID,
-		Address:    target.Address,
-		Route:      c.match.Route.Name,
-		Version:    c.version,
-		Repeatable: c.match.Route.Repeatable,
-		Deadline:   c.deadline,
-		Attempt:    c.attempts,
-	})
-}
-
-// choose picks the less loaded of two random instances not tried yet.
-func (r *Router) choose(c *call) (Instance, bool) {
-	var near, far []Instance
-	for _, i := range r.instances[c.match.Group.Service] {
-		zones := c.match.Group.AvailabilityZones
-		allowed := len(zones) == 0 || slices.Contains(zones, i.AvailabilityZone)
-		if !allowed || i.Leaving || i.Suspect || slices.Contains(c.tried, i.ID) {
-			continue
-		}
-		if i.AvailabilityZone == r.cfg.AvailabilityZone {
-			near = append(near, i)
-		} else {
-			far = append(far, i)
-		}
-	}
-	candidates := near
-	if len(near) == 0 {
-		candidates = far
-	}
-	if len(candidates) == 0 {
-		return Instance{}, false
+// withinLimits refuses a request beyond the limits of its organisation.
+func (r *Router) withinLimits(now time.Time, id uint64, org *organisationState, m *Match) bool {
+	if org.InFlight >= m.Limits.Concurrency {
+		r.stats.ConcurrencyLimited++
+		org.ConcurrencyLimited++
+		r.refuse(id, notRun(outcome.Concurrency, http.StatusTooManyRequests, r.later(time.Second)))
+		return false
 	}
-	a := candidates[r.rng.IntN(len(candidates))]
-	b := candidates[r.rng.IntN(len(candidates))]
-	if r.inFlight[b.ID] < r.inFlight[a.ID] {
-		a = b
+	if r.limiter == nil {
+		return true
 	}
-	return a, true
-}
-
-func (r *Router) attemptEnded(now time.Time, e AttemptEnded) {
-	c, ok := r.calls[e.ID]
+	ok, wait := r.limiter.Take(now, org.Organisation, m.Limits.RequestsPerSecond)
 	if !ok {
-		return
-	}
-	r.release(c)
-	switch {
-	case e.Outcome == outcome.Answered:
-		r.finish(e.ID, c)
-	case e.Outcome == outcome.NotRun:
-		r.attempt(now, e.ID, c, notRun(e.Reason, http.StatusServiceUnavailable, retryAfter(e)))
-	case c.match.Route.Repeatable:
-		r.attempt(now, e.ID, c, unknown(e.Reason))
-	default:
-		r.finish(e.ID, c)
-		r.refuse(e.ID, unknown(e.Reason))
-	}
-}
-
-func (r *Router) abandoned(e Abandoned) {
-	if c, ok := r.calls[e.ID]; ok {
-		r.release(c)
-		r.finish(e.ID, c)
-	}
-}
-
-// release returns the place that the attempt took at its instance.
-func (r *Router) release(c *call) {
-	if c.instance == "" {
-		return
-	}
-	r.inFlight[c.instance]--
-	if r.inFlight[c.instance] == 0 {
-		delete(r.inFlight, c.instance)
-	}
-	c.instance = ""
-}
-
-func (r *Router) finish(id uint64, c *call) {
-	delete(r.calls, id)
-	r.orgs[c.organisation]--
-	if r.orgs[c.organisation] == 0 {
-		delete(r.orgs, c.organisation)
+		r.stats.RateLimited++
+		org.RateLimited++
+		r.refuse(id, notRun(outcome.RateLimit, http.StatusTooManyRequests, r.later(wait)))
 	}
+	return ok
 }
 
 func (r *Router) refuse(id uint64, refusal outcome.Refusal) {
 	r.emit(Refuse{ID: id, Refusal: refusal})
 }
 
-func notRun(reason outcome.Reason, status int, retryAfter time.Duration) outcome.Refusal {
-	return outcome.Refusal{Outcome: outcome.NotRun, Reason: reason, Status: status, RetryAfter: retryAfter}
-}
-
-func unknown(reason outcome.Reason) outcome.Refusal {
-	return outcome.Refusal{Outcome: outcome.Unknown, Reason: reason, Status: http.StatusBadGateway}
-}
-
-func retryAfter(e AttemptEnded) time.Duration {
-	if e.RetryAfter > 0 {
-		return e.RetryAfter
+// later returns a time between d and twice d, so that callers refused together
+// do not come back together.
+func (r *Router) later(d time.Duration) time.Duration {
+	if d <= 0 {
+		return 0
 	}
-	return time.Second
+	return d + r.jitter(d)
 }
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -1,77 +1,119 @@
 package routing
 
 import (
+	"maps"
 	"slices"
 
 	"heatherlift.example/heatherlift/internal/config"
 )
 
-// Table holds the routes of one snapshot by organisation. It is immutable, so
-// that a request ends under the version it began with.
+// Table holds the routes of one snapshot by organisation. What it answers
+// never changes, so that a request ends under the version it began with.
+// Routes are compiled at the first look-up of their organisation; a table is
+// not safe for concurrent use.
 type Table struct {
 	Version       uint64
+	sets          map[string]*config.ServiceSet
 	organisations map[string]*organisation
 }
 
-type organisation struct {
-	limits config.Limits
-	routes []compiledRoute
-}
-
-type compiledRoute struct {
-	config.Route
-	pattern config.Pattern
-	group   config.Group
+// NewTable returns the table of a snapshot. Organisations that the previous
+// table, which may be nil, holds with the same content are taken from it.
+func NewTable(s *config.Snapshot, previous *Table) *Table {
+	if previous == nil {
+		previous = &Table{}
+	}
+	t := &Table{Version: s.Version, sets: s.Sets}
+	changed := changedOrganisations(previous.sets, s.Sets)
+	if len(changed) == 0 && previous.organisations != nil {
+		t.organisations = previous.organisations
+		return t
+	}
+	t.organisations = maps.Clone(previous.organisations)
+	if t.organisations == nil {
+		t.organisations = make(map[string]*organisation, len(changed))
+	}
+	for name := range changed {
+		delete(t.organisations, name)
+	}
+	for _, service := range slices.Sorted(maps.Keys(s.Sets)) {
+		t.add(s.Sets[service].Slices, changed)
+	}
+	return t
 }
 
-// NewTable compiles a snapshot.
-func NewTable(s *config.Snapshot) *Table {
-	t := &Table{Version: s.Version, organisations: make(map[string]*organisation)}
-	for _, set := range s.Sets {
-		for _, slice := range set.Slices {
-			t.add(slice)
+// add adds the slices of one service that belong to changed organisations. It
+// walks the smaller of the two sets.
+func (t *Table) add(bySlice map[string]*config.Slice, changed map[string]struct{}) {
+	if len(bySlice) < len(changed) {
+		for name, s := range bySlice {
+			if _, ok := changed[name]; ok {
+				t.addSlice(name, s)
+			}
 		}
+		return
 	}
-	for _, org := range t.organisations {
-		slices.SortStableFunc(org.routes, func(a, b compiledRoute) int { return a.pattern.Compare(b.pattern) })
+	for name := range changed {
+		if s, ok := bySlice[name]; ok {
+			t.addSlice(name, s)
+		}
 	}
-	return t
 }
 
-func (t *Table) add(s *config.Slice) {
-	org, ok := t.organisations[s.Organisation]
+func (t *Table) addSlice(name string, s *config.Slice) {
+	org, ok := t.organisations[name]
 	if !ok {
-		org = &organisation{limits: s.Limits}
-		t.organisations[s.Organisation] = org
+		org = &organisation{}
+		t.organisations[name] = org
 	}
-	for _, r := range s.Routes {
-		pattern, err := config.ParsePattern(r.Path)
-		if err != nil {
-			continue // the snapshot was validated; an empty pattern matches nothing
+	org.slices = append(org.slices, s)
+}
+
+// changedOrganisations returns the organisations that differ in any service.
+func changedOrganisations(old, current map[string]*config.ServiceSet) map[string]struct{} {
+	changed := make(map[string]struct{})
+	for service, set := range current {
+		compareSets(old[service], set, changed)
+	}
+	for service, set := range old {
+		if current[service] == nil {
+			compareSets(set, nil, changed)
 		}
-		org.routes = append(org.routes, compiledRoute{Route: r, pattern: pattern, group: s.Groups[r.Group]})
 	}
+	return changed
 }
 
-// Match is the outcome of a look-up.
-type Match struct {
-	Route  config.Route
-	Group  config.Group
-	Limits config.Limits
+func compareSets(old, current *config.ServiceSet, changed map[string]struct{}) {
+	if old == current || old != nil && current != nil && old.Hash == current.Hash {
+		return
+	}
+	before, after := slicesOf(old), slicesOf(current)
+	for name, s := range after {
+		if b := before[name]; b != s && (b == nil || b.Hash() != s.Hash()) {
+			changed[name] = struct{}{}
+		}
+	}
+	for name := range before {
+		if after[name] == nil {
+			changed[name] = struct{}{}
+		}
+	}
+}
+
+func slicesOf(s *config.ServiceSet) map[string]*config.Slice {
+	if s == nil {
+		return nil
+	}
+	return s.Slices
 }
 
 // Lookup returns the route for a request. Known reports whether the
 // organisation has any route here.
-func (t *Table) Lookup(org, method, path string) (m Match, known, ok bool) {
+func (t *Table) Lookup(org, method, path string) (m *Match, known, ok bool) {
 	o, known := t.organisations[org]
 	if !known {
-		return Match{}, false, false
-	}
-	for i := range o.routes {
-		r := &o.routes[i]
-		if slices.Contains(r.Methods, method) && r.pattern.Match(path) {
-			return Match{Route: r.Route, Group: r.group, Limits: o.limits}, true, true
-		}
+		return nil, false, false
 	}
-	return Match{}, true, false
+	m = o.lookup(method, path)
+	return m, true, m != nil
 }
