Enforce fleet-wide request rates by credits of an owner

Cause: Limits.RequestsPerSecond was validated and never enforced.

Change: package limit. Each organisation has an owner by rendezvous hashing over the live view, with a stand-in in another availability zone. The owner holds the token bucket and hands out credits; proxies admit against credits alone and ask in ticks (peer method "allow"). Unreachable owners leave the static share. The router asks the limiter; explain, dump and metrics tell limits, credits and counters.

--- a/internal/host/build.go
+++ b/internal/host/build.go
@@ -8,6 +8,7 @@
 
 	"heatherlift.example/heatherlift/internal/admission"
 	"heatherlift.example/heatherlift/internal/dist"
+	"heatherlift.example/heatherlift/internal/limit"
 	"heatherlift.example/heatherlift/internal/member"
 	"heatherlift.example/heatherlift/internal/node"
 	"heatherlift.example/heatherlift/internal/routing"
@@ -64,6 +65,7 @@
 			Slots:       s.BackendServer.Slots,
 			QueueLength: s.BackendServer.QueueLength,
 		},
+		Limit: limit.Config{ID: s.ID},
 	}
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -114,6 +114,9 @@
 	for _, e := range effects.Dist {
 		h.carryOutDist(e)
 	}
+	for _, e := range effects.Limit {
+		h.carryOutLimit(e)
+	}
 }
 
 func (h *Host) carryOutRouting(e routing.Effect) {
--- /dev/null
+++ b/internal/limit/events.go
@@ -0,0 +1,109 @@
+// Package limit enforces the request rates of organisations over the fleet
+// without shared state.
+//
+// Each organisation has an owner among the live proxies, found by rendezvous
+// hashing. The owner holds the organisation's token bucket and hands its
+// tokens out in batches of credits to the proxies that ask. A proxy admits
+// requests against its credits alone, so that a request never waits for a
+// message. Every credit comes from the bucket, which bounds what the fleet
+// admits. A proxy that reaches no owner falls back to a static share.
+//
+// The package is a pure state machine: it does no I/O and reads no clock.
+package limit
+
+// Member is a live proxy.
+type Member struct {
+	ID               string
+	AvailabilityZone string
+	// Address serves messages between proxies.
+	Address string
+}
+
+// Ask reports the demand for one organisation.
+type Ask struct {
+	Organisation string `json:"o"`
+	// Limit is the fleet's requests per second under Version.
+	Limit   int    `json:"l"`
+	Version uint64 `json:"v"`
+	// Rate is the requests per second that arrive at the sender.
+	Rate float64 `json:"r"`
+	// Debt counts requests that were admitted without credits.
+	Debt float64 `json:"d,omitempty"`
+}
+
+// Request asks an owner for credits.
+type Request struct {
+	From string `json:"from"`
+	Asks []Ask  `json:"asks"`
+}
+
+// Grant is the answer to an Ask.
+type Grant struct {
+	Organisation string `json:"o"`
+	// Credits is the number of requests that may be admitted.
+	Credits float64 `json:"c"`
+	// LifetimeMs is the time from sending the Ask to the end of the credits.
+	LifetimeMs int64 `json:"t"`
+	// Scarce reports that demand exceeds the limit.
+	Scarce bool `json:"s,omitempty"`
+	// RetryMs is the time before which another Ask yields nothing.
+	RetryMs int64 `json:"w,omitempty"`
+}
+
+// Reply answers a Request.
+type Reply struct {
+	Grants []Grant `json:"grants"`
+}
+
+// Event is an input of the state machine.
+type Event interface{ limitEvent() }
+
+// Events.
+type (
+	// Tick passes time.
+	Tick struct{}
+	// View is a new list of live proxies, this one included, sorted by ID.
+	View struct{ Members []Member }
+	// Enforced is a new version in force here.
+	Enforced struct{ Version uint64 }
+	// Received is a request of another proxy; the effect Answer answers it.
+	Received struct {
+		Call    uint64
+		Request Request
+	}
+	// Answered is the reply to the effect Send with the same number.
+	Answered struct {
+		Number uint64
+		Reply  Reply
+	}
+	// Failed reports that the effect Send with the same number got no reply.
+	Failed struct{ Number uint64 }
+)
+
+func (Tick) limitEvent()     {}
+func (View) limitEvent()     {}
+func (Enforced) limitEvent() {}
+func (Received) limitEvent() {}
+func (Answered) limitEvent() {}
+func (Failed) limitEvent()   {}
+
+// Effect is an output of the state machine.
+type Effect interface{ limitEffect() }
+
+// Effects.
+type (
+	// Send asks an owner; the host reports Answered or Failed.
+	Send struct {
+		Number  uint64
+		Address string
+		Request Request
+	}
+	// Answer answers the request with the same Call.
+	Answer struct {
+		Call  uint64
+		Reply Reply
+	}
+)
+
+func (Send) limitEffect()   {}
+func (Answer) limitEffect() {}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,7 @@
 	"heatherlift.example/heatherlift/internal/admission"
 	"heatherlift.example/heatherlift/internal/config"
 	"heatherlift.example/heatherlift/internal/dist"
+	"heatherlift.example/heatherlift/internal/limit"
 	"heatherlift.example/heatherlift/internal/member"
 	"heatherlift.example/heatherlift/internal/routing"
 )
@@ -19,10 +20,11 @@
 	Dist      dist.Config
 	Routing   routing.Config
 	Admission admission.Config
+	Limit     limit.Config
 }
 
-// Event is a member.Event, dist.Event, routing.Event, admission.Event, or one
-// of the events of this package.
+// Event is a member.Event, dist.Event, routing.Event, admission.Event,
+// limit.Event, or one of the events of this package.
 type Event any
 
 // Events of the whole proxy.
@@ -39,6 +41,7 @@
 	Dist      []dist.Effect
 	Routing   []routing.Effect
 	Admission []admission.Effect
+	Limit     []limit.Effect
 }
 
 // Node is the reducer. It is not safe for concurrent use.
@@ -48,19 +51,23 @@
 	dist      *dist.Dist
 	router    *routing.Router
 	admission *admission.Admission
+	limiter   *limit.Limiter
 	journal   journal
 	leaving   bool
 }
 
 // New returns a node that knows nothing yet.
 func New(cfg Config) *Node {
-	return &Node{
+	n := &Node{
 		cfg:       cfg,
 		members:   member.New(cfg.Member),
 		dist:      dist.New(cfg.Dist),
 		router:    routing.New(cfg.Routing),
 		admission: admission.New(cfg.Admission),
+		limiter:   limit.New(cfg.Limit),
 	}
+	n.router.UseLimiter(n.limiter)
+	return n
 }
 
 // Step applies an event at the given time and returns its effects.
@@ -72,6 +79,7 @@
 		n.stepDist(now, dist.Tick{}, &out)
 		n.stepRouting(now, routing.Tick{}, &out)
 		n.stepAdmission(now, admission.Tick{}, &out)
+		n.stepLimit(now, limit.Tick{}, &out)
 	case Leave:
 		n.leave(now, e.Cause, &out)
 	case member.Event:
@@ -82,6 +90,8 @@
 		n.stepRouting(now, e, &out)
 	case admission.Event:
 		n.stepAdmission(now, e, &out)
+	case limit.Event:
+		n.stepLimit(now, e, &out)
 	}
 	return out
 }
@@ -117,6 +127,7 @@
 	}
 	n.stepDist(now, dist.Peers{Records: view}, out)
 	n.stepRouting(now, routing.InstancesChanged{Instances: instances(view)}, out)
+	n.stepLimit(now, limit.View{Members: limitOwners(view)}, out)
 }
 
 func instances(view []member.Record) []routing.Instance {
@@ -160,6 +171,7 @@
 func (n *Node) enforce(now time.Time, s *config.Snapshot, out *Effects) {
 	n.journal.addVersion(now, s)
 	n.stepRouting(now, routing.Enforced{Snapshot: s}, out)
+	n.stepLimit(now, limit.Enforced{Version: s.Version}, out)
 	n.stepMember(now, member.InForce{Version: s.Version, Root: s.Root, Ready: true}, out)
 }
 
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -77,6 +77,7 @@
 	InFlight int              `json:"in_flight"`
 	Running  int              `json:"running"`
 	Queued   int              `json:"queued"`
+	Load     Load             `json:"load"`
 }
 
 // Dump returns the state of the proxy.
@@ -88,6 +89,7 @@
 		InFlight: n.router.InFlight(),
 		Running:  running,
 		Queued:   waiting,
+		Load:     n.dumpLoad(),
 	}
 }
 
--- a/internal/node/trace.go
+++ b/internal/node/trace.go
@@ -9,6 +9,7 @@
 
 	"heatherlift.example/heatherlift/internal/admission"
 	"heatherlift.example/heatherlift/internal/dist"
+	"heatherlift.example/heatherlift/internal/limit"
 	"heatherlift.example/heatherlift/internal/member"
 	"heatherlift.example/heatherlift/internal/routing"
 )
@@ -31,6 +32,7 @@
 	dist.Announced{}, dist.PullReceived{}, dist.Pulled{}, dist.SourceRead{},
 	routing.Arrived{}, routing.AttemptEnded{}, routing.Abandoned{},
 	admission.Arrived{}, admission.Ended{}, admission.Abandoned{}, admission.Draining{},
+	limit.Received{}, limit.Answered{}, limit.Failed{},
 )
 
 func eventTypes(events ...Event) map[string]reflect.Type {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"heatherlift.example/heatherlift/internal/dist"
+	"heatherlift.example/heatherlift/internal/limit"
 	"heatherlift.example/heatherlift/internal/member"
 )
 
@@ -20,6 +21,7 @@
 	methodGossip   = "gossip"
 	methodAnnounce = "announce"
 	methodPull     = "pull"
+	methodAllow    = "allow"
 )
 
 const (
@@ -32,6 +34,7 @@
 	Gossip(ctx context.Context, g member.Gossip) (member.Gossip, error)
 	Pull(ctx context.Context, r dist.PullRequest) (dist.PullReply, error)
 	Announce(a dist.Announcement)
+	Allow(ctx context.Context, r limit.Request) (limit.Reply, error)
 }
 
 // Observer counts what is carried. Its methods are called concurrently.
@@ -137,6 +140,13 @@
 	return answer, err
 }
 
+// Allow asks the owner of limits for credits.
+func (t *Transport) Allow(ctx context.Context, address string, r limit.Request) (limit.Reply, error) {
+	var answer limit.Reply
+	err := t.call(ctx, address, methodAllow, r, &answer)
+	return answer, err
+}
+
 // Announce notifies a peer; no answer comes.
 func (t *Transport) Announce(ctx context.Context, address string, a dist.Announcement) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -228,6 +238,8 @@
 		return answer(ctx, t, req, t.handler.Gossip)
 	case methodPull:
 		return answer(ctx, t, req, t.handler.Pull)
+	case methodAllow:
+		return answer(ctx, t, req, t.handler.Allow)
 	case methodAnnounce:
 		return answer(ctx, t, req, func(_ context.Context, a dist.Announcement) (any, error) {
 			t.handler.Announce(a)
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -23,17 +23,24 @@
 	// Take reports whether a request is within the limit, and otherwise when
 	// the caller may come back.
 	Take(now time.Time, org string, requestsPerSecond int) (ok bool, retryAfter time.Duration)
-	// Share returns the requests per second allowed here at present.
+	// Share returns what is allowed here at present.
 	Share(now time.Time, org string, requestsPerSecond int) Share
 }
 
 // Share is the part of a fleet-wide rate limit that applies at this proxy.
 type Share struct {
-	RequestsPerSecond float64 `json:"requests_per_second"`
-	// Source is "lease" or "static".
+	// Source is "credits" or "static".
 	Source string `json:"source"`
 	// Owner is the proxy that divides the limit.
 	Owner string `json:"owner,omitempty"`
+	// Demand is the requests per second that arrive here.
+	Demand float64 `json:"demand"`
+	// Credits is the number of requests that may be admitted at once.
+	Credits float64 `json:"credits"`
+	// Scarce reports that the fleet's demand exceeds the limit.
+	Scarce bool `json:"scarce"`
+	// RequestsPerSecond is the static share, 0 if it does not apply.
+	RequestsPerSecond float64 `json:"requests_per_second,omitempty"`
 }
 
 // organisationState is what the router keeps of an organisation.
