--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,6 +10,7 @@
 	"heatherlift.example/heatherlift/internal/admission"
 	"heatherlift.example/heatherlift/internal/config"
 	"heatherlift.example/heatherlift/internal/dist"
+	"heatherlift.example/heatherlift/internal/limit"
 	"heatherlift.example/heatherlift/internal/member"
 	"heatherlift.example/heatherlift/internal/routing"
 )
@@ -20,10 +21,11 @@
 	Dist      dist.Config
 	Routing   routing.Config
 	Admission admission.Config
+	Limit     limit.Config
 }
 
-// Event is a member.Event, dist.Event, routing.Event, admission.Event, or one
-// of the events of this package.
+// Event is a member.Event, dist.Event, routing.Event, admission.Event,
+// limit.Event, or one of the events of this package.
 type Event any
 
 // Events of the whole proxy.
@@ -40,6 +42,7 @@
 	Dist      []dist.Effect
 	Routing   []routing.Effect
 	Admission []admission.Effect
+	Limit     []limit.Effect
 }
 
 // Node is the reducer. It is not safe for concurrent use.
@@ -49,6 +52,7 @@
 	dist      *dist.Dist
 	router    *routing.Router
 	admission *admission.Admission
+	limiter   *limit.Limiter
 	journal   journal
 	begun     bool
 	leaving   bool
@@ -59,13 +63,16 @@
 
 // New returns a node that knows nothing yet.
 func New(cfg Config) *Node {
-	return &Node{
+	n := &Node{
 		cfg:       cfg,
 		members:   member.New(cfg.Member),
 		dist:      dist.New(cfg.Dist),
 		router:    routing.New(cfg.Routing),
 		admission: admission.New(cfg.Admission),
+		limiter:   limit.New(cfg.Limit),
 	}
+	n.router.UseLimiter(n.limiter)
+	return n
 }
 
 // Step applies an event at the given time and returns its effects.
@@ -78,6 +85,7 @@
 		n.stepDist(now, dist.Tick{}, &out)
 		n.stepRouting(now, routing.Tick{}, &out)
 		n.stepAdmission(now, admission.Tick{}, &out)
+		n.stepLimit(now, limit.Tick{}, &out)
 	case Leave:
 		n.leave(now, e.Cause, &out)
 	case member.Listed:
@@ -91,6 +99,8 @@
 		n.stepRouting(now, e, &out)
 	case admission.Event:
 		n.stepAdmission(now, e, &out)
+	case limit.Event:
+		n.stepLimit(now, e, &out)
 	}
 	return out
 }
@@ -139,6 +149,7 @@
 	}
 	n.stepDist(now, dist.Peers{Records: view}, out)
 	n.stepRouting(now, routing.InstancesChanged{Instances: instances(view)}, out)
+	n.stepLimit(now, limit.View{Members: limitOwners(view)}, out)
 }
 
 func instances(view []member.Record) []routing.Instance {
@@ -155,6 +166,7 @@
 			Slots:            r.Slots,
 			Leaving:          r.State == member.Leaving,
 			Suspect:          r.State == member.Suspect || r.State == member.Partitioned,
+			Incarnation:      r.Incarnation,
 		})
 	}
 	return list
@@ -190,6 +202,7 @@
 	}
 	n.journal.addVersion(now, s)
 	n.stepRouting(now, routing.Enforced{Snapshot: s}, out)
+	n.stepLimit(now, limit.Enforced{Version: s.Version}, out)
 }
 
 // publish tells the fleet which version this proxy holds and whether it is in
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -95,6 +95,7 @@
 	InFlight int              `json:"in_flight"`
 	Running  int              `json:"running"`
 	Queued   int              `json:"queued"`
+	Load     Load             `json:"load"`
 }
 
 // Dump returns the state of the proxy.
@@ -106,10 +107,11 @@
 		InFlight: n.router.InFlight(),
 		Running:  running,
 		Queued:   waiting,
+		Load:     n.dumpLoad(),
 	}
 }
 
-// Explain returns what applies to a request.
-func (n *Node) Explain(org, method, path string) routing.Explanation {
-	return n.router.Explain(org, method, path)
+// Explain returns what applies to a request at the given time.
+func (n *Node) Explain(now time.Time, org, method, path string) routing.Explanation {
+	return n.router.Explain(now, org, method, path)
 }
