Share the slots of a backend server fairly and prove what was not run

Cause: a FIFO of bounded length let one organisation fill the queue, ran requests that were cut at their deadline, believed each health check, and could prove nothing about a request whose connection was lost.

Change: least served slot time first, earliest deadline within an organisation, drop from the longest queue, a margin fed back from runs cut at their deadline, capacity that starts cold, health weighed against answers and load, a bounded table of requests that answers fences, crash detection.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -18,79 +18,60 @@
 	Slots int
 	// QueueLength bounds the requests that wait for a slot.
 	QueueLength int
+	// OrganisationQueueLength bounds those of one organisation; by default
+	// it is half of QueueLength.
+	OrganisationQueueLength int
+	// Incarnation is that of this proxy.
+	Incarnation uint64
+	// RequestLimit bounds the requests that are remembered.
+	RequestLimit int
+	// ClaimKeys makes requests with a key wait for a claim.
+	ClaimKeys bool
 }
 
-// Event is an input of the state machine.
-type Event interface{ admissionEvent() }
-
-// Events.
-type (
-	// Arrived is a request that a proxy sent here.
-	Arrived struct {
-		// ID is unique at this proxy.
-		ID uint64
-		// Request is unique in the fleet, the same for each attempt.
-		Request      string
-		Organisation string
-		// Key is the caller's idempotency key, empty if it gave none.
-		Key         string
-		Fingerprint uint64
-		Repeatable  bool
-		Deadline    time.Time
-	}
-	// Ended is the outcome of a run.
-	Ended struct {
-		ID      uint64
-		Outcome outcome.Outcome
-		Reason  outcome.Reason
-	}
-	// Abandoned reports that the sender left before the request was run.
-	Abandoned struct{ ID uint64 }
-	// Leave stops new work for good.
-	Leave struct{}
-	// Draining is the backend server's own report.
-	Draining struct{ Draining bool }
-	// Tick passes time.
-	Tick struct{}
+const (
+	defaultRequestLimit = 1 << 16
+	shareLifetime       = 10 * time.Second
+	minRetryAfter       = time.Second
+	maxRetryAfter       = 10 * time.Second
 )
 
-func (Arrived) admissionEvent()   {}
-func (Ended) admissionEvent()     {}
-func (Abandoned) admissionEvent() {}
-func (Leave) admissionEvent()     {}
-func (Draining) admissionEvent()  {}
-func (Tick) admissionEvent()      {}
-
-// Effect is an output of the state machine.
-type Effect interface{ admissionEffect() }
-
-// Effects.
-type (
-	// Run passes the request to the backend server; the host reports Ended.
-	Run struct{ ID uint64 }
-	// Refuse answers the sender.
-	Refuse struct {
-		ID      uint64
-		Refusal outcome.Refusal
-	}
-)
-
-func (Run) admissionEffect()    {}
-func (Refuse) admissionEffect() {}
-
 // Admission is the state machine. The zero value is not usable.
 type Admission struct {
 	cfg      Config
 	leaving  bool
-	draining bool
-	running  map[uint64]Arrived
-	queue    []Arrived
+	monitor  monitor
+	capacity capacity
+	service  serviceTime
+	crashes  crashDetector
+	requests *requestTable
+	queue    *fairQueue
+	// pending holds the requests whose claim is not decided.
+	pending  map[uint64]*request
+	waiting  map[uint64]*request
+	running  map[uint64]*request
+	swept    time.Time
+	counters Counters
 	effects  []Effect
 }
 
 // New returns an idle state machine.
 func New(cfg Config) *Admission {
-	return &Admission{cfg: cfg, running: make(map[uint64]Arrived)}
+	if cfg.OrganisationQueueLength == 0 {
+		cfg.OrganisationQueueLength = max(1, cfg.QueueLength/2)
+	}
+	if cfg.RequestLimit == 0 {
+		cfg.RequestLimit = defaultRequestLimit
+	}
+	return &Admission{
+		cfg:      cfg,
+		capacity: newCapacity(cfg.Slots),
+		requests: newRequestTable(cfg.RequestLimit),
+		queue:    newFairQueue(),
+		pending:  make(map[uint64]*request),
+		waiting:  make(map[uint64]*request),
+		running:  make(map[uint64]*request),
+	}
 }
 
 // Step applies an event at the given time and returns its effects.
@@ -99,86 +80,178 @@
 	switch e := e.(type) {
 	case Arrived:
 		a.arrived(now, e)
+	case Claimed:
+		a.claimed(now, e)
 	case Ended:
-		delete(a.running, e.ID)
+		a.ended(now, e)
 	case Abandoned:
-		a.abandoned(e.ID)
+		a.abandoned(now, e.ID)
 	case Leave:
 		a.leaving = true
 	case Draining:
-		a.draining = e.Draining
+		a.monitor.draining = e.Draining
+	case Checked:
+		a.checked(now, e.Health)
+	case Loaded:
+		a.monitor.load(now, e.Draining)
+		a.capacity.report(now, e.Slots)
+	case FenceReceived:
+		a.fence(now, e)
 	case Tick:
+		a.sweep(now)
+	}
+	if a.access(now) == closed {
+		a.refuseAll(now)
 	}
 	a.expire(now)
-	a.dispatch()
+	a.dispatch(now)
 	return a.effects
 }
 
 // InFlight returns the number of requests running and waiting.
 func (a *Admission) InFlight() (running, waiting int) {
-	return len(a.running), len(a.queue)
-}
-
-// Stopped reports whether no new work is taken.
-func (a *Admission) Stopped() bool {
-	return a.leaving || a.draining
+	return len(a.running), len(a.waiting) + len(a.pending)
 }
 
 func (a *Admission) emit(e Effect) {
 	a.effects = append(a.effects, e)
 }
 
-func (a *Admission) refuse(id uint64, reason outcome.Reason, status int, retryAfter time.Duration) {
-	refusal := outcome.Refusal{Outcome: outcome.NotRun, Reason: reason, Status: status, RetryAfter: retryAfter}
-	a.emit(Refuse{ID: id, Refusal: refusal})
+func (a *Admission) access(now time.Time) access {
+	if a.leaving {
+		return closed
+	}
+	return a.monitor.access(now)
+}
+
+// limit returns the number of requests that may run at once.
+func (a *Admission) limit(now time.Time) int {
+	switch a.access(now) {
+	case open:
+		return a.capacity.current(now)
+	case probing:
+		return 1
+	default:
+		return 0
+	}
 }
 
 func (a *Admission) arrived(now time.Time, e Arrived) {
+	a.counters.Arrived++
+	r := &request{Arrived: e, arrived: now}
+	if !e.Repeatable {
+		if known, ok := a.requests.entries[e.Request]; ok && (known.state != FenceNotRun || known.inProgress()) {
+			a.refuseKnown(r, known.state)
+			return
+		}
+		a.requests.set(now, e.Request, FenceNotRun, e.ID)
+	}
 	switch {
-	case a.Stopped():
-		a.refuse(e.ID, outcome.InstanceLeaving, http.StatusServiceUnavailable, time.Second)
+	case a.access(now) == closed, a.access(now) == probing && len(a.running) > 0:
+		a.refuse(now, r, outcome.InstanceLeaving)
 	case !now.Before(e.Deadline):
-		a.refuse(e.ID, outcome.DeadlineExpired, http.StatusGatewayTimeout, time.Second)
-	case len(a.queue) >= a.cfg.QueueLength:
-		a.refuse(e.ID, outcome.Overload, http.StatusServiceUnavailable, time.Second)
+		a.refuse(now, r, outcome.DeadlineExpired)
+	case a.tooLate(now, r):
+		a.refuse(now, r, outcome.Overload)
+	case a.cfg.ClaimKeys && e.Key != "" && !e.Repeatable:
+		a.claim(now, r)
 	default:
-		a.queue = append(a.queue, e)
+		a.enqueue(now, r)
 	}
 }
 
-func (a *Admission) abandoned(id uint64) {
-	delete(a.running, id)
-	a.filterQueue(func(e Arrived) bool { return e.ID != id })
+// claim asks whether a request with a key may be run.
+func (a *Admission) claim(now time.Time, r *request) {
+	if len(a.pending) >= a.cfg.QueueLength {
+		a.refuse(now, r, outcome.Overload)
+		return
+	}
+	r.claimed = true
+	a.pending[r.ID] = r
+	a.emit(Claim{ID: r.ID, Request: r.Request, Organisation: r.Organisation, Key: r.Key})
 }
 
-// expire refuses waiting requests whose deadline has passed.
-func (a *Admission) expire(now time.Time) {
-	a.filterQueue(func(e Arrived) bool {
-		if now.Before(e.Deadline) {
-			return true
-		}
-		a.refuse(e.ID, outcome.DeadlineExpired, http.StatusGatewayTimeout, time.Second)
-		return false
-	})
+func (a *Admission) claimed(now time.Time, e Claimed) {
+	r, ok := a.pending[e.ID]
+	if !ok {
+		return
+	}
+	delete(a.pending, e.ID)
+	if e.Granted {
+		a.enqueue(now, r)
+		return
+	}
+	r.claimed = false
+	a.refuseWith(now, r, e.Refusal)
 }
 
-func (a *Admission) filterQueue(keep func(Arrived) bool) {
-	kept := a.queue[:0]
-	for _, e := range a.queue {
-		if keep(e) {
-			kept = append(kept, e)
+// enqueue makes a request wait, and drops one if too many wait.
+func (a *Admission) enqueue(now time.Time, r *request) {
+	r.share = a.queue.share(r.Organisation)
+	a.queue.push(now, r)
+	a.waiting[r.ID] = r
+	if r.share.waiting.Len() > a.cfg.OrganisationQueueLength {
+		a.drop(now, r.share.waiting.last(), outcome.Overload)
+	}
+	if a.queue.len() > a.cfg.QueueLength {
+		a.drop(now, a.queue.victim(), outcome.Overload)
+	}
+}
+
+// drop refuses a waiting request.
+func (a *Admission) drop(now time.Time, r *request, reason outcome.Reason) {
+	delete(a.waiting, r.ID)
+	a.queue.remove(r)
+	a.refuse(now, r, reason)
+}
+
+// dispatch runs waiting requests while slots are free. Those that would be cut
+// at their deadline give way.
+func (a *Admission) dispatch(now time.Time) {
+	limit := a.limit(now)
+	for a.queue.len() > 0 && len(a.running) < limit {
+		if r := a.queue.next(); a.hopeless(now, r, 0) {
+			a.drop(now, r, outcome.Overload)
+			continue
 		}
+		a.run(now, a.queue.pop(now, a.service.mean))
+	}
+}
+
+func (a *Admission) run(now time.Time, r *request) {
+	delete(a.waiting, r.ID)
+	a.running[r.ID] = r
+	a.counters.Run++
+	if !r.Repeatable {
+		a.requests.set(now, r.Request, FenceRunning, 0)
+	}
+	a.emit(Run{ID: r.ID})
+}
+
+// sweep drops state that is not needed any more.
+func (a *Admission) sweep(now time.Time) {
+	a.requests.expire(now)
+	if now.Sub(a.swept) >= shareLifetime {
+		a.swept = now
+		a.queue.forget(now.Add(-shareLifetime))
 	}
-	clear(a.queue[len(kept):])
-	a.queue = kept
 }
 
-// dispatch runs waiting requests while slots are free.
-func (a *Admission) dispatch() {
-	for len(a.queue) > 0 && len(a.running) < a.cfg.Slots {
-		e := a.queue[0]
-		a.queue = a.queue[1:]
-		a.running[e.ID] = e
-		a.emit(Run{ID: e.ID})
+func (a *Admission) checked(now time.Time, h Health) {
+	a.monitor.check(now, h)
+	if h == Unreachable {
+		a.backendServerDown(now)
+	}
+}
+
+// refusalStatus is the HTTP status code of a refusal.
+func refusalStatus(reason outcome.Reason) int {
+	switch reason {
+	case outcome.DeadlineExpired:
+		return http.StatusGatewayTimeout
+	case outcome.Duplicate:
+		return http.StatusConflict
+	default:
+		return http.StatusServiceUnavailable
 	}
 }
--- /dev/null
+++ b/internal/admission/service.go
@@ -0,0 +1,46 @@
+package admission
+
+import "time"
+
+const (
+	// meanWeight is the inverse weight of a new observation in the mean.
+	meanWeight = 16
+	// marginStep is the part of the mean by which a run that was cut at its
+	// deadline raises the margin.
+	marginStep = 8
+	// cutTarget is the number of answered runs that make up for one cut.
+	cutTarget = 32
+	// marginLimit bounds the margin as a multiple of the mean.
+	marginLimit = 2
+)
+
+// serviceTime estimates how long the backend server takes, and how much time
+// a request must have left so that its run is seldom cut at its deadline.
+type serviceTime struct {
+	mean   time.Duration
+	margin time.Duration
+}
+
+// answered adds a complete run.
+func (s *serviceTime) answered(d time.Duration) {
+	if s.mean == 0 {
+		s.mean = d
+	}
+	s.mean += (d - s.mean) / meanWeight
+	s.margin = max(0, s.margin-s.mean/marginStep/cutTarget)
+}
+
+// cut adds a run that was cut after d, which tells only that it would have
+// taken longer.
+func (s *serviceTime) cut(d time.Duration) {
+	if d > s.mean {
+		s.mean += (d - s.mean) / meanWeight
+	}
+	s.margin = min(s.margin+s.mean/marginStep, s.mean*marginLimit)
+}
+
+// needed returns the time that a request with the budget must have left. It
+// is at most half of the budget, so that each request can wait for a while.
+func (s *serviceTime) needed(budget time.Duration) time.Duration {
+	return min(s.margin, budget/2)
+}
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -41,6 +41,12 @@
 	Fenced          Reason = "fenced"
 	Cancelled       Reason = "cancelled"
 	Malformed       Reason = "malformed-request"
+	// ClaimFailed tells that too few of the proxies that remember the
+	// caller's key could be asked. It says nothing about earlier requests
+	// with the same key.
+	ClaimFailed Reason = "claim-failed"
+	// Crashed tells that the backend server died while it ran the request.
+	Crashed Reason = "backend-server-crashed"
 )
 
 // Refusal is the final answer to a request that was not answered by a backend
