Let requests with short deadlines run beside slow ones

Cause: two paths set the starting point of an organisation's share, so that breaking one of them failed no test. Ruled out: keeping both. Change: one path, and a test of mixed deadlines. Conclusion: each bound now has a test that fails without it.

--- a/internal/admission/fair_test.go
+++ b/internal/admission/fair_test.go
@@ -111,6 +111,22 @@
 	is.True(last <= 205*time.Millisecond)
 }
 
+// TestShortDeadlinesAreStillTried mixes requests whose deadline is shorter
+// than the mean service time with long ones, above the capacity.
+func TestShortDeadlinesAreStillTried(t *testing.T) {
+	is := is.New(t)
+	jobs := arrivals(3, simLength, source{"short", simCapacity}, source{"long", simCapacity})
+	for _, j := range jobs {
+		if j.Organisation == "short" {
+			j.work, j.Deadline = 10*time.Millisecond, j.at.Add(80*time.Millisecond)
+		}
+	}
+	simulate(New(Config{Slots: simSlots, QueueLength: simQueue}), jobs)
+	part, _ := share99(jobs, "short")
+	t.Logf("short requests in time %.3f", part)
+	is.True(part >= 0.9) // they need a tenth of the capacity
+}
+
 // observer reports the ends of runs.
 type observer struct {
 	inner stepper
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -90,7 +90,7 @@
 func (q *fairQueue) share(organisation string) *share {
 	s, ok := q.shares[organisation]
 	if !ok {
-		s = &share{organisation: organisation, served: q.clock}
+		s = &share{organisation: organisation}
 		s.waiting = indexedHeap[*request]{slot: byOwnDeadline, less: earlier}
 		q.shares[organisation] = s
 	}
