Ask what became of a lost request, claim keys and hold crashing requests

Cause: admission, dedupe and quarantine were not reached by any request. Ruled out: the incarnation of the view at the time of the question (a restart between would prove what the earlier life ran); dropping a peer connection whose answer to a fence is late. Change: the entry notes the life of the proxy before it sends a request that may not be repeated, and asks it by 'fence' when the connection is lost; owners are asked by 'claim', 'settle' and 'grants'; a lost run whose backend server then refuses connections is reported as a crash and is not tried again; health checks go to the reducer one by one, with the load. Conclusion: rumours between proxies (quarantine.Publish and Learnt) are not wired, so that a crash is known at its own proxy only.

--- a/internal/forward/entry.go
+++ b/internal/forward/entry.go
@@ -92,12 +92,14 @@
 	ctx, cancel := context.WithDeadline(c.r.Context(), d.Deadline)
 	defer cancel()
 	start := time.Now()
+	fencing := c.fencing(d)
 	x, err := c.pool.Do(ctx, d.Address, outbound(c.r, c.header(d), c.body))
 	if err != nil {
 		o, reason := lostOutcome(err)
 		if ctx.Err() != nil && c.r.Context().Err() == nil {
 			reason = outcome.DeadlineExpired
 		}
+		o, reason = fencing.resolve(ctx, o, reason)
 		c.end(routing.AttemptEnded{ID: c.id, Outcome: o, Reason: reason})
 		return false
 	}
@@ -120,7 +122,7 @@
 func (c *entryCall) header(d routing.Send) http.Header {
 	h := endToEnd(c.r.Header)
 	h.Set(OrganisationHeader, c.r.Header.Get(OrganisationHeader))
-	h.Set(requestHeader, c.origin+"-"+strconv.FormatUint(c.id, 36))
+	h.Set(requestHeader, c.requestID())
 	h.Set(DeadlineHeader, formatDeadline(time.Until(d.Deadline)))
 	h.Set(VersionHeader, strconv.FormatUint(d.Version, 10))
 	h.Set(fingerprintHeader, strconv.FormatUint(c.hash, 16))
--- a/internal/forward/local.go
+++ b/internal/forward/local.go
@@ -88,6 +88,7 @@
 		if ctx.Err() != nil {
 			end.Reason = outcome.DeadlineExpired
 		}
+		end.Reason = c.crashReason(ctx, end.Reason)
 		writeRefusal(c.w, outcome.Refusal{Outcome: end.Outcome, Reason: end.Reason, Status: http.StatusBadGateway})
 		return
 	}
--- /dev/null
+++ b/internal/host/admissionmetrics.go
@@ -0,0 +1,72 @@
+package host
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"heatherlift.example/heatherlift/internal/admission"
+	"heatherlift.example/heatherlift/internal/dedupe"
+	"heatherlift.example/heatherlift/internal/node"
+	"heatherlift.example/heatherlift/internal/quarantine"
+)
+
+// admissionMetrics reads the counters of admission, keys and quarantine.
+type admissionMetrics struct {
+	host *Host
+
+	requests, refused, running, waiting, slots *prometheus.Desc
+	claims, keys, suspects                     *prometheus.Desc
+}
+
+func newAdmissionMetrics(h *Host) *admissionMetrics {
+	desc := func(name, help string, labels ...string) *prometheus.Desc {
+		return prometheus.NewDesc("heatherlift_admission_"+name, help, labels, nil)
+	}
+	return &admissionMetrics{
+		host:     h,
+		requests: desc("requests_total", "Requests of peers by what was done with them.", "what"),
+		refused:  desc("refused_total", "Requests of peers refused.", "reason"),
+		running:  desc("running", "Requests that the backend server runs."),
+		waiting:  desc("waiting", "Requests that wait for a slot."),
+		slots:    desc("slots", "Requests that may run at once now."),
+		claims:   desc("claims_total", "Claims on idempotency keys.", "result"),
+		keys:     desc("keys", "Idempotency keys remembered."),
+		suspects: desc("suspects", "Requests suspected of crashing backend servers."),
+	}
+}
+
+// Describe implements prometheus.Collector.
+func (m *admissionMetrics) Describe(c chan<- *prometheus.Desc) {
+	prometheus.DescribeByCollect(m, c)
+}
+
+// Collect implements prometheus.Collector.
+func (m *admissionMetrics) Collect(c chan<- prometheus.Metric) {
+	var a admission.State
+	var d dedupe.State
+	var q quarantine.State
+	m.host.view(func(n *node.Node) { a, d, q = n.Admission() })
+	counter := func(desc *prometheus.Desc, n uint64, labels ...string) {
+		c <- prometheus.MustNewConstMetric(desc, prometheus.CounterValue, float64(n), labels...)
+	}
+	gauge := func(desc *prometheus.Desc, n int) {
+		c <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, float64(n))
+	}
+	counter(m.requests, a.Counters.Arrived, "arrived")
+	counter(m.requests, a.Counters.Run, "run")
+	counter(m.requests, a.Counters.Answered, "answered")
+	counter(m.requests, a.Counters.Abandoned, "abandoned")
+	counter(m.requests, a.Counters.Fences, "fence-asked")
+	counter(m.requests, a.Counters.FencesProven, "fence-proven")
+	counter(m.requests, a.Counters.Crashes, "crash")
+	for reason, n := range a.Counters.Refused {
+		counter(m.refused, n, string(reason))
+	}
+	counter(m.claims, d.Counters.Granted, "granted")
+	counter(m.claims, d.Counters.Seen, "seen")
+	counter(m.claims, d.Counters.Failed, "failed")
+	gauge(m.running, a.Running)
+	gauge(m.waiting, a.Waiting+a.Pending)
+	gauge(m.slots, a.Slots)
+	gauge(m.keys, d.Keys)
+	gauge(m.suspects, len(q.Suspects))
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -114,6 +114,9 @@
 	for _, e := range effects.Dist {
 		h.carryOutDist(e)
 	}
+	for _, e := range effects.Dedupe {
+		h.carryOutDedupe(e)
+	}
 }
 
 func (h *Host) carryOutRouting(e routing.Effect) {
@@ -132,6 +135,8 @@
 		h.admits.deliver(e.ID, e)
 	case admission.Refuse:
 		h.admits.deliver(e.ID, e)
+	case admission.ReplyFence:
+		h.calls.deliver(e.Call, e.Reply)
 	}
 }
 
--- a/internal/host/metrics.go
+++ b/internal/host/metrics.go
@@ -32,6 +32,7 @@
 			Name: "heatherlift_requests_refused_total", Help: "Requests of callers that were refused.",
 		}, []string{"outcome", "reason"}),
 	}
+	m.registry.MustRegister(newAdmissionMetrics(h))
 	m.registry.MustRegister(m.peerBytes, m.peerRefused, m.sourceCalls, m.refusals)
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "heatherlift_version_in_force", Help: "Version that this proxy enforces.",
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -10,7 +10,6 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
-	"heatherlift.example/heatherlift/internal/admission"
 	"heatherlift.example/heatherlift/internal/forward"
 	"heatherlift.example/heatherlift/internal/member"
 	"heatherlift.example/heatherlift/internal/node"
@@ -176,22 +175,3 @@
 		}
 	}
 }
-
-// checkHealth asks the backend server whether it takes work.
-func (h *Host) checkHealth() {
-	client := &http.Client{Timeout: time.Second}
-	defer client.CloseIdleConnections()
-	url := "http://" + h.settings.BackendServer.Address + h.settings.BackendServer.HealthPath
-	draining := false
-	for h.sleep(time.Duration(h.settings.BackendServer.HealthInterval)) {
-		resp, err := client.Get(url)
-		now := err != nil || resp.StatusCode != http.StatusOK
-		if err == nil {
-			_ = resp.Body.Close()
-		}
-		if now != draining {
-			draining = now
-			h.step(admission.Draining{Draining: draining})
-		}
-	}
-}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,12 +4,15 @@
 package node
 
 import (
+	"strconv"
 	"time"
 
 	"heatherlift.example/heatherlift/internal/admission"
 	"heatherlift.example/heatherlift/internal/config"
+	"heatherlift.example/heatherlift/internal/dedupe"
 	"heatherlift.example/heatherlift/internal/dist"
 	"heatherlift.example/heatherlift/internal/member"
+	"heatherlift.example/heatherlift/internal/quarantine"
 	"heatherlift.example/heatherlift/internal/routing"
 )
 
@@ -21,8 +24,8 @@
 	Admission admission.Config
 }
 
-// Event is a member.Event, dist.Event, routing.Event, admission.Event, or one
-// of the events of this package.
+// Event is a member.Event, dist.Event, routing.Event, admission.Event,
+// dedupe.Event, quarantine.Event, or one of the events of this package.
 type Event any
 
 // Events of the whole proxy.
@@ -35,22 +38,29 @@
 
 // Effects is the output of one step, by the package that carries it out.
 type Effects struct {
-	Member    []member.Effect
-	Dist      []dist.Effect
-	Routing   []routing.Effect
-	Admission []admission.Effect
+	Member     []member.Effect
+	Dist       []dist.Effect
+	Routing    []routing.Effect
+	Admission  []admission.Effect
+	Dedupe     []dedupe.Effect
+	Quarantine []quarantine.Effect
 }
 
 // Node is the reducer. It is not safe for concurrent use.
 type Node struct {
-	cfg       Config
-	members   *member.Members
-	dist      *dist.Dist
-	router    *routing.Router
-	admission *admission.Admission
-	journal   journal
-	begun     bool
-	leaving   bool
+	cfg        Config
+	members    *member.Members
+	dist       *dist.Dist
+	router     *routing.Router
+	admission  *admission.Admission
+	dedupe     *dedupe.Dedupe
+	quarantine *quarantine.Quarantine
+	// lives holds the instances of the view by identifier.
+	lives   map[string]Life
+	now     time.Time
+	journal journal
+	begun   bool
+	leaving bool
 	// inForceSince is when the version in force was accepted.
 	inForceSince   time.Time
 	inForceVersion uint64
@@ -58,18 +68,25 @@
 
 // New returns a node that knows nothing yet.
 func New(cfg Config) *Node {
+	self := cfg.Member.Self
+	origin := self.ID + "-" + strconv.FormatUint(self.Incarnation, 36)
+	cfg.Admission.Incarnation = self.Incarnation
+	cfg.Admission.ClaimKeys = true
 	return &Node{
-		cfg:       cfg,
-		members:   member.New(cfg.Member),
-		dist:      dist.New(cfg.Dist),
-		router:    routing.New(cfg.Routing),
-		admission: admission.New(cfg.Admission),
+		cfg:        cfg,
+		members:    member.New(cfg.Member),
+		dist:       dist.New(cfg.Dist),
+		router:     routing.New(cfg.Routing),
+		admission:  admission.New(cfg.Admission),
+		dedupe:     dedupe.New(dedupe.Config{Self: self.ID, Origin: origin, Service: self.Service}),
+		quarantine: quarantine.New(quarantine.Config{Origin: origin}),
 	}
 }
 
 // Step applies an event at the given time and returns its effects.
 func (n *Node) Step(now time.Time, e Event) Effects {
 	var out Effects
+	n.now = now
 	switch e := e.(type) {
 	case Tick:
 		n.begin(now, &out)
@@ -77,6 +94,8 @@
 		n.stepDist(now, dist.Tick{}, &out)
 		n.stepRouting(now, routing.Tick{}, &out)
 		n.stepAdmission(now, admission.Tick{}, &out)
+		n.stepDedupe(now, dedupe.Tick{}, &out)
+		n.stepQuarantine(now, quarantine.Tick{}, &out)
 	case Leave:
 		n.leave(now, e.Cause, &out)
 	case member.Event:
@@ -87,6 +106,10 @@
 		n.stepRouting(now, e, &out)
 	case admission.Event:
 		n.stepAdmission(now, e, &out)
+	case dedupe.Event:
+		n.stepDedupe(now, e, &out)
+	case quarantine.Event:
+		n.stepQuarantine(now, e, &out)
 	}
 	return out
 }
@@ -133,6 +156,8 @@
 	if n.members.Self().State == member.Leaving {
 		n.leave(now, "marked by the platform", out)
 	}
+	n.lives = lives(view)
+	n.stepDedupe(now, dedupe.PeersChanged{Peers: n.dedupePeers(view)}, out)
 	n.stepDist(now, dist.Peers{Records: view}, out)
 	n.stepRouting(now, routing.InstancesChanged{Instances: instances(view)}, out)
 }
@@ -185,14 +210,6 @@
 	n.stepMember(now, member.InForce{Version: s.Version, Root: s.Root, Ready: true}, out)
 }
 
-func (n *Node) stepRouting(now time.Time, e routing.Event, out *Effects) {
-	out.Routing = append(out.Routing, n.router.Step(now, e)...)
-}
-
-func (n *Node) stepAdmission(now time.Time, e admission.Event, out *Effects) {
-	out.Admission = append(out.Admission, n.admission.Step(now, e)...)
-}
-
 // Leaving reports whether a graceful shutdown has begun.
 func (n *Node) Leaving() bool {
 	return n.leaving
--- /dev/null
+++ b/internal/node/once.go
@@ -0,0 +1,105 @@
+package node
+
+import (
+	"time"
+
+	"heatherlift.example/heatherlift/internal/admission"
+	"heatherlift.example/heatherlift/internal/dedupe"
+	"heatherlift.example/heatherlift/internal/member"
+	"heatherlift.example/heatherlift/internal/quarantine"
+	"heatherlift.example/heatherlift/internal/routing"
+)
+
+// stepAdmission feeds an event to admission and its effects to the state
+// machines that decide with it.
+func (n *Node) stepAdmission(now time.Time, e admission.Event, out *Effects) {
+	if arrived, ok := e.(admission.Arrived); ok {
+		if refusal, held := n.quarantine.Check(now, arrived.Fingerprint); held {
+			out.Admission = append(out.Admission, admission.Refuse{ID: arrived.ID, Refusal: refusal})
+			return
+		}
+	}
+	for _, effect := range n.admission.Step(now, e) {
+		switch effect := effect.(type) {
+		case admission.Claim:
+			n.stepDedupe(now, dedupe.Claim{
+				ID:           effect.ID,
+				Request:      effect.Request,
+				Organisation: effect.Organisation,
+				Key:          effect.Key,
+			}, out)
+		case admission.Settled:
+			n.stepDedupe(now, dedupe.Settle{ID: effect.ID, Ran: effect.Ran}, out)
+		case admission.Crashed:
+			n.journal.add(now, "backend server ended", "with requests in flight")
+			n.stepQuarantine(now, quarantine.Crashed{Fingerprints: effect.Fingerprints}, out)
+		case admission.Survived:
+			n.stepQuarantine(now, quarantine.Survived{Fingerprint: effect.Fingerprint}, out)
+		default:
+			out.Admission = append(out.Admission, effect)
+		}
+	}
+}
+
+func (n *Node) stepDedupe(now time.Time, e dedupe.Event, out *Effects) {
+	for _, effect := range n.dedupe.Step(now, e) {
+		decided, ok := effect.(dedupe.Decided)
+		if !ok {
+			out.Dedupe = append(out.Dedupe, effect)
+			continue
+		}
+		n.stepAdmission(now, admission.Claimed{ID: decided.ID, Granted: decided.Granted, Refusal: decided.Refusal}, out)
+	}
+}
+
+func (n *Node) stepQuarantine(now time.Time, e quarantine.Event, out *Effects) {
+	out.Quarantine = append(out.Quarantine, n.quarantine.Step(now, e)...)
+}
+
+// stepRouting feeds an event to the router, but for requests in quarantine.
+func (n *Node) stepRouting(now time.Time, e routing.Event, out *Effects) {
+	if arrived, ok := e.(routing.Arrived); ok {
+		if refusal, held := n.quarantine.Check(now, arrived.Fingerprint); held {
+			out.Routing = append(out.Routing, routing.Refuse{ID: arrived.ID, Refusal: refusal})
+			return
+		}
+	}
+	out.Routing = append(out.Routing, n.router.Step(now, e)...)
+}
+
+// dedupePeers returns the instances that may own keys of this service.
+func (n *Node) dedupePeers(view []member.Record) []dedupe.Peer {
+	var peers []dedupe.Peer
+	for _, r := range view {
+		if r.Service == n.cfg.Member.Self.Service {
+			peers = append(peers, dedupe.Peer{
+				ID:               r.ID,
+				AvailabilityZone: r.AvailabilityZone,
+				Address:          r.PeerAddress,
+				Leaving:          r.State == member.Leaving,
+			})
+		}
+	}
+	return peers
+}
+
+// Life names one life of another proxy.
+type Life struct {
+	// Address serves jsonrpc2 to other proxies.
+	Address     string
+	Incarnation uint64
+}
+
+// Life returns the present life of an instance, if it is known.
+func (n *Node) Life(id string) (Life, bool) {
+	l, ok := n.lives[id]
+	return l, ok
+}
+
+func lives(view []member.Record) map[string]Life {
+	m := make(map[string]Life, len(view))
+	for _, r := range view {
+		m[r.ID] = Life{Address: r.PeerAddress, Incarnation: r.Incarnation}
+	}
+	return m
+}
--- /dev/null
+++ b/internal/node/once_test.go
@@ -0,0 +1,64 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"heatherlift.example/heatherlift/internal/admission"
+	"heatherlift.example/heatherlift/internal/member"
+	"heatherlift.example/heatherlift/internal/outcome"
+	"heatherlift.example/heatherlift/internal/quarantine"
+	"heatherlift.example/heatherlift/internal/routing"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+// newAlone returns the first instance of a service, old enough to grant keys.
+func newAlone() (*Node, time.Time) {
+	n := New(Config{
+		Member:    member.Config{Self: member.Record{ID: "a", Service: "s"}, Interval: time.Second},
+		Admission: admission.Config{Slots: 4, QueueLength: 10},
+	})
+	now := epoch
+	for range 10 {
+		n.Step(now, Tick{})
+		now = now.Add(time.Second)
+	}
+	return n, now
+}
+
+func arrival(id uint64, request, key string, fingerprint uint64, now time.Time) admission.Arrived {
+	return admission.Arrived{
+		ID: id, Request: request, Organisation: "o", Key: key, Fingerprint: fingerprint, Deadline: now.Add(time.Minute),
+	}
+}
+
+func TestKeyedRequestRunsOnce(t *testing.T) {
+	is := is.New(t)
+	n, now := newAlone()
+	is.Equal(n.Step(now, arrival(1, "r1", "k", 0, now)).Admission, []admission.Effect{admission.Run{ID: 1}})
+	refused := n.Step(now, arrival(2, "r2", "k", 0, now)).Admission[0].(admission.Refuse)
+	is.Equal(refused.Refusal.Reason, outcome.Duplicate)
+	is.Equal(refused.Refusal.Outcome, outcome.Unknown)
+	n.Step(now, admission.Ended{ID: 1, Outcome: outcome.NotRun, Reason: outcome.Shed})
+	is.Equal(n.Step(now, arrival(3, "r3", "k", 0, now)).Admission, []admission.Effect{admission.Run{ID: 3}}) // the first did not run
+}
+
+func TestCrashingRequestIsHeldEverywhere(t *testing.T) {
+	is := is.New(t)
+	n, now := newAlone()
+	n.Step(now, arrival(1, "r1", "", 77, now))
+	effects := n.Step(now, admission.Ended{ID: 1, Outcome: outcome.Unknown, Reason: outcome.Crashed})
+	incident := effects.Quarantine[0].(quarantine.Publish).Incident
+	is.Equal(incident.Fingerprints, []uint64{77})
+
+	other, now := newAlone()
+	other.Step(now, quarantine.Learnt{Incident: incident})
+	entry := other.Step(now, routing.Arrived{ID: 5, Fingerprint: 77}).Routing[0].(routing.Refuse)
+	is.Equal(entry.Refusal.Reason, outcome.Quarantined)
+	local := other.Step(now, arrival(6, "r2", "", 77, now)).Admission[0].(admission.Refuse)
+	is.Equal(local.Refusal.Reason, outcome.Quarantined)
+	is.Equal(other.Step(now, arrival(7, "r3", "", 78, now)).Admission, []admission.Effect{admission.Run{ID: 7}})
+}
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -3,8 +3,11 @@
 import (
 	"time"
 
+	"heatherlift.example/heatherlift/internal/admission"
 	"heatherlift.example/heatherlift/internal/config"
+	"heatherlift.example/heatherlift/internal/dedupe"
 	"heatherlift.example/heatherlift/internal/member"
+	"heatherlift.example/heatherlift/internal/quarantine"
 	"heatherlift.example/heatherlift/internal/routing"
 )
 
@@ -88,25 +91,36 @@
 
 // Dump is the state of the proxy.
 type Dump struct {
-	Status   Status           `json:"status"`
-	Snapshot *config.Snapshot `json:"snapshot"`
-	InFlight int              `json:"in_flight"`
-	Running  int              `json:"running"`
-	Queued   int              `json:"queued"`
+	Status     Status           `json:"status"`
+	Snapshot   *config.Snapshot `json:"snapshot"`
+	InFlight   int              `json:"in_flight"`
+	Running    int              `json:"running"`
+	Queued     int              `json:"queued"`
+	Admission  admission.State  `json:"admission"`
+	Dedupe     dedupe.State     `json:"dedupe"`
+	Quarantine quarantine.State `json:"quarantine"`
 }
 
 // Dump returns the state of the proxy.
 func (n *Node) Dump() Dump {
 	running, waiting := n.admission.InFlight()
 	return Dump{
-		Status:   n.Status(),
-		Snapshot: n.dist.Snapshot(),
-		InFlight: n.router.InFlight(),
-		Running:  running,
-		Queued:   waiting,
+		Status:     n.Status(),
+		Snapshot:   n.dist.Snapshot(),
+		InFlight:   n.router.InFlight(),
+		Running:    running,
+		Queued:     waiting,
+		Admission:  n.admission.State(n.now),
+		Dedupe:     n.dedupe.State(),
+		Quarantine: n.quarantine.State(),
 	}
 }
 
+// Admission returns the state of admission, of keys and of the quarantine.
+func (n *Node) Admission() (admission.State, dedupe.State, quarantine.State) {
+	return n.admission.State(n.now), n.dedupe.State(), n.quarantine.State()
+}
+
 // Explain returns what applies to a request.
 func (n *Node) Explain(org, method, path string) routing.Explanation {
 	return n.router.Explain(org, method, path)
--- a/internal/node/trace.go
+++ b/internal/node/trace.go
@@ -8,8 +8,10 @@
 	"github.com/cockroachdb/errors"
 
 	"heatherlift.example/heatherlift/internal/admission"
+	"heatherlift.example/heatherlift/internal/dedupe"
 	"heatherlift.example/heatherlift/internal/dist"
 	"heatherlift.example/heatherlift/internal/member"
+	"heatherlift.example/heatherlift/internal/quarantine"
 	"heatherlift.example/heatherlift/internal/routing"
 )
 
@@ -31,6 +33,9 @@
 	dist.Announced{}, dist.PullReceived{}, dist.Pulled{}, dist.SourceRead{},
 	routing.Arrived{}, routing.AttemptEnded{}, routing.Abandoned{},
 	admission.Arrived{}, admission.Ended{}, admission.Abandoned{}, admission.Draining{},
+	admission.Checked{}, admission.Loaded{}, admission.FenceReceived{},
+	dedupe.ClaimReceived{}, dedupe.ClaimAnswered{}, dedupe.Settled{}, dedupe.SyncReceived{}, dedupe.SyncAnswered{},
+	quarantine.Learnt{},
 )
 
 func eventTypes(events ...Event) map[string]reflect.Type {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -32,6 +32,7 @@
 	Gossip(ctx context.Context, g member.Gossip) (member.Gossip, error)
 	Pull(ctx context.Context, r dist.PullRequest) (dist.PullReply, error)
 	Announce(a dist.Announcement)
+	RequestHandler
 }
 
 // Observer counts what is carried. Its methods are called concurrently.
@@ -234,6 +235,9 @@
 			return nil, nil
 		})
 	default:
+		if handle, ok := requestMethods[req.Method]; ok {
+			return handle(ctx, t, req)
+		}
 		t.observer.Refused("unknown method")
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method"}
 	}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -190,7 +190,7 @@
 		r.finish(e.ID, c)
 	case e.Outcome == outcome.NotRun:
 		r.attempt(now, e.ID, c, notRun(e.Reason, http.StatusServiceUnavailable, retryAfter(e)))
-	case c.match.Route.Repeatable:
+	case c.match.Route.Repeatable && e.Reason != outcome.Crashed:
 		r.attempt(now, e.ID, c, unknown(e.Reason))
 	default:
 		r.finish(e.ID, c)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -54,6 +54,9 @@
 	QueueLength int `toml:"queue_length"`
 	// HealthPath answers 200 while the backend server takes work.
 	HealthPath string `toml:"health_path"`
+	// LoadPath answers with the number of slots and whether the backend
+	// server drains; empty if there is none.
+	LoadPath string `toml:"load_path"`
 	// HealthInterval is the time between two health checks.
 	HealthInterval config.Duration `toml:"health_interval"`
 	// ShedNotRun declares that an answer 503 with Retry-After means that
@@ -128,6 +131,7 @@
 			Connections:    130,
 			QueueLength:    100,
 			HealthPath:     "/healthz",
+			LoadPath:       "/load",
 			HealthInterval: config.Duration(time.Second),
 		},
 		Platform: Platform{InstancesInterval: config.Duration(10 * time.Second)},
