--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -117,6 +117,9 @@
 	for _, e := range effects.Limit {
 		h.carryOutLimit(e)
 	}
+	for _, e := range effects.Dedupe {
+		h.carryOutDedupe(e)
+	}
 }
 
 func (h *Host) carryOutRouting(e routing.Effect) {
@@ -135,6 +138,8 @@
 		h.admits.deliver(e.ID, e)
 	case admission.Refuse:
 		h.admits.deliver(e.ID, e)
+	case admission.ReplyFence:
+		h.calls.deliver(e.Call, e.Reply)
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,9 +9,11 @@
 
 	"heatherlift.example/heatherlift/internal/admission"
 	"heatherlift.example/heatherlift/internal/config"
+	"heatherlift.example/heatherlift/internal/dedupe"
 	"heatherlift.example/heatherlift/internal/dist"
 	"heatherlift.example/heatherlift/internal/limit"
 	"heatherlift.example/heatherlift/internal/member"
+	"heatherlift.example/heatherlift/internal/quarantine"
 	"heatherlift.example/heatherlift/internal/routing"
 )
 
@@ -25,7 +27,8 @@
 }
 
 // Event is a member.Event, dist.Event, routing.Event, admission.Event,
-// limit.Event, or one of the events of this package.
+// limit.Event, dedupe.Event, quarantine.Event, or one of the events of this
+// package.
 type Event any
 
 // Events of the whole proxy.
@@ -38,24 +41,31 @@
 
 // Effects is the output of one step, by the package that carries it out.
 type Effects struct {
-	Member    []member.Effect
-	Dist      []dist.Effect
-	Routing   []routing.Effect
-	Admission []admission.Effect
-	Limit     []limit.Effect
+	Member     []member.Effect
+	Dist       []dist.Effect
+	Routing    []routing.Effect
+	Admission  []admission.Effect
+	Dedupe     []dedupe.Effect
+	Quarantine []quarantine.Effect
+	Limit      []limit.Effect
 }
 
 // Node is the reducer. It is not safe for concurrent use.
 type Node struct {
-	cfg       Config
-	members   *member.Members
-	dist      *dist.Dist
-	router    *routing.Router
-	admission *admission.Admission
-	limiter   *limit.Limiter
-	journal   journal
-	begun     bool
-	leaving   bool
+	cfg        Config
+	members    *member.Members
+	dist       *dist.Dist
+	router     *routing.Router
+	admission  *admission.Admission
+	dedupe     *dedupe.Dedupe
+	quarantine *quarantine.Quarantine
+	limiter    *limit.Limiter
+	// lives holds the instances of the view by identifier.
+	lives   map[string]Life
+	now     time.Time
+	journal journal
+	begun   bool
+	leaving bool
 	// inForceSince is when the version in force was accepted.
 	inForceSince   time.Time
 	inForceVersion uint64
@@ -63,13 +73,19 @@
 
 // New returns a node that knows nothing yet.
 func New(cfg Config) *Node {
+	self := cfg.Member.Self
+	origin := self.ID + "-" + strconv.FormatUint(self.Incarnation, 36)
+	cfg.Admission.Incarnation = self.Incarnation
+	cfg.Admission.ClaimKeys = true
 	n := &Node{
-		cfg:       cfg,
-		members:   member.New(cfg.Member),
-		dist:      dist.New(cfg.Dist),
-		router:    routing.New(cfg.Routing),
-		admission: admission.New(cfg.Admission),
-		limiter:   limit.New(cfg.Limit),
+		cfg:        cfg,
+		members:    member.New(cfg.Member),
+		dist:       dist.New(cfg.Dist),
+		router:     routing.New(cfg.Routing),
+		admission:  admission.New(cfg.Admission),
+		dedupe:     dedupe.New(dedupe.Config{Self: self.ID, Origin: origin, Service: self.Service}),
+		quarantine: quarantine.New(quarantine.Config{Origin: origin}),
+		limiter:    limit.New(cfg.Limit),
 	}
 	n.router.UseLimiter(n.limiter)
 	return n
@@ -78,6 +94,7 @@
 // Step applies an event at the given time and returns its effects.
 func (n *Node) Step(now time.Time, e Event) Effects {
 	var out Effects
+	n.now = now
 	switch e := e.(type) {
 	case Tick:
 		n.begin(now, &out)
@@ -86,6 +103,8 @@
 		n.stepRouting(now, routing.Tick{}, &out)
 		n.stepAdmission(now, admission.Tick{}, &out)
 		n.stepLimit(now, limit.Tick{}, &out)
+		n.stepDedupe(now, dedupe.Tick{}, &out)
+		n.stepQuarantine(now, quarantine.Tick{}, &out)
 	case Leave:
 		n.leave(now, e.Cause, &out)
 	case member.Listed:
@@ -101,6 +120,10 @@
 		n.stepAdmission(now, e, &out)
 	case limit.Event:
 		n.stepLimit(now, e, &out)
+	case dedupe.Event:
+		n.stepDedupe(now, e, &out)
+	case quarantine.Event:
+		n.stepQuarantine(now, e, &out)
 	}
 	return out
 }
@@ -147,6 +170,8 @@
 	if n.members.Self().State == member.Leaving {
 		n.leave(now, "marked by the platform", out)
 	}
+	n.lives = lives(view)
+	n.stepDedupe(now, dedupe.PeersChanged{Peers: n.dedupePeers(view)}, out)
 	n.stepDist(now, dist.Peers{Records: view}, out)
 	n.stepRouting(now, routing.InstancesChanged{Instances: instances(view)}, out)
 	n.stepLimit(now, limit.View{Members: limitOwners(view)}, out)
@@ -217,14 +242,6 @@
 	}, out)
 }
 
-func (n *Node) stepRouting(now time.Time, e routing.Event, out *Effects) {
-	out.Routing = append(out.Routing, n.router.Step(now, e)...)
-}
-
-func (n *Node) stepAdmission(now time.Time, e admission.Event, out *Effects) {
-	out.Admission = append(out.Admission, n.admission.Step(now, e)...)
-}
-
 // Leaving reports whether a graceful shutdown has begun.
 func (n *Node) Leaving() bool {
 	return n.leaving
--- a/internal/node/trace.go
+++ b/internal/node/trace.go
@@ -8,9 +8,11 @@
 	"github.com/cockroachdb/errors"
 
 	"heatherlift.example/heatherlift/internal/admission"
+	"heatherlift.example/heatherlift/internal/dedupe"
 	"heatherlift.example/heatherlift/internal/dist"
 	"heatherlift.example/heatherlift/internal/limit"
 	"heatherlift.example/heatherlift/internal/member"
+	"heatherlift.example/heatherlift/internal/quarantine"
 	"heatherlift.example/heatherlift/internal/routing"
 )
 
@@ -33,6 +35,9 @@
 	routing.Arrived{}, routing.AttemptEnded{}, routing.Abandoned{},
 	admission.Arrived{}, admission.Ended{}, admission.Abandoned{}, admission.Draining{},
 	limit.Received{}, limit.Answered{}, limit.Failed{},
+	admission.Checked{}, admission.Loaded{}, admission.FenceReceived{},
+	dedupe.ClaimReceived{}, dedupe.ClaimAnswered{}, dedupe.Settled{}, dedupe.SyncReceived{}, dedupe.SyncAnswered{},
+	quarantine.Learnt{},
 )
 
 func eventTypes(events ...Event) map[string]reflect.Type {
--- a/internal/routing/retry.go
+++ b/internal/routing/retry.go
@@ -82,7 +82,7 @@
 // isFinal reports whether no other instance would decide otherwise.
 func isFinal(reason outcome.Reason) bool {
 	switch reason {
-	case outcome.Quarantined, outcome.Duplicate, outcome.Fenced, outcome.Malformed,
+	case outcome.Quarantined, outcome.Crashed, outcome.Duplicate, outcome.Fenced, outcome.Malformed,
 		outcome.DeadlineExpired, outcome.Cancelled, outcome.NoOrganisation, outcome.NoRoute:
 		return true
 	}
