Send requests on without a copy of their header, and shut down in order

Cause: a large body could be sent twice in part, an early answer could be cut by the rest of its request's body, a broken answer to a caller of HTTP/1.0 looked whole, callers' idle connections were closed at once at a shutdown, and ambiguous request heads (folded, bare LF, length besides chunks) were read leniently.

Change: one exchange per connection with streamed uploads that are sent once, Expect between proxies, answers without a verifiable end refused, a guard on callers' connections, two pools with a dial function each, no hop to the own backend server, idle callers told to move before their connections end.

--- a/internal/forward/entry.go
+++ b/internal/forward/entry.go
@@ -1,11 +1,12 @@
 package forward
 
 import (
-	"context"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
+	"heatherlift.example/heatherlift/internal/admission"
 	"heatherlift.example/heatherlift/internal/outcome"
 	"heatherlift.example/heatherlift/internal/routing"
 )
@@ -16,40 +17,56 @@
 	core   Core
 	pool   *Pool
 	origin string
+	// local takes the requests for the address self without a hop.
+	local *Local
+	self  string
+	// draining tells callers to move to another proxy.
+	draining atomic.Bool
+	conns    callerConns
 }
 
 // NewEntry returns the handler for callers. Origin is unique to this start of
-// the process and makes request identifiers unique in the fleet.
-func NewEntry(core Core, pool *Pool, origin string) *Entry {
-	return &Entry{core: core, pool: pool, origin: origin}
+// the process and makes request identifiers unique in the fleet. Local serves
+// the address self.
+func NewEntry(core Core, pool *Pool, origin string, local *Local, self string) *Entry {
+	return &Entry{core: core, pool: pool, origin: origin, local: local, self: self}
 }
 
 // entryCall is one request of a caller.
 type entryCall struct {
 	*Entry
-	id   uint64
-	w    http.ResponseWriter
-	r    *http.Request
-	body []byte
-	hash uint64
+	id           uint64
+	organisation string
+	hash         uint64
+	w            http.ResponseWriter
+	r            *http.Request
+	message      *message
+	// last is the outcome of the attempt before.
+	last outcome.Refusal
 }
 
 // ServeHTTP implements http.Handler.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	budget, ok := remaining(r.Header)
-	if !ok || !wellFormed(r) {
-		writeRefusal(w, outcome.Refusal{Outcome: outcome.NotRun, Reason: outcome.Malformed, Status: http.StatusBadRequest})
+	if !e.mayServe(w, r) {
+		writeRefusal(w, notRun(outcome.Malformed, http.StatusBadRequest), true)
 		return
 	}
-	body, err := readSmallBody(r)
-	if err != nil {
-		panic(http.ErrAbortHandler) // the caller left before its request was whole
+	budget, refusal, ok := check(r)
+	if !ok {
+		writeRefusal(w, refusal, false)
+		return
 	}
-	org := r.Header.Get(OrganisationHeader)
-	c := &entryCall{Entry: e, id: e.core.NextID(), w: w, r: r, body: body, hash: fingerprint(org, r, body)}
+	c := &entryCall{Entry: e, w: w, r: r, message: &message{in: r, expect: true}}
+	if !c.readBody() {
+		return
+	}
+	defer c.message.upload.finish()
+	c.id = e.core.NextID()
+	c.organisation = r.Header.Get(OrganisationHeader)
+	c.hash = fingerprint(c.organisation, r, c.message.body)
 	c.serve(routing.Arrived{
 		ID:           c.id,
-		Organisation: org,
+		Organisation: c.organisation,
 		Method:       r.Method,
 		Path:         r.URL.Path,
 		Budget:       budget,
@@ -57,6 +74,21 @@
 	})
 }
 
+// readBody reads a small body and reports whether the request is whole.
+func (c *entryCall) readBody() bool {
+	if !isSmall(c.r) {
+		c.message.upload = newUpload(c.w, c.r)
+		return true
+	}
+	body, err := readSmallBody(c.w, c.r)
+	if err != nil {
+		writeRefusal(c.w, notRun(outcome.Malformed, http.StatusRequestTimeout), true)
+		return false
+	}
+	c.message.body = body
+	return true
+}
+
 // serve carries out the reducer's decisions until the final answer.
 func (c *entryCall) serve(arrived routing.Arrived) {
 	decisions, release := c.core.RouteDecisions(c.id)
@@ -79,9 +111,14 @@
 func (c *entryCall) carryOut(decision routing.Effect) bool {
 	switch d := decision.(type) {
 	case routing.Send:
+		if c.message.upload.spent() {
+			c.core.Route(routing.Abandoned{ID: c.id})
+			refuse(c.w, c.message.upload, c.last)
+			return true
+		}
 		return c.send(d)
 	case routing.Refuse:
-		writeRefusal(c.w, d.Refusal)
+		refuse(c.w, c.message.upload, d.Refusal)
 		return true
 	}
 	return false
@@ -89,43 +126,83 @@
 
 // send makes one attempt and reports whether the caller has its answer.
 func (c *entryCall) send(d routing.Send) bool {
-	ctx, cancel := context.WithDeadline(c.r.Context(), d.Deadline)
-	defer cancel()
 	start := time.Now()
-	x, err := c.pool.Do(ctx, d.Address, outbound(c.r, c.header(d), c.body))
+	if d.Address == c.self && c.local != nil {
+		return c.sendLocal(d, start)
+	}
+	c.setFields(d)
+	x, err := c.pool.Do(c.r.Context(), d.Deadline, d.Address, c.message)
 	if err != nil {
-		o, reason := lostOutcome(err)
-		if ctx.Err() != nil && c.r.Context().Err() == nil {
-			reason = outcome.DeadlineExpired
-		}
-		c.end(routing.AttemptEnded{ID: c.id, Outcome: o, Reason: reason})
-		return false
+		return c.failed(lostRefusal(err))
 	}
-	if o, reason, refused := refusalOf(x.Response); refused {
+	if refusal, refused := refusalOf(x.Response); refused {
 		x.Close(false)
-		c.end(routing.AttemptEnded{ID: c.id, Outcome: o, Reason: reason, RetryAfter: retryAfter(x.Response.Header)})
-		return false
+		return c.failed(refusal)
 	}
-	latency := time.Since(start)
-	defer c.end(routing.AttemptEnded{ID: c.id, Outcome: outcome.Answered, Latency: latency})
-	relay(c.w, x, strconv.FormatUint(d.Version, 10))
+	defer c.answered(start)()
+	relay(c.w, c.r, x, d.Deadline, strconv.FormatUint(d.Version, 10))
 	return true
 }
 
-func (c *entryCall) end(e routing.AttemptEnded) {
-	c.core.Route(e)
+// sendLocal makes an attempt at the backend server beside this proxy.
+func (c *entryCall) sendLocal(d routing.Send, start time.Time) bool {
+	a := c.local.start(c.r.Context(), c.message, admission.Arrived{
+		Request:      c.request(),
+		Organisation: c.organisation,
+		Key:          c.r.Header.Get(IdempotencyHeader),
+		Fingerprint:  c.hash,
+		Repeatable:   d.Repeatable,
+		Deadline:     d.Deadline,
+	})
+	c.message.expect = true
+	if a.exchange == nil {
+		return c.failed(a.refusal)
+	}
+	defer c.answered(start)()
+	a.relay(c.w, c.r, strconv.FormatUint(d.Version, 10))
+	return true
 }
 
-// header returns the header for the proxy beside the backend server.
-func (c *entryCall) header(d routing.Send) http.Header {
-	h := endToEnd(c.r.Header)
-	h.Set(OrganisationHeader, c.r.Header.Get(OrganisationHeader))
-	h.Set(requestHeader, c.origin+"-"+strconv.FormatUint(c.id, 36))
-	h.Set(DeadlineHeader, formatDeadline(time.Until(d.Deadline)))
-	h.Set(VersionHeader, strconv.FormatUint(d.Version, 10))
-	h.Set(fingerprintHeader, strconv.FormatUint(c.hash, 16))
+// failed reports an attempt without an answer to the reducer, which decides
+// what follows, unless the caller has left.
+func (c *entryCall) failed(r outcome.Refusal) bool {
+	if c.r.Context().Err() != nil {
+		c.core.Route(routing.Abandoned{ID: c.id})
+		panic(http.ErrAbortHandler)
+	}
+	c.last = r
+	c.core.Route(routing.AttemptEnded{ID: c.id, Outcome: r.Outcome, Reason: r.Reason, RetryAfter: r.RetryAfter})
+	return false
+}
+
+// answered notes the time until the answer's header and returns the function
+// that ends the attempt.
+func (c *entryCall) answered(start time.Time) func() {
+	latency := time.Since(start)
+	return func() {
+		c.core.Route(routing.AttemptEnded{ID: c.id, Outcome: outcome.Answered, Latency: latency})
+	}
+}
+
+// request names the request in the whole fleet.
+func (c *entryCall) request() string {
+	return c.origin + "-" + strconv.FormatUint(c.id, 36)
+}
+
+// setFields sets the headers for the proxy beside the backend server.
+func (c *entryCall) setFields(d routing.Send) {
+	fields := append(c.message.fields[:0],
+		field{OrganisationHeader, c.organisation},
+		field{requestHeader, c.request()},
+		field{DeadlineHeader, formatDeadline(time.Until(d.Deadline))},
+		field{VersionHeader, strconv.FormatUint(d.Version, 10)},
+		field{fingerprintHeader, strconv.FormatUint(c.hash, 16)},
+	)
+	if key := c.r.Header.Get(IdempotencyHeader); key != "" {
+		fields = append(fields, field{IdempotencyHeader, key})
+	}
 	if d.Repeatable {
-		h.Set(repeatableHeader, "1")
+		fields = append(fields, field{repeatableHeader, "1"})
 	}
-	return h
+	c.message.fields = fields
 }
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -4,11 +4,11 @@
 package forward
 
 import (
+	"bufio"
 	"encoding/json"
 	"hash"
 	"math"
 	"net/http"
-	"net/textproto"
 	"strconv"
 	"strings"
 	"time"
@@ -34,38 +34,68 @@
 	VersionHeader = "Heatherlift-Version"
 )
 
+// maxRetryAfterSeconds bounds the Retry-After headers that are believed.
+const maxRetryAfterSeconds = 3600
+
 // Headers between proxies.
 const (
-	internalPrefix    = "Heatherlift-"
 	requestHeader     = "Heatherlift-Request"
 	repeatableHeader  = "Heatherlift-Repeatable"
 	fingerprintHeader = "Heatherlift-Fingerprint"
 )
 
-// hopByHop lists headers that concern one connection only.
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
-	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+// passes reports whether a header is end to end: it concerns neither one
+// connection only nor the exchange between proxies.
+func passes(name string) bool {
+	switch name {
+	case "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
+		"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+		"Expect", "Host", "Content-Length":
+		return false
+	}
+	return !internal(name)
 }
 
-// endToEnd returns a copy of h without the headers of one hop and without
-// those of this package.
-func endToEnd(h http.Header) http.Header {
-	out := make(http.Header, len(h)+4)
-	for name, values := range h {
-		if !strings.HasPrefix(name, internalPrefix) {
-			out[name] = values
+// internal reports whether a name is one of this package or one that some
+// backend servers do not tell from it.
+func internal(name string) bool {
+	const stem = "Heatherlift"
+	return strings.HasPrefix(name, stem) && len(name) > len(stem) && (name[len(stem)] == '-' || name[len(stem)] == '_')
+}
+
+// listed reports whether the Connection header declares a header as one of
+// its connection.
+func listed(h http.Header, name string) bool {
+	for _, line := range h["Connection"] {
+		for option := range strings.SplitSeq(line, ",") {
+			if strings.EqualFold(strings.TrimSpace(option), name) {
+				return true
+			}
 		}
 	}
-	for _, line := range h["Connection"] {
-		for name := range strings.SplitSeq(line, ",") {
-			delete(out, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
+	return false
+}
+
+// copyEndToEnd copies the end-to-end headers of an answer. Its length is one
+// of them: it is valid for every hop.
+func copyEndToEnd(out, in http.Header) {
+	for name, values := range in {
+		if (passes(name) || name == "Content-Length") && !listed(in, name) {
+			out[name] = values
 		}
 	}
-	for _, name := range hopByHop {
-		delete(out, name)
+}
+
+// writeEndToEnd writes the end-to-end headers of a request.
+func writeEndToEnd(w *bufio.Writer, in http.Header) {
+	for name, values := range in {
+		if !passes(name) || name == IdempotencyHeader || listed(in, name) {
+			continue
+		}
+		for _, value := range values {
+			writeField(w, name, value)
+		}
 	}
-	return out
 }
 
 // remaining returns the time in a deadline header, 0 if there is none. It
@@ -84,12 +114,17 @@
 
 // formatDeadline returns the text of a deadline header.
 func formatDeadline(d time.Duration) string {
+	d = max(d, time.Microsecond)
 	return strconv.FormatFloat(float64(d)/float64(time.Millisecond), 'f', 3, 64)
 }
 
-// writeRefusal answers a request with a refusal.
-func writeRefusal(w http.ResponseWriter, r outcome.Refusal) {
+// writeRefusal answers a request with a refusal, which ends the connection if
+// closing is set or a header says so already.
+func writeRefusal(w http.ResponseWriter, r outcome.Refusal, closing bool) {
 	h := w.Header()
+	if closing {
+		h["Connection"] = []string{"close"}
+	}
 	h.Set(OutcomeHeader, string(r.Outcome))
 	h.Set(ReasonHeader, string(r.Reason))
 	h.Set("Content-Type", "application/json")
@@ -105,16 +140,28 @@
 	}{r.Outcome, r.Reason, r.RetryAfter.Milliseconds()})
 }
 
-// refusalOf returns the refusal in a peer's answer, if it is one.
-func refusalOf(resp *http.Response) (outcome.Outcome, outcome.Reason, bool) {
+// refusalOf returns the refusal in a peer's answer, if it is one. An outcome
+// that this program does not know proves nothing.
+func refusalOf(resp *http.Response) (r outcome.Refusal, refused bool) {
 	o := outcome.Outcome(resp.Header.Get(OutcomeHeader))
-	return o, outcome.Reason(resp.Header.Get(ReasonHeader)), o != ""
+	if o == "" {
+		return outcome.Refusal{}, false
+	}
+	if o != outcome.NotRun {
+		o = outcome.Unknown
+	}
+	return outcome.Refusal{
+		Outcome:    o,
+		Reason:     outcome.Reason(resp.Header.Get(ReasonHeader)),
+		Status:     resp.StatusCode,
+		RetryAfter: retryAfter(resp.Header),
+	}, true
 }
 
 // retryAfter returns the time in a Retry-After header, 0 if there is none.
 func retryAfter(h http.Header) time.Duration {
 	seconds, err := strconv.Atoi(h.Get("Retry-After"))
-	if err != nil || seconds < 0 {
+	if err != nil || seconds < 0 || seconds > maxRetryAfterSeconds {
 		return 0
 	}
 	return time.Duration(seconds) * time.Second
--- a/internal/forward/local.go
+++ b/internal/forward/local.go
@@ -10,8 +10,8 @@
 	"heatherlift.example/heatherlift/internal/outcome"
 )
 
-// Local serves other proxies: it hands their requests to the backend server
-// beside this proxy.
+// Local hands requests to the backend server beside this proxy: those of
+// other proxies, which it serves, and those of this proxy's own callers.
 type Local struct {
 	core    Core
 	pool    *Pool
@@ -25,95 +25,138 @@
 	return &Local{core: core, pool: pool, address: backendServer, shedNotRun: shedNotRun}
 }
 
-// localCall is one request of a peer.
+// localCall is one request for the backend server.
 type localCall struct {
 	*Local
-	id       uint64
-	w        http.ResponseWriter
-	r        *http.Request
+	ctx      context.Context
 	deadline time.Time
+	message  *message
+	arrived  admission.Arrived
 }
 
-// ServeHTTP implements http.Handler.
+// localAnswer is what became of a localCall: an exchange whose answer is to be
+// relayed, or else a refusal.
+type localAnswer struct {
+	call     *localCall
+	exchange *Exchange
+	refusal  outcome.Refusal
+}
+
+// ServeHTTP implements http.Handler for other proxies.
 func (l *Local) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	budget, ok := remaining(r.Header)
 	request := r.Header.Get(requestHeader)
 	if !ok || budget == 0 || request == "" {
-		writeRefusal(w, outcome.Refusal{Outcome: outcome.NotRun, Reason: outcome.Malformed, Status: http.StatusBadRequest})
+		writeRefusal(w, notRun(outcome.Malformed, http.StatusBadRequest), false)
 		return
 	}
+	m := &message{in: r}
+	if !isSmall(r) {
+		m.upload = newUpload(w, r)
+		defer m.upload.finish()
+	} else {
+		body, err := readSmallBody(w, r)
+		if err != nil {
+			panic(http.ErrAbortHandler) // the peer left before its request was whole
+		}
+		m.body = body
+	}
 	hash, _ := strconv.ParseUint(r.Header.Get(fingerprintHeader), 16, 64)
-	c := &localCall{Local: l, id: l.core.NextID(), w: w, r: r, deadline: time.Now().Add(budget)}
-	c.serve(admission.Arrived{
-		ID:           c.id,
+	a := l.start(r.Context(), m, admission.Arrived{
 		Request:      request,
 		Organisation: r.Header.Get(OrganisationHeader),
 		Key:          r.Header.Get(IdempotencyHeader),
 		Fingerprint:  hash,
 		Repeatable:   r.Header.Get(repeatableHeader) != "",
-		Deadline:     c.deadline,
+		Deadline:     time.Now().Add(budget),
 	})
+	if a.exchange == nil {
+		refuse(w, m.upload, a.refusal)
+		return
+	}
+	a.relay(w, r, "")
 }
 
-func (c *localCall) serve(arrived admission.Arrived) {
-	decisions, release := c.core.AdmitDecisions(c.id)
+// start asks admission for a slot, passes the request to the backend server
+// and reads the answer's header.
+func (l *Local) start(ctx context.Context, m *message, arrived admission.Arrived) localAnswer {
+	arrived.ID = l.core.NextID()
+	c := &localCall{Local: l, ctx: ctx, deadline: arrived.Deadline, message: m, arrived: arrived}
+	decisions, release := l.core.AdmitDecisions(arrived.ID)
 	defer release()
-	c.core.Admit(arrived)
+	l.core.Admit(arrived)
 	select {
 	case decision := <-decisions:
-		c.carryOut(decision)
-	case <-c.r.Context().Done():
-		c.core.Admit(admission.Abandoned{ID: c.id})
+		return c.carryOut(decision)
+	case <-ctx.Done():
+		l.core.Admit(admission.Abandoned{ID: arrived.ID})
+		return c.refused(notRun(outcome.Cancelled, http.StatusServiceUnavailable))
 	}
 }
 
-func (c *localCall) carryOut(decision admission.Effect) {
+func (c *localCall) refused(r outcome.Refusal) localAnswer {
+	return localAnswer{call: c, refusal: r}
+}
+
+func (c *localCall) carryOut(decision admission.Effect) localAnswer {
 	switch d := decision.(type) {
 	case admission.Run:
-		c.run()
+		return c.run()
 	case admission.Refuse:
-		writeRefusal(c.w, d.Refusal)
+		return c.refused(d.Refusal)
 	}
+	return c.refused(notRun(outcome.Malformed, http.StatusInternalServerError))
 }
 
-// run passes the request to the backend server and its answer back.
-func (c *localCall) run() {
-	end := admission.Ended{ID: c.id, Outcome: outcome.Unknown, Reason: outcome.ConnectionLost}
-	defer func() { c.core.Admit(end) }()
-	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
-	defer cancel()
-	x, err := c.pool.Do(ctx, c.address, c.outbound())
+// run passes the request to the backend server.
+func (c *localCall) run() localAnswer {
+	c.setFields()
+	x, err := c.pool.Do(c.ctx, c.deadline, c.address, c.message)
 	if err != nil {
-		end.Outcome, end.Reason = lostOutcome(err)
-		if ctx.Err() != nil {
-			end.Reason = outcome.DeadlineExpired
-		}
-		writeRefusal(c.w, outcome.Refusal{Outcome: end.Outcome, Reason: end.Reason, Status: http.StatusBadGateway})
-		return
+		refusal := lostRefusal(err)
+		c.end(refusal.Outcome, refusal.Reason)
+		return c.refused(refusal)
 	}
 	if c.shed(x.Response) {
-		end.Outcome, end.Reason = outcome.NotRun, outcome.Shed
-		wait := retryAfter(x.Response.Header)
+		refusal := notRun(outcome.Shed, http.StatusServiceUnavailable)
+		refusal.RetryAfter = retryAfter(x.Response.Header)
 		x.Close(false)
-		writeRefusal(c.w, outcome.Refusal{Outcome: outcome.NotRun, Reason: outcome.Shed, Status: http.StatusServiceUnavailable, RetryAfter: wait})
-		return
+		c.end(refusal.Outcome, refusal.Reason)
+		return c.refused(refusal)
 	}
-	relay(c.w, x, "")
-	end.Outcome, end.Reason = outcome.Answered, ""
+	return localAnswer{call: c, exchange: x}
 }
 
 func (c *localCall) shed(resp *http.Response) bool {
 	return c.shedNotRun && resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") != ""
 }
 
-// outbound returns the request for the backend server.
-func (c *localCall) outbound() *http.Request {
-	h := endToEnd(c.r.Header)
-	h.Set(OrganisationHeader, c.r.Header.Get(OrganisationHeader))
-	h.Set(DeadlineHeader, formatDeadline(time.Until(c.deadline)))
-	var body []byte
-	if c.r.ContentLength == 0 {
-		body = []byte{}
+// setFields sets the headers for the backend server.
+func (c *localCall) setFields() {
+	c.message.expect = false
+	c.message.fields = append(c.message.fields[:0],
+		field{OrganisationHeader, c.arrived.Organisation},
+		field{DeadlineHeader, formatDeadline(time.Until(c.deadline))},
+	)
+	if c.arrived.Key != "" {
+		c.message.fields = append(c.message.fields, field{IdempotencyHeader, c.arrived.Key})
 	}
-	return outbound(c.r, h, body)
+}
+
+func (c *localCall) end(o outcome.Outcome, reason outcome.Reason) {
+	c.core.Admit(admission.Ended{ID: c.arrived.ID, Outcome: o, Reason: reason})
+}
+
+// relay passes the answer on and ends the run.
+func (a localAnswer) relay(w http.ResponseWriter, r *http.Request, version string) {
+	o, reason := outcome.Unknown, outcome.ConnectionLost
+	defer func() { a.call.end(o, reason) }()
+	relay(w, r, a.exchange, a.call.deadline, version)
+	o, reason = outcome.Answered, ""
+}
+
+// refuse answers with a refusal. What is left of a body in transit is not
+// taken for a request.
+func refuse(w http.ResponseWriter, u *upload, refusal outcome.Refusal) {
+	writeRefusal(w, refusal, u.spent())
 }
--- /dev/null
+++ b/internal/forward/lost.go
@@ -0,0 +1,24 @@
+package forward
+
+import (
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"heatherlift.example/heatherlift/internal/outcome"
+)
+
+// lostRefusal says what is known of a request whose exchange failed.
+func lostRefusal(err error) outcome.Refusal {
+	r := outcome.Refusal{Outcome: outcome.Unknown, Reason: outcome.ConnectionLost, Status: http.StatusBadGateway}
+	if errors.Is(err, ErrNotSent) {
+		r.Outcome, r.Reason = outcome.NotRun, outcome.ConnectFailed
+	}
+	if errors.Is(err, ErrBadAnswer) {
+		r.Reason = outcome.BadAnswer
+	}
+	if errors.Is(err, ErrExpired) {
+		r.Reason, r.Status = outcome.DeadlineExpired, http.StatusGatewayTimeout
+	}
+	return r
+}
--- a/internal/host/build.go
+++ b/internal/host/build.go
@@ -62,7 +62,7 @@
 			Seed:             seed,
 		},
 		Admission: admission.Config{
-			Slots:       s.BackendServer.Slots,
+			Slots:       min(s.BackendServer.Slots, s.BackendServer.Connections),
 			QueueLength: s.BackendServer.QueueLength,
 		},
 	}
--- /dev/null
+++ b/internal/host/forwarding.go
@@ -0,0 +1,28 @@
+package host
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+
+	"heatherlift.example/heatherlift/internal/forward"
+)
+
+// dialPeer connects to another proxy's forward listener, authenticated unless
+// peers talk plaintext.
+func (h *Host) dialPeer(ctx context.Context, address string) (net.Conn, error) {
+	cfg := h.peerTLS()
+	if cfg == nil {
+		return forward.DialTCP(ctx, address)
+	}
+	return (&tls.Dialer{Config: cfg}).DialContext(ctx, "tcp", address)
+}
+
+// acceptPeers authenticates the connections of the forward listener.
+func (h *Host) acceptPeers(l net.Listener) net.Listener {
+	cfg := h.peerTLS()
+	if cfg == nil {
+		return l
+	}
+	return tls.NewListener(l, cfg)
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -46,8 +46,10 @@
 	source    *source.Client
 	instances *source.Client
 	fetcher   *source.Fetcher
-	pool      *forward.Pool
-	origin    string
+	// peerPool connects to other proxies, backendPool to the backend server.
+	peerPool    *forward.Pool
+	backendPool *forward.Pool
+	origin      string
 
 	ctx        context.Context
 	cancel     context.CancelFunc
@@ -67,14 +69,15 @@
 	}
 	now := time.Now()
 	h := &Host{
-		settings: s,
-		log:      logger,
-		node:     node.New(nodeConfig(s, now)),
-		recorder: recorder,
-		identity: id,
-		pool:     forward.NewPool(),
-		origin:   origin(s.ID, now),
-	}
+		settings:    s,
+		log:         logger,
+		node:        node.New(nodeConfig(s, now)),
+		recorder:    recorder,
+		identity:    id,
+		backendPool: forward.NewPool(forward.DialTCP, s.BackendServer.Connections),
+		origin:      origin(s.ID, now),
+	}
+	h.peerPool = forward.NewPool(h.dialPeer, 0)
 	h.metrics = newMetrics(h)
 	h.transport = peer.NewTransport(h, h.metrics, h.peerTLS())
 	h.source = source.NewClient(s.Platform.Source, h.metrics.sourceCall)
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -11,7 +11,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"heatherlift.example/heatherlift/internal/admission"
-	"heatherlift.example/heatherlift/internal/forward"
 	"heatherlift.example/heatherlift/internal/member"
 	"heatherlift.example/heatherlift/internal/node"
 )
@@ -22,8 +21,7 @@
 const (
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
-	maxHeaderBytes    = 64 << 10
-	pollInterval      = 20 * time.Millisecond
+	maxHeaderBytes    = 80 << 10
 )
 
 // listeners holds the sockets of a proxy.
@@ -70,11 +68,10 @@
 	}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.group = &errgroup.Group{}
-	callers := newServer(forward.NewEntry(h, h.pool, h.origin))
-	local := newServer(forward.NewLocal(h, h.pool, h.settings.BackendServer.Address, h.settings.BackendServer.ShedNotRun))
+	servers := h.newServers(l)
 	control := newServer(admin)
-	h.group.Go(func() error { return serve(callers, l.callers) })
-	h.group.Go(func() error { return serve(local, l.forward) })
+	h.group.Go(func() error { return serve(servers.callers, servers.accept) })
+	h.group.Go(func() error { return serve(servers.local, h.acceptPeers(l.forward)) })
 	h.group.Go(func() error { return serve(control, l.admin) })
 	h.group.Go(func() error { _ = h.transport.Serve(l.peers); return nil })
 	h.group.Go(func() error { h.tick(); return nil })
@@ -83,13 +80,14 @@
 	h.group.Go(func() error { h.watchIdentity(); return nil })
 	h.log.Info("proxy started", "id", h.settings.ID, "callers", h.settings.Listen.Callers)
 	<-ctx.Done()
-	h.shutDown(callers, local)
+	h.shutDown(servers)
 	h.cancel()
 	_ = l.peers.Close()
 	h.transport.Close()
 	_ = control.Close()
 	err = h.group.Wait()
-	h.pool.Close()
+	h.peerPool.Close()
+	h.backendPool.Close()
 	h.source.Close()
 	h.instances.Close()
 	h.log.Info("proxy stopped", "id", h.settings.ID)
@@ -105,41 +103,13 @@
 	}
 }
 
+// serve returns nil if the server or its listener was closed.
 func serve(s *http.Server, l net.Listener) error {
-	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return err
+	err := s.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil
 	}
-	return nil
-}
-
-// shutDown refuses new work, waits until the other proxies know and the
-// requests in flight have ended, and closes the servers for requests.
-func (h *Host) shutDown(callers, local *http.Server) {
-	h.log.Info("graceful shutdown began", "limit", time.Duration(h.settings.Shutdown.Limit))
-	h.step(node.Leave{Cause: "signal"})
-	callers.SetKeepAlivesEnabled(false)
-	limit := time.NewTimer(time.Duration(h.settings.Shutdown.Limit))
-	defer limit.Stop()
-	h.sleep(time.Duration(h.settings.Shutdown.Notice))
-	for !h.idle() {
-		select {
-		case <-limit.C:
-			_ = callers.Close()
-			_ = local.Close()
-			return
-		case <-time.After(pollInterval):
-		}
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(h.settings.Shutdown.Limit))
-	defer cancel()
-	_ = callers.Shutdown(ctx)
-	_ = local.Shutdown(ctx)
-}
-
-func (h *Host) idle() bool {
-	idle := false
-	h.view(func(n *node.Node) { idle = n.Idle() })
-	return idle
+	return err
 }
 
 // sleep waits for d or until the host stops, and reports whether d passed.
@@ -179,12 +149,12 @@
 
 // checkHealth asks the backend server whether it takes work.
 func (h *Host) checkHealth() {
-	client := &http.Client{Timeout: time.Second}
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{}}
 	defer client.CloseIdleConnections()
 	url := "http://" + h.settings.BackendServer.Address + h.settings.BackendServer.HealthPath
 	draining := false
 	for h.sleep(time.Duration(h.settings.BackendServer.HealthInterval)) {
-		resp, err := client.Get(url)
+		resp, err := h.get(client, url)
 		now := err != nil || resp.StatusCode != http.StatusOK
 		if err == nil {
 			_ = resp.Body.Close()
@@ -195,3 +165,11 @@
 		}
 	}
 }
+
+func (h *Host) get(client *http.Client, url string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(h.ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	return client.Do(req)
+}
--- /dev/null
+++ b/internal/host/shutdown.go
@@ -0,0 +1,85 @@
+package host
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"heatherlift.example/heatherlift/internal/forward"
+	"heatherlift.example/heatherlift/internal/node"
+)
+
+const (
+	pollInterval = 20 * time.Millisecond
+	// lingerTime is how long a closed idle connection still takes bytes, so
+	// that a caller that has just sent a request sees its end and no reset.
+	lingerTime = 250 * time.Millisecond
+)
+
+// servers holds what serves requests.
+type servers struct {
+	entry   *forward.Entry
+	callers *http.Server
+	local   *http.Server
+	accept  net.Listener
+}
+
+func (h *Host) newServers(l listeners) *servers {
+	backend := h.settings.BackendServer
+	local := forward.NewLocal(h, h.backendPool, backend.Address, backend.ShedNotRun)
+	s := &servers{
+		entry: forward.NewEntry(h, h.peerPool, h.origin, local, h.settings.Listen.Forward),
+	}
+	s.callers = newServer(s.entry)
+	s.accept = s.entry.Attach(s.callers, l.callers)
+	s.local = newServer(local)
+	return s
+}
+
+// shutDown refuses new work of other proxies, waits until they know, takes
+// the last requests of callers and closes the servers when all has ended.
+//
+// Every answer to a caller since the start is the last one of its connection.
+// Callers thus have the notice and then the end of their request to move; only
+// connections that stayed idle all that time are closed without an answer.
+func (h *Host) shutDown(s *servers) {
+	limit := time.Now().Add(time.Duration(h.settings.Shutdown.Notice) + time.Duration(h.settings.Shutdown.Limit))
+	ctx, cancel := context.WithDeadline(context.Background(), limit)
+	defer cancel()
+	h.log.Info("graceful shutdown began", "until", limit)
+	s.entry.Drain()
+	h.step(node.Leave{Cause: "signal"})
+	h.sleep(time.Duration(h.settings.Shutdown.Notice))
+	_ = s.accept.Close()
+	if h.awaitIdle(ctx) {
+		s.entry.CloseIdle()
+		h.sleep(lingerTime)
+	}
+	if s.callers.Shutdown(ctx) != nil || s.local.Shutdown(ctx) != nil {
+		h.log.Warn("requests in flight were cut at the limit of the shutdown")
+	}
+	_ = s.callers.Close()
+	_ = s.local.Close()
+}
+
+// awaitIdle waits until no request is in progress and reports whether that
+// was before ctx ended.
+func (h *Host) awaitIdle(ctx context.Context) bool {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for !h.idle() {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-ticker.C:
+		}
+	}
+	return true
+}
+
+func (h *Host) idle() bool {
+	idle := false
+	h.view(func(n *node.Node) { idle = n.Idle() })
+	return idle
+}
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -41,6 +41,9 @@
 	Fenced          Reason = "fenced"
 	Cancelled       Reason = "cancelled"
 	Malformed       Reason = "malformed-request"
+	BadAnswer       Reason = "malformed-answer"
+	// UpgradeUnsupported means that the caller asked for another protocol.
+	UpgradeUnsupported Reason = "upgrade-unsupported"
 )
 
 // Refusal is the final answer to a request that was not answered by a backend
