--- /dev/null
+++ b/internal/forward/deadline_test.go
@@ -0,0 +1,107 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"heatherlift.example/heatherlift/internal/outcome"
+)
+
+func getMessage() *message {
+	return &message{in: &http.Request{Method: http.MethodGet, URL: &url.URL{Path: "/a"}, Host: "a"}}
+}
+
+func TestRemainingTimeTravels(t *testing.T) {
+	is := is.New(t)
+	g := newRig(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, r.Header.Get(DeadlineHeader))
+	})
+	_, body, err := dialRaw(t, g.callers).exchange(t, "GET /a HTTP/1.1\r\nHost: a\r\nHeatherlift-Deadline-Ms: 5000\r\n\r\n")
+	is.NoErr(err)
+	ms, err := strconv.ParseFloat(body, 64)
+	is.NoErr(err)
+	is.True(ms > 0 && ms < 5000)
+}
+
+func TestExpiredRequestIsNotSent(t *testing.T) {
+	is := is.New(t)
+	var dials atomic.Int32
+	pool := NewPool(func(ctx context.Context, address string) (net.Conn, error) {
+		dials.Add(1)
+		return DialTCP(ctx, address)
+	}, 0)
+	defer pool.Close()
+	_, err := pool.Do(t.Context(), time.Now(), closedAddress, getMessage())
+	is.True(errors.Is(err, ErrNotSent) && errors.Is(err, ErrExpired))
+	is.Equal(dials.Load(), int32(0))
+}
+
+// A proxy that was paused between the decision and the first byte must look at
+// the clock again.
+func TestPausedProxySendsNothingAfterTheDeadline(t *testing.T) {
+	is := is.New(t)
+	var received atomic.Int64
+	address := rawServer(t, func(_ net.Conn, r *bufio.Reader) {
+		n, _ := io.Copy(io.Discard, r)
+		received.Add(n)
+	})
+	deadline := time.Now().Add(50 * time.Millisecond)
+	pool := NewPool(func(_ context.Context, address string) (net.Conn, error) {
+		c, err := net.Dial("tcp", address)
+		time.Sleep(time.Until(deadline)) // the pause itself
+		return c, err
+	}, 0)
+	defer pool.Close()
+	_, err := pool.Do(t.Context(), deadline, address, getMessage())
+	is.True(errors.Is(err, ErrNotSent) && errors.Is(err, ErrExpired))
+	is.Equal(lostRefusal(err).Reason, outcome.DeadlineExpired)
+	is.Equal(received.Load(), int64(0))
+}
+
+func TestCallerThatLeavesCancelsTheWork(t *testing.T) {
+	cancelled := make(chan struct{})
+	g := newRig(t, func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		close(cancelled)
+	})
+	c := dialRaw(t, g.callers)
+	c.send(t, get11)
+	await(t, "request runs", func() bool { return g.ledger.of("/a") == 1 })
+	_ = c.Close()
+	select {
+	case <-cancelled:
+	case <-time.After(testTimeout):
+		t.Fatal("the backend server was not told")
+	}
+	g.core.awaitSlots(t)
+	await(t, "router told", func() bool {
+		g.core.mu.Lock()
+		defer g.core.mu.Unlock()
+		return g.core.abandoned == 1
+	})
+}
+
+func TestDeadlineEndsTheWork(t *testing.T) {
+	is := is.New(t)
+	cancelled := make(chan struct{})
+	g := newRig(t, func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		close(cancelled)
+	})
+	resp, _, err := dialRaw(t, g.callers).exchange(t, "GET /a HTTP/1.1\r\nHost: a\r\nHeatherlift-Deadline-Ms: 50\r\n\r\n")
+	is.NoErr(err)
+	is.Equal(resp.Header.Get(OutcomeHeader), string(outcome.Unknown))
+	is.Equal(resp.Header.Get(ReasonHeader), string(outcome.DeadlineExpired))
+	<-cancelled
+}
--- a/internal/forward/entry.go
+++ b/internal/forward/entry.go
@@ -43,6 +43,8 @@
 	message      *message
 	// last is the outcome of the attempt before.
 	last outcome.Refusal
+	// doubtful tells that an attempt may have run.
+	doubtful bool
 }
 
 // ServeHTTP implements http.Handler.
@@ -113,12 +115,12 @@
 	case routing.Send:
 		if c.message.upload.spent() {
 			c.core.Route(routing.Abandoned{ID: c.id})
-			refuse(c.w, c.message.upload, c.last)
+			c.refuse(c.last)
 			return true
 		}
 		return c.send(d)
 	case routing.Refuse:
-		refuse(c.w, c.message.upload, d.Refusal)
+		c.refuse(d.Refusal)
 		return true
 	}
 	return false
@@ -171,10 +173,20 @@
 		panic(http.ErrAbortHandler)
 	}
 	c.last = r
+	c.doubtful = c.doubtful || r.Outcome != outcome.NotRun
 	c.core.Route(routing.AttemptEnded{ID: c.id, Outcome: r.Outcome, Reason: r.Reason, RetryAfter: r.RetryAfter})
 	return false
 }
 
+// refuse gives the caller a refusal. It does not claim that the request was
+// not run if that holds for the last attempt only.
+func (c *entryCall) refuse(r outcome.Refusal) {
+	if c.doubtful {
+		r.Outcome = outcome.Unknown
+	}
+	refuse(c.w, c.message.upload, r)
+}
+
 // answered notes the time until the answer's header and returns the function
 // that ends the attempt.
 func (c *entryCall) answered(start time.Time) func() {
--- a/internal/forward/rig_test.go
+++ b/internal/forward/rig_test.go
@@ -165,6 +165,8 @@
 	// callers, forward and backend are the addresses of the three hops.
 	callers, forward, backend string
 	ledger                    *ledger
+	// served counts the requests that the entry has dealt with.
+	served atomic.Int32
 }
 
 // newRig starts both proxies in front of a handler that serves as backend.
@@ -185,7 +187,10 @@
 	g.forward = serveHTTP(t, local, nil)
 	g.core.targets = []string{g.forward}
 	g.entry = NewEntry(g.core, pool, "entry", local, "")
-	g.callers = serveHTTP(t, g.entry, g.entry.Attach)
+	g.callers = serveHTTP(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer g.served.Add(1)
+		g.entry.ServeHTTP(w, r)
+	}), g.entry.Attach)
 }
 
 // ledger counts the runs of each path at the backend server.
