Measure requests under an open loop beside a plain forwarder

bench/requests starts proxies, backend servers and a forwarder of net/http as processes and prints added latency, processor time, fairness, goodput, the time until a leaving instance gets no new work, and a restart of an availability zone.

Found with it: a proxy that starts before the platform's list names its peers read the list again only after 5 to 15 s and was not ready within 20 s. It now reads it each second until it has a version.

--- /dev/null
+++ b/bench/requests/plain.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"io"
+	"net/http"
+)
+
+const plainIdleConnections = 1000
+
+// serveForwarder is the baseline: a server and a client of net/http with
+// nothing between them.
+func serveForwarder(listen, target string) error {
+	transport := &http.Transport{
+		MaxIdleConns:        plainIdleConnections,
+		MaxIdleConnsPerHost: plainIdleConnections,
+		DisableCompression:  true,
+	}
+	return http.ListenAndServe(listen, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		out := r.Clone(r.Context())
+		out.RequestURI = ""
+		out.URL.Scheme = "http"
+		out.URL.Host = target
+		resp, err := transport.RoundTrip(out)
+		if err != nil {
+			w.WriteHeader(http.StatusBadGateway)
+			return
+		}
+		defer resp.Body.Close()
+		for name, values := range resp.Header {
+			w.Header()[name] = values
+		}
+		w.WriteHeader(resp.StatusCode)
+		_, _ = io.Copy(w, resp.Body)
+	}))
+}
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -22,6 +22,7 @@
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 80 << 10
+	firstListInterval = time.Second
 )
 
 // listeners holds the sockets of a proxy.
@@ -130,16 +131,17 @@
 	}
 }
 
-// readInstances reads the platform's list at random intervals.
+// readInstances reads the platform's list at random intervals: short ones
+// until the proxy has a version, since the list lags behind its start.
 func (h *Host) readInstances() {
-	interval := time.Duration(h.settings.Platform.InstancesInterval)
 	for {
-		if list, err := h.instances.Instances(h.ctx); err == nil {
+		interval := time.Duration(h.settings.Platform.InstancesInterval)
+		list, err := h.instances.Instances(h.ctx)
+		if err == nil {
 			h.step(member.Listed{Instances: list})
-		} else if !h.sleep(rand.N(time.Second)) {
-			return
-		} else {
-			continue
+		}
+		if err != nil || !h.hasVersion() {
+			interval = min(interval, firstListInterval)
 		}
 		if !h.sleep(interval/2 + rand.N(interval)) {
 			return
@@ -147,6 +149,12 @@
 	}
 }
 
+func (h *Host) hasVersion() bool {
+	has := false
+	h.view(func(n *node.Node) { has = n.Head().Version > 0 })
+	return has
+}
+
 // checkHealth asks the backend server whether it takes work.
 func (h *Host) checkHealth() {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{}}
--- /dev/null
+++ b/internal/lab/run.go
@@ -0,0 +1,23 @@
+package lab
+
+import (
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Run starts a program of the lab's directory and returns when something
+// listens at the address.
+func (l *Lab) Run(address, program string, args ...string) (*Process, error) {
+	p, err := l.start(program, args...)
+	if err != nil {
+		return nil, err
+	}
+	for deadline := time.Now().Add(startTimeout); time.Now().Before(deadline); time.Sleep(pollInterval) {
+		if c, err := net.Dial("tcp", address); err == nil {
+			return p, c.Close()
+		}
+	}
+	return nil, errors.Newf("lab: %s did not listen at %s", program, address)
+}
