--- a/demo/load.go
+++ b/demo/load.go
@@ -17,11 +17,14 @@
 )
 
 const (
-	requestInterval = 20 * time.Millisecond
+	requestInterval = 200 * time.Millisecond
 	answerBytes     = 2000
 	requestTimeout  = 10 * time.Second
 )
 
+// noConnection is the reason if the proxy itself was not there.
+const noConnection outcome.Reason = "no-connection"
+
 // kind is a request that the load repeats.
 type kind struct {
 	organisation, method, path string
@@ -40,8 +43,8 @@
 	key     string
 	kind    kind
 	outcome outcome.Outcome
-	// refused says that the answer came from a proxy.
-	refused bool
+	// reason is the proxy's, or empty if the backend server answered.
+	reason outcome.Reason
 	// cut says that the connection broke after the request was sent.
 	cut bool
 }
@@ -109,7 +112,7 @@
 	if err != nil {
 		r.outcome = outcome.Unknown
 		if isRefusedConnection(err) {
-			r.outcome = outcome.NotRun
+			r.outcome, r.reason = outcome.NotRun, noConnection
 			return r
 		}
 		r.cut = true
@@ -120,7 +123,7 @@
 	body, err := io.ReadAll(resp.Body)
 	if told := resp.Header.Get(forward.OutcomeHeader); told != "" {
 		r.outcome = outcome.Outcome(told)
-		r.refused = true
+		r.reason = outcome.Reason(resp.Header.Get(forward.ReasonHeader))
 		return r
 	}
 	if err != nil || len(body) != answerBytes {
--- a/demo/report.go
+++ b/demo/report.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
 	"os"
+	"slices"
 	"syscall"
 	"text/tabwriter"
 
@@ -26,8 +28,12 @@
 		return err
 	}
 	counts := make(map[outcome.Outcome]int)
+	reasons := make(map[outcome.Reason]int)
 	for _, r := range results {
 		counts[r.outcome]++
+		if r.reason != "" {
+			reasons[r.reason]++
+		}
 		n := runs[r.key]
 		switch {
 		case n > 1 && r.kind.method == http.MethodPost:
@@ -47,6 +53,9 @@
 	fmt.Fprintf(table, "answered whole\t%d\n", counts[outcome.Answered])
 	fmt.Fprintf(table, "refused, not run\t%d\n", counts[outcome.NotRun])
 	fmt.Fprintf(table, "unknown\t%d\n", counts[outcome.Unknown])
+	for _, reason := range slices.Sorted(maps.Keys(reasons)) {
+		fmt.Fprintf(table, "  %s\t%d\n", reason, reasons[reason])
+	}
 	for _, i := range d.instances {
 		s, err := d.lab.Status(i)
 		if err != nil {
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -26,7 +26,7 @@
 		return reason
 	}
 	for range crashChecks {
-		if l.refused(ctx) {
+		if l.connectionRefused(ctx) {
 			return outcome.Crashed
 		}
 		select {
@@ -38,8 +38,8 @@
 	return reason
 }
 
-// refused reports whether the backend server refuses a connection.
-func (l *Local) refused(ctx context.Context) bool {
+// connectionRefused reports whether the backend server refuses a connection.
+func (l *Local) connectionRefused(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
 	defer cancel()
 	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", l.address)
--- a/internal/forward/fence.go
+++ b/internal/forward/fence.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"time"
 
 	"heatherlift.example/heatherlift/internal/admission"
@@ -34,11 +33,6 @@
 	sent    time.Time
 }
 
-// requestID returns the name of the caller's request, unique in the fleet.
-func (c *entryCall) requestID() string {
-	return c.origin + "-" + strconv.FormatUint(c.id, 36)
-}
-
 // fencing notes the life of the proxy before the request is sent to it. It
 // returns nil if the request may be repeated or the proxy is not known.
 func (c *entryCall) fencing(d routing.Send) *fencing {
@@ -50,18 +44,20 @@
 	if !ok {
 		return nil
 	}
-	return &fencing{fencer: fencer, target: target, request: c.requestID(), sent: time.Now()}
+	return &fencing{fencer: fencer, target: target, request: c.request(), sent: time.Now()}
 }
 
-// resolve returns the outcome of a lost attempt: proof that it was not run if
-// the other proxy gives it.
-func (f *fencing) resolve(ctx context.Context, o outcome.Outcome, reason outcome.Reason) (outcome.Outcome, outcome.Reason) {
-	if f == nil || o != outcome.Unknown || ctx.Err() != nil {
-		return o, reason
+// resolve returns what is known of a lost attempt: that it was not run, if the
+// other proxy proves it. The request may then go to another instance.
+func (f *fencing) resolve(ctx context.Context, deadline time.Time, lost outcome.Refusal) outcome.Refusal {
+	if f == nil || lost.Outcome != outcome.Unknown || lost.Reason == outcome.DeadlineExpired {
+		return lost
 	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
 	fence := admission.Fence{Request: f.request, Incarnation: f.target.Incarnation, Age: time.Since(f.sent)}
 	if f.fencer.Ask(ctx, f.target.Address, fence).NotRun() {
-		return outcome.NotRun, outcome.Fenced
+		lost.Outcome = outcome.NotRun
 	}
-	return o, reason
+	return lost
 }
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -46,7 +46,10 @@
 	// with the same key.
 	ClaimFailed Reason = "claim-failed"
 	// Crashed tells that the backend server died while it ran the request.
-	Crashed Reason = "backend-server-crashed"
+	Crashed   Reason = "backend-server-crashed"
+	BadAnswer Reason = "malformed-answer"
+	// UpgradeUnsupported means that the caller asked for another protocol.
+	UpgradeUnsupported Reason = "upgrade-unsupported"
 )
 
 // Refusal is the final answer to a request that was not answered by a backend
