Run the demo with authenticated proxies

Cause: TLS between proxies had unit tests only. Change: package authority issues certificates for tests, demo and benchmarks; the demo and bench/fleet use TLS between proxies.

--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -52,6 +52,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if o.tls {
+		if err := l.UseTLS(); err != nil {
+			return nil, err
+		}
+	}
 	f := &fleet{lab: l, directory: directory(o.organisations, services(n))}
 	if _, err := l.StartPlatform(listLag, platformLimit); err != nil {
 		return f, err
--- a/bench/fleet/main.go
+++ b/bench/fleet/main.go
@@ -27,6 +27,7 @@
 	interval      time.Duration
 	steady        time.Duration
 	faults        bool
+	tls           bool
 }
 
 func main() {
@@ -54,6 +55,7 @@
 	flags.DurationVar(&o.interval, "interval", 300*time.Millisecond, "time between two changes")
 	flags.DurationVar(&o.steady, "steady", 10*time.Second, "time measured without changes")
 	flags.BoolVar(&o.faults, "faults", true, "measure failures too")
+	flags.BoolVar(&o.tls, "tls", true, "proxies authenticate each other")
 	if err := flags.Parse(args); err != nil {
 		return o, err
 	}
--- a/demo/main.go
+++ b/demo/main.go
@@ -54,6 +54,9 @@
 	if err != nil {
 		return err
 	}
+	if err := l.UseTLS(); err != nil {
+		return err
+	}
 	d := &demo{lab: l, directory: directory}
 	steps := []func() error{d.start, d.edit, d.publishBad, d.drain, d.kill, d.finish}
 	for _, step := range steps {
--- /dev/null
+++ b/internal/identity/authority/authority.go
@@ -0,0 +1,102 @@
+// Package authority issues certificates for tests, demonstrations and
+// measurements.
+package authority
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"heatherlift.example/heatherlift/internal/identity"
+)
+
+const (
+	serialBits = 120
+	backdate   = 24 * time.Hour
+	validity   = 24 * time.Hour
+)
+
+// Authority is a certificate authority that lives in memory.
+type Authority struct {
+	key  *ecdsa.PrivateKey
+	cert *x509.Certificate
+	// PEM is the authority's certificate.
+	PEM []byte
+}
+
+// New returns a new authority.
+func New() (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, errors.Wrap(err, "generate key")
+	}
+	template, err := newTemplate(time.Now().Add(validity))
+	if err != nil {
+		return nil, err
+	}
+	template.Subject = pkix.Name{CommonName: "authority"}
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.KeyUsage = x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return nil, errors.Wrap(err, "create certificate")
+	}
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, errors.Wrap(err, "parse certificate")
+	}
+	return &Authority{key: key, cert: cert, PEM: encode("CERTIFICATE", der)}, nil
+}
+
+// Issue writes the files of an identity with the DNS name.
+func (a *Authority) Issue(files identity.Files, name string, notAfter time.Time) error {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return errors.Wrap(err, "generate key")
+	}
+	template, err := newTemplate(notAfter)
+	if err != nil {
+		return err
+	}
+	template.DNSNames = []string{name}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
+	if err != nil {
+		return errors.Wrap(err, "create certificate")
+	}
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		return errors.Wrap(err, "encode key")
+	}
+	texts := map[string][]byte{
+		files.Certificate: encode("CERTIFICATE", der),
+		files.Key:         encode("EC PRIVATE KEY", keyDER),
+		files.Authorities: a.PEM,
+	}
+	for file, text := range texts {
+		if err := os.WriteFile(file, text, 0o600); err != nil {
+			return errors.Wrap(err, "write identity")
+		}
+	}
+	return nil
+}
+
+func newTemplate(notAfter time.Time) (*x509.Certificate, error) {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	if err != nil {
+		return nil, errors.Wrap(err, "draw serial number")
+	}
+	return &x509.Certificate{SerialNumber: serial, NotBefore: time.Now().Add(-backdate), NotAfter: notAfter}, nil
+}
+
+func encode(kind string, der []byte) []byte {
+	return pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+}
--- a/internal/identity/identity_test.go
+++ b/internal/identity/identity_test.go
@@ -1,14 +1,7 @@
-package identity
+package identity_test
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
-	"math/big"
 	"net"
 	"os"
 	"path/filepath"
@@ -18,67 +11,28 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
+
+	"heatherlift.example/heatherlift/internal/identity"
+	"heatherlift.example/heatherlift/internal/identity/authority"
 )
 
 const peerName = "proxy.test"
 
-// authority issues certificates for tests.
-type authority struct {
-	key  *ecdsa.PrivateKey
-	cert *x509.Certificate
-	pem  []byte
-}
-
-func newAuthority(t *testing.T) *authority {
+func newAuthority(t *testing.T) *authority.Authority {
 	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	template := &x509.Certificate{
-		SerialNumber:          big.NewInt(1),
-		Subject:               pkix.Name{CommonName: "authority"},
-		NotBefore:             time.Now().Add(-time.Hour),
-		NotAfter:              time.Now().Add(time.Hour),
-		IsCA:                  true,
-		BasicConstraintsValid: true,
-		KeyUsage:              x509.KeyUsageCertSign,
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	cert, err := x509.ParseCertificate(der)
+	a, err := authority.New()
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &authority{key: key, cert: cert, pem: pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})}
+	return a
 }
 
 // issue writes the files of an identity signed by a.
-func (a *authority) issue(t *testing.T, files Files, name string, notAfter time.Time) {
+func issue(t *testing.T, a *authority.Authority, files identity.Files, name string, notAfter time.Time) {
 	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(time.Now().UnixNano()),
-		DNSNames:     []string{name},
-		NotBefore:    time.Now().Add(-2 * time.Hour),
-		NotAfter:     notAfter,
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	keyDER, err := x509.MarshalECPrivateKey(key)
-	if err != nil {
+	if err := a.Issue(files, name, notAfter); err != nil {
 		t.Fatal(err)
 	}
-	write(t, files.Certificate, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}))
-	write(t, files.Key, pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: keyDER}))
-	write(t, files.Authorities, a.pem)
 }
 
 func write(t *testing.T, file string, text []byte) {
@@ -88,9 +42,9 @@
 	}
 }
 
-func newFiles(t *testing.T) Files {
+func newFiles(t *testing.T) identity.Files {
 	dir := t.TempDir()
-	return Files{
+	return identity.Files{
 		Certificate: filepath.Join(dir, "cert.pem"),
 		Key:         filepath.Join(dir, "key.pem"),
 		Authorities: filepath.Join(dir, "authorities.pem"),
@@ -99,11 +53,11 @@
 
 func inAnHour() time.Time { return time.Now().Add(time.Hour) }
 
-func load(t *testing.T, a *authority) (*Identity, Files) {
+func load(t *testing.T, a *authority.Authority) (*identity.Identity, identity.Files) {
 	t.Helper()
 	files := newFiles(t)
-	a.issue(t, files, peerName, inAnHour())
-	i, err := Load(files, peerName)
+	issue(t, a, files, peerName, inAnHour())
+	i, err := identity.Load(files, peerName)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -161,7 +115,7 @@
 	})
 	t.Run("as server", func(t *testing.T) {
 		_, clientErr := handshake(t, stranger.TLS(), member.TLS())
-		is.New(t).True(errors.Is(clientErr, ErrUntrusted))
+		is.New(t).True(errors.Is(clientErr, identity.ErrUntrusted))
 	})
 	t.Run("without certificate", func(t *testing.T) {
 		serverErr, _ := handshake(t, member.TLS(), &tls.Config{InsecureSkipVerify: true})
@@ -173,25 +127,25 @@
 	a := newAuthority(t)
 	cases := []struct {
 		name   string
-		spoil  func(t *testing.T, f Files)
+		spoil  func(t *testing.T, f identity.Files)
 		expect string
 	}{
-		{"key of another certificate", func(t *testing.T, f Files) {
+		{"key of another certificate", func(t *testing.T, f identity.Files) {
 			other := newFiles(t)
-			a.issue(t, other, peerName, inAnHour())
+			issue(t, a, other, peerName, inAnHour())
 			text, _ := os.ReadFile(other.Key)
 			write(t, f.Key, text)
 		}, "private key"},
-		{"expired", func(t *testing.T, f Files) {
-			a.issue(t, f, peerName, time.Now().Add(-time.Minute))
+		{"expired", func(t *testing.T, f identity.Files) {
+			issue(t, a, f, peerName, time.Now().Add(-time.Minute))
 		}, "expired"},
-		{"other name", func(t *testing.T, f Files) {
-			a.issue(t, f, "other.test", inAnHour())
+		{"other name", func(t *testing.T, f identity.Files) {
+			issue(t, a, f, "other.test", inAnHour())
 		}, peerName},
-		{"no authorities", func(t *testing.T, f Files) {
+		{"no authorities", func(t *testing.T, f identity.Files) {
 			write(t, f.Authorities, nil)
 		}, "authorities.pem: no certificate"},
-		{"missing file", func(t *testing.T, f Files) {
+		{"missing file", func(t *testing.T, f identity.Files) {
 			_ = os.Remove(f.Key)
 		}, "key.pem"},
 	}
@@ -199,10 +153,10 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			files := newFiles(t)
-			a.issue(t, files, peerName, inAnHour())
+			issue(t, a, files, peerName, inAnHour())
 			c.spoil(t, files)
-			_, err := Load(files, peerName)
-			is.True(errors.Is(err, ErrMaterial))
+			_, err := identity.Load(files, peerName)
+			is.True(errors.Is(err, identity.ErrMaterial))
 			is.True(strings.Contains(err.Error(), c.expect))
 		})
 	}
@@ -217,8 +171,8 @@
 	is.True(clientErr != nil) // not trusted yet
 
 	// During a rotation the authorities of both generations are accepted.
-	next.issue(t, oneFiles, peerName, inAnHour())
-	write(t, oneFiles.Authorities, append(append([]byte{}, old.pem...), next.pem...))
+	issue(t, next, oneFiles, peerName, inAnHour())
+	write(t, oneFiles.Authorities, append(append([]byte{}, old.PEM...), next.PEM...))
 	config := one.TLS()
 	changed, err := one.Reload()
 	is.NoErr(err)
@@ -235,7 +189,7 @@
 	two, _ := load(t, a)
 	write(t, files.Certificate, []byte("garbage"))
 	changed, err := one.Reload()
-	is.True(errors.Is(err, ErrMaterial))
+	is.True(errors.Is(err, identity.ErrMaterial))
 	is.True(!changed)
 	serverErr, clientErr := handshake(t, one.TLS(), two.TLS())
 	is.NoErr(serverErr)
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -16,6 +16,7 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"heatherlift.example/heatherlift/internal/config"
+	"heatherlift.example/heatherlift/internal/identity/authority"
 	"heatherlift.example/heatherlift/internal/settings"
 	"heatherlift.example/heatherlift/internal/source"
 )
@@ -58,6 +59,8 @@
 	network  int
 	client   *http.Client
 
+	// authority signs certificates; nil if proxies talk plaintext.
+	authority *authority.Authority
 	// manifest and blobs are what was published last.
 	manifest *config.Manifest
 	blobs    map[config.Hash][]byte
@@ -141,6 +144,9 @@
 // StartProxy starts the proxy of the instance and returns when it answers;
 // it may not be ready yet.
 func (l *Lab) StartProxy(i *Instance) (err error) {
+	if err := l.issue(i); err != nil {
+		return err
+	}
 	text, err := toml.Marshal(i.Settings)
 	if err != nil {
 		return errors.Wrap(err, "write settings")
--- /dev/null
+++ b/internal/lab/tls.go
@@ -0,0 +1,37 @@
+package lab
+
+import (
+	"path/filepath"
+	"time"
+
+	"heatherlift.example/heatherlift/internal/identity"
+	"heatherlift.example/heatherlift/internal/identity/authority"
+)
+
+// certificateValidity is longer than any lab lasts.
+const certificateValidity = 24 * time.Hour
+
+// UseTLS makes the instances created from now on authenticate each other.
+func (l *Lab) UseTLS() error {
+	a, err := authority.New()
+	if err != nil {
+		return err
+	}
+	l.authority = a
+	return nil
+}
+
+// issue gives the instance a certificate of its own.
+func (l *Lab) issue(i *Instance) error {
+	if l.authority == nil {
+		return nil
+	}
+	base := filepath.Join(l.dir, i.Settings.ID)
+	peers := &i.Settings.Peers
+	peers.Plaintext = false
+	peers.Certificate = base + "-certificate.pem"
+	peers.Key = base + "-key.pem"
+	peers.Authorities = base + "-authorities.pem"
+	files := identity.Files{Certificate: peers.Certificate, Key: peers.Key, Authorities: peers.Authorities}
+	return l.authority.Issue(files, peers.Name, time.Now().Add(certificateValidity))
+}
