Bound what a peer can make a proxy hold

Cause: a peer could open any number of connections and calls, stop in the middle of a handshake or of reading, or announce a 16 MB message that was allocated at once; an answer with an error closed the connection; bytes of TLS were not counted.

--- /dev/null
+++ b/internal/peer/messages.go
@@ -0,0 +1,79 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"heatherlift.example/heatherlift/internal/dist"
+	"heatherlift.example/heatherlift/internal/limit"
+	"heatherlift.example/heatherlift/internal/member"
+)
+
+// callTimeout bounds a call, the time to connect included.
+const callTimeout = 5 * time.Second
+
+// Gossip sends a gossip message and returns the answer.
+func (t *Transport) Gossip(ctx context.Context, address string, g member.Gossip) (member.Gossip, error) {
+	var answer member.Gossip
+	err := t.call(ctx, address, methodGossip, g, &answer)
+	return answer, err
+}
+
+// Pull sends a pull request and returns the answer.
+func (t *Transport) Pull(ctx context.Context, address string, r dist.PullRequest) (dist.PullReply, error) {
+	var answer dist.PullReply
+	err := t.call(ctx, address, methodPull, r, &answer)
+	return answer, err
+}
+
+// Allow asks the owner of limits for credits.
+func (t *Transport) Allow(ctx context.Context, address string, r limit.Request) (limit.Reply, error) {
+	var answer limit.Reply
+	err := t.call(ctx, address, methodAllow, r, &answer)
+	return answer, err
+}
+
+// Announce notifies a peer; no answer comes.
+func (t *Transport) Announce(ctx context.Context, address string, a dist.Announcement) error {
+	return t.notify(ctx, address, methodAnnounce, a)
+}
+
+// notify sends a message that has no answer.
+func (t *Transport) notify(ctx context.Context, address, method string, in any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	l, err := t.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	return t.outcome(address, method, l, l.rpc.Notify(ctx, method, in))
+}
+
+// call sends a message and waits for its answer.
+func (t *Transport) call(ctx context.Context, address, method string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	l, err := t.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	return t.outcome(address, method, l, l.rpc.Call(ctx, method, in, out))
+}
+
+// outcome turns an error of the library into one of this package. A peer that
+// answers with an error keeps its connection; any other failure may be that of
+// the connection, which is closed.
+func (t *Transport) outcome(address, method string, l *link, err error) error {
+	if err == nil {
+		return nil
+	}
+	var refused *jsonrpc2.Error
+	if errors.As(err, &refused) {
+		return errors.Wrapf(ErrRefused, "%s: %s: %v", address, method, err)
+	}
+	t.drop(address, l)
+	return errors.Wrapf(ErrUnreachable, "%s: %s: %v", address, method, err)
+}
--- a/internal/peer/requests.go
+++ b/internal/peer/requests.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 
-	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
 	"heatherlift.example/heatherlift/internal/admission"
@@ -68,15 +67,5 @@
 
 // Settle notifies a peer; no answer comes.
 func (t *Transport) Settle(ctx context.Context, address string, s dedupe.Settlement) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	conn, err := t.dial(ctx, address)
-	if err != nil {
-		return err
-	}
-	if err := conn.Notify(ctx, methodSettle, s); err != nil {
-		t.drop(address, conn)
-		return errors.Wrapf(ErrUnreachable, "%s: %v", address, err)
-	}
-	return nil
+	return t.notify(ctx, address, methodSettle, s)
 }
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -3,11 +3,13 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"encoding/json"
 	"io"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/klauspost/compress/zstd"
@@ -19,6 +21,8 @@
 	ErrOversized = errors.New("oversized peer message")
 	// ErrMalformed marks a message that cannot be decoded.
 	ErrMalformed = errors.New("malformed peer message")
+	// ErrRefused marks a message that a peer answered with an error.
+	ErrRefused = errors.New("peer refused the message")
 	// ErrUnreachable marks a peer that did not answer.
 	ErrUnreachable = errors.New("peer unreachable")
 )
@@ -29,6 +33,10 @@
 	// compressFrom is the size from which a message is compressed.
 	compressFrom = 512
 	lengthBytes  = 4
+	// writeTimeout bounds the writing of one message.
+	writeTimeout = 5 * time.Second
+	// firstReadBytes is what is allocated for a message at first.
+	firstReadBytes = 64 << 10
 	// compressedBit marks a compressed message in its length.
 	compressedBit = 1 << 31
 )
@@ -40,15 +48,14 @@
 
 // stream is a jsonrpc2.ObjectStream of length-prefixed messages.
 type stream struct {
-	conn   net.Conn
-	reader *bufio.Reader
-	mu     sync.Mutex
-	sent   func(n int)
-	recvd  func(n int)
+	conn     net.Conn
+	observer Observer
+	reader   *bufio.Reader
+	mu       sync.Mutex
 }
 
-func newStream(conn net.Conn, sent, recvd func(n int)) *stream {
-	return &stream{conn: conn, reader: bufio.NewReader(conn), sent: sent, recvd: recvd}
+func newStream(conn net.Conn, o Observer) *stream {
+	return &stream{conn: conn, observer: o, reader: bufio.NewReader(conn)}
 }
 
 // WriteObject implements jsonrpc2.ObjectStream.
@@ -59,15 +66,25 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n, err := s.conn.Write(frame)
-	s.sent(n)
+	_ = s.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_, err = s.conn.Write(frame)
 	return err
 }
 
 // ReadObject implements jsonrpc2.ObjectStream.
 func (s *stream) ReadObject(v any) error {
-	body, n, err := readFrame(s.reader)
-	s.recvd(n)
+	err := readObject(s.reader, v)
+	switch {
+	case errors.Is(err, ErrOversized):
+		s.observer.Refused("oversized message")
+	case errors.Is(err, ErrMalformed):
+		s.observer.Refused("malformed message")
+	}
+	return err
+}
+
+func readObject(r io.Reader, v any) error {
+	body, err := readFrame(r)
 	if err != nil {
 		return err
 	}
@@ -104,28 +121,36 @@
 	return frame, nil
 }
 
-// readFrame returns the next message and the number of bytes read.
-func readFrame(r io.Reader) ([]byte, int, error) {
+// readFrame returns the next message.
+func readFrame(r io.Reader) ([]byte, error) {
 	var head [lengthBytes]byte
 	if _, err := io.ReadFull(r, head[:]); err != nil {
-		return nil, 0, err
+		return nil, err
 	}
 	word := binary.BigEndian.Uint32(head[:])
 	size := word &^ compressedBit
 	if size > MaxMessageBytes {
-		return nil, lengthBytes, errors.Wrapf(ErrOversized, "%d bytes", size)
-	}
-	body := make([]byte, size)
-	n, err := io.ReadFull(r, body)
-	if err != nil {
-		return nil, lengthBytes + n, err
+		return nil, errors.Wrapf(ErrOversized, "%d bytes", size)
 	}
-	if word&compressedBit == 0 {
-		return body, lengthBytes + n, nil
+	body, err := readBody(r, int(size))
+	if err != nil || word&compressedBit == 0 {
+		return body, err
 	}
 	plain, err := decoder.DecodeAll(body, nil)
 	if err != nil {
-		return nil, lengthBytes + n, errors.Wrapf(ErrMalformed, "%v", err)
+		return nil, errors.Wrapf(ErrMalformed, "%v", err)
+	}
+	return plain, nil
+}
+
+// readBody reads size bytes. Memory grows with what arrives, not with what a
+// peer announces.
+func readBody(r io.Reader, size int) ([]byte, error) {
+	var body bytes.Buffer
+	body.Grow(min(size, firstReadBytes))
+	n, err := io.CopyN(&body, r, int64(size))
+	if err == io.EOF && n < int64(size) {
+		err = io.ErrUnexpectedEOF
 	}
-	return plain, lengthBytes + n, nil
+	return body.Bytes(), err
 }
