Describe every setting in one table and write the operators' page

Cause: keys, bounds and defaults stood in the code only, and the checks would have been repeated in the documentation by hand.

Change: one table of fields holds key, rule and meaning. It validates files, is printed by `heatherlift settings` and stands in docs/OPERATIONS.md; tests keep structs, table and page equal.

Shown failing first: before docs/OPERATIONS.md existed, TestOperationsPageHoldsTheReference failed; with the line of log.format taken out of the table, TestEveryKeyHasARule fails.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -9,6 +9,8 @@
 	"io"
 
 	"github.com/google/subcommands"
+
+	"heatherlift.example/heatherlift/internal/settings"
 )
 
 // Version is the version of the program.
@@ -31,6 +33,7 @@
 	commander.Register(&statusCommand{output: out}, "operation")
 	commander.Register(&dumpCommand{output: out}, "operation")
 	commander.Register(&explainCommand{output: out}, "operation")
+	commander.Register(&settingsCommand{output: out}, "")
 	commander.Register(&versionCommand{output: out}, "")
 	if err := flags.Parse(args); err != nil {
 		return int(subcommands.ExitUsageError)
@@ -67,3 +70,16 @@
 	fmt.Fprintln(c.stdout, "heatherlift "+Version)
 	return subcommands.ExitSuccess
 }
+
+// settingsCommand prints the settings reference.
+type settingsCommand struct{ output }
+
+func (*settingsCommand) Name() string             { return "settings" }
+func (*settingsCommand) Synopsis() string         { return "print the settings reference" }
+func (*settingsCommand) Usage() string            { return "settings\n" }
+func (*settingsCommand) SetFlags(_ *flag.FlagSet) {}
+
+func (c *settingsCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	fmt.Fprint(c.stdout, settings.Reference())
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/internal/settings/field.go
@@ -0,0 +1,130 @@
+package settings
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+	"time"
+
+	"heatherlift.example/heatherlift/internal/config"
+)
+
+// field describes one key of the settings.
+type field struct {
+	key  string
+	rule rule
+	doc  string
+}
+
+// fields holds every key in the order of the reference.
+var fields = []field{
+	{"id", nameRule{}, "name of the instance, unique in the fleet"},
+	{"availability_zone", nameRule{}, "availability zone of the instance"},
+	{"region", nameRule{optional: true}, "region that holds the availability zone; empty in a fleet of one region"},
+	{"service", nameRule{}, "service of the backend server beside the proxy"},
+	{"calls", namesRule{}, "other services that requests handed to this proxy reach"},
+	{"listen.callers", addressRule{}, "address for callers"},
+	{"listen.forward", addressRule{}, "address for requests of other proxies"},
+	{"listen.peers", addressRule{}, "address for messages of other proxies"},
+	{"listen.admin", addressRule{}, "address for operators"},
+	{"backend_server.address", addressRule{}, "address of the backend server"},
+	{"backend_server.slots", numberRule{1, 100_000}, "requests that the backend server runs at once"},
+	{"backend_server.connections", numberRule{1, 100_000}, "connections to the backend server"},
+	{"backend_server.queue_length", numberRule{1, 100_000}, "requests that wait for a slot"},
+	{"backend_server.health_path", pathRule{}, "answers 200 while the backend server takes work"},
+	{"backend_server.load_path", pathRule{optional: true}, "answers with slots and whether the backend server drains"},
+	{"backend_server.health_interval", durationRule{10 * time.Millisecond, time.Minute}, "time between two health checks"},
+	{"backend_server.shed_not_run", switchRule{}, "an answer 503 with Retry-After means that the backend server did not run the request"},
+	{"platform.source", addressRule{"http://"}, "configuration service of the platform"},
+	{"platform.instances", addressRule{"http://"}, "list of instances of the platform"},
+	{"platform.instances_interval", durationRule{100 * time.Millisecond, time.Hour}, "mean time between two readings of the list"},
+	{"distribution.mode", choiceRule{ModePeers, ModeNaive}, "how versions spread; naive reads everything from the source"},
+	{"distribution.watch_wait", durationRule{time.Second, time.Minute}, "time that a watch of the source waits"},
+	{"distribution.gossip_interval", durationRule{10 * time.Millisecond, time.Minute}, "time between two rounds of gossip"},
+	{"requests.max_attempts", numberRule{1, 10}, "attempts of one request, the first included"},
+	{"peers.plaintext", switchRule{}, "proxies do not authenticate each other"},
+	{"peers.certificate", textRule{optional: true}, "certificate and its chain, a file in PEM"},
+	{"peers.key", textRule{optional: true}, "private key of the certificate, a file in PEM"},
+	{"peers.authorities", textRule{optional: true}, "certificates that sign those of proxies, a file in PEM"},
+	{"peers.name", textRule{}, "DNS name in the certificate of every proxy"},
+	{"peers.reload_interval", durationRule{100 * time.Millisecond, time.Hour}, "time between two readings of the files"},
+	{"shutdown.notice", durationRule{0, time.Minute}, "time in which other proxies and callers learn of a shutdown"},
+	{"shutdown.limit", durationRule{time.Second, time.Hour}, "time after which requests in flight are cut"},
+	{"log.level", choiceRule{"debug", "info", "warn", "error"}, "lowest level that is logged"},
+	{"log.format", choiceRule{"logfmt", "json"}, "format of the log"},
+}
+
+// check returns every impossible value.
+func check(s Settings, file string) config.Problems {
+	var problems config.Problems
+	for _, f := range fields {
+		if message := f.rule.check(value(s, f.key)); message != "" {
+			problems = append(problems, config.Problem{File: file, Key: f.key, Message: message})
+		}
+	}
+	return append(problems, checkPeers(s.Peers, file)...)
+}
+
+// checkPeers requires either plaintext or a full set of files.
+func checkPeers(p Peers, file string) config.Problems {
+	var problems config.Problems
+	files := []struct{ key, value string }{
+		{"peers.certificate", p.Certificate},
+		{"peers.key", p.Key},
+		{"peers.authorities", p.Authorities},
+	}
+	for _, f := range files {
+		switch {
+		case p.Plaintext && f.value != "":
+			problems = append(problems, config.Problem{File: file, Key: f.key, Message: "must be empty if peers.plaintext is true"})
+		case !p.Plaintext && f.value == "":
+			problems = append(problems, config.Problem{File: file, Key: f.key, Message: "missing: name a file in PEM, or set peers.plaintext to true"})
+		}
+	}
+	return problems
+}
+
+// value returns the value of a key. It panics if there is no such key.
+func value(s Settings, key string) any {
+	v := reflect.ValueOf(s)
+	for part := range strings.SplitSeq(key, ".") {
+		v = byTag(v, part)
+	}
+	return v.Interface()
+}
+
+func byTag(v reflect.Value, tag string) reflect.Value {
+	t := v.Type()
+	for i := range t.NumField() {
+		if t.Field(i).Tag.Get("toml") == tag {
+			return v.Field(i)
+		}
+	}
+	panic("no key " + tag)
+}
+
+// Reference returns the settings reference as a table in Markdown.
+func Reference() string {
+	var text strings.Builder
+	text.WriteString("| key | default | allowed | meaning |\n| --- | --- | --- | --- |\n")
+	defaults := Default()
+	for _, f := range fields {
+		fmt.Fprintf(&text, "| `%s` | %s | %s | %s |\n", f.key, defaultText(defaults, f), f.rule.bounds(), f.doc)
+	}
+	return text.String()
+}
+
+// defaultText returns the default of a field, empty if it must be given.
+func defaultText(defaults Settings, f field) string {
+	v := value(defaults, f.key)
+	if d, ok := v.(config.Duration); ok {
+		return "`" + time.Duration(d).String() + "`"
+	}
+	if f.rule.check(v) != "" {
+		return "required"
+	}
+	if reflect.ValueOf(v).IsZero() && reflect.TypeOf(v).Kind() != reflect.Bool {
+		return ""
+	}
+	return fmt.Sprintf("`%v`", v)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -2,10 +2,7 @@
 package settings
 
 import (
-	"net"
-	"net/netip"
 	"os"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -162,129 +159,10 @@
 	s := Default()
 	var problems config.Problems
 	if config.DecodeStrict(text, &s, file, &problems) {
-		c := checker{file: file, problems: &problems}
-		c.check(s)
+		problems = check(s, file)
 	}
 	if len(problems) > 0 {
 		return Settings{}, problems
 	}
 	return s, nil
 }
-
-// checker collects impossible values.
-type checker struct {
-	file     string
-	problems *config.Problems
-}
-
-func (c checker) add(key, message string) {
-	*c.problems = append(*c.problems, config.Problem{File: c.file, Key: key, Message: message})
-}
-
-func (c checker) check(s Settings) {
-	c.name("id", s.ID)
-	c.name("availability_zone", s.AvailabilityZone)
-	if s.Region != "" {
-		c.name("region", s.Region)
-	}
-	c.name("service", s.Service)
-	for _, service := range s.Calls {
-		c.name("calls", service)
-	}
-	c.address("listen.callers", s.Listen.Callers)
-	c.address("listen.forward", s.Listen.Forward)
-	c.address("listen.peers", s.Listen.Peers)
-	c.address("listen.admin", s.Listen.Admin)
-	c.address("backend_server.address", s.BackendServer.Address)
-	c.between("backend_server.slots", s.BackendServer.Slots, 1, 100_000)
-	c.between("backend_server.connections", s.BackendServer.Connections, 1, 100_000)
-	c.between("backend_server.queue_length", s.BackendServer.QueueLength, 1, 100_000)
-	c.duration("backend_server.health_interval", s.BackendServer.HealthInterval, 10*time.Millisecond, time.Minute)
-	c.url("platform.source", s.Platform.Source)
-	c.url("platform.instances", s.Platform.Instances)
-	c.duration("platform.instances_interval", s.Platform.InstancesInterval, 100*time.Millisecond, time.Hour)
-	c.oneOf("distribution.mode", s.Distribution.Mode, ModePeers, ModeNaive)
-	c.duration("distribution.watch_wait", s.Distribution.WatchWait, time.Second, time.Minute)
-	c.duration("distribution.gossip_interval", s.Distribution.Gossip, 10*time.Millisecond, time.Minute)
-	c.between("requests.max_attempts", s.Requests.MaxAttempts, 1, 10)
-	c.duration("shutdown.notice", s.Shutdown.Notice, 0, time.Minute)
-	c.duration("shutdown.limit", s.Shutdown.Limit, time.Second, time.Hour)
-	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
-	c.oneOf("log.format", s.Log.Format, "logfmt", "json")
-	c.peers(s.Peers)
-}
-
-// peers requires either plaintext or a full set of files.
-func (c checker) peers(p Peers) {
-	files := []struct{ key, value string }{
-		{"peers.certificate", p.Certificate},
-		{"peers.key", p.Key},
-		{"peers.authorities", p.Authorities},
-	}
-	for _, f := range files {
-		switch {
-		case p.Plaintext && f.value != "":
-			c.add(f.key, "must be empty if peers.plaintext is true")
-		case !p.Plaintext && f.value == "":
-			c.add(f.key, "missing: name a file in PEM, or set peers.plaintext to true")
-		}
-	}
-	if p.Name == "" {
-		c.add("peers.name", "missing: name the DNS name in the certificates of proxies")
-	}
-	c.duration("peers.reload_interval", p.ReloadInterval, 100*time.Millisecond, time.Hour)
-}
-
-func (c checker) name(key, value string) {
-	if !config.ValidName(value) {
-		c.add(key, strconv.Quote(value)+": want lower-case letters, digits and '-', at most "+strconv.Itoa(config.MaxNameBytes))
-	}
-}
-
-func (c checker) address(key, value string) {
-	host, port, err := net.SplitHostPort(value)
-	if err != nil {
-		c.add(key, strconv.Quote(value)+": want IP:PORT")
-		return
-	}
-	if _, err := netip.ParseAddr(host); err != nil {
-		c.add(key, strconv.Quote(host)+" is no IP address")
-	}
-	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
-		c.add(key, strconv.Quote(port)+": want a port from 1 to 65535")
-	}
-}
-
-func (c checker) url(key, value string) {
-	const scheme = "http://"
-	if len(value) <= len(scheme) || value[:len(scheme)] != scheme {
-		c.add(key, strconv.Quote(value)+": want http://IP:PORT")
-		return
-	}
-	c.address(key, value[len(scheme):])
-}
-
-func (c checker) between(key string, value, low, high int) {
-	if value < low || value > high {
-		c.add(key, strconv.Itoa(value)+": want "+strconv.Itoa(low)+" to "+strconv.Itoa(high))
-	}
-}
-
-func (c checker) duration(key string, value config.Duration, low, high time.Duration) {
-	if d := time.Duration(value); d < low || d > high {
-		c.add(key, d.String()+": want "+low.String()+" to "+high.String())
-	}
-}
-
-func (c checker) oneOf(key, value string, allowed ...string) {
-	for _, a := range allowed {
-		if value == a {
-			return
-		}
-	}
-	message := strconv.Quote(value) + ": want one of"
-	for _, a := range allowed {
-		message += " " + a
-	}
-	c.add(key, message)
-}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -3,6 +3,8 @@
 import (
 	"os"
 	"path/filepath"
+	"reflect"
+	"slices"
 	"strings"
 	"testing"
 
@@ -91,3 +93,37 @@
 		})
 	}
 }
+
+// keysOf returns the keys of a struct with TOML tags.
+func keysOf(t reflect.Type, prefix string) []string {
+	var keys []string
+	for i := range t.NumField() {
+		f := t.Field(i)
+		key := prefix + f.Tag.Get("toml")
+		if f.Type.Kind() == reflect.Struct {
+			keys = append(keys, keysOf(f.Type, key+".")...)
+			continue
+		}
+		keys = append(keys, key)
+	}
+	return keys
+}
+
+func TestEveryKeyHasARule(t *testing.T) {
+	is := is.New(t)
+	var ruled []string
+	for _, f := range fields {
+		ruled = append(ruled, f.key)
+	}
+	keys := keysOf(reflect.TypeFor[Settings](), "")
+	slices.Sort(ruled)
+	slices.Sort(keys)
+	is.Equal(ruled, keys)
+}
+
+func TestOperationsPageHoldsTheReference(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	is.NoErr(err)
+	is.True(strings.Contains(string(page), Reference()))
+}
