Prove the membership in virtual time under faults

An equal table reset the time since when tables differed, and the exchange went to the next neighbour instead of the one that differed. It now goes to the peer that differs, once news has ceased for a round. - An instance that had been alone took the fleet for partitioned when it came back, and gossiped with nobody meanwhile. It now trusts everyone again on the first contact and probes suspects with backoff. - After the loss of a zone the first one missed was buried, and now and then one observer never heard a suspicion, since equal hashes emptied the queue. Suspicions now stay queued until they are too old, new suspects make about 24 instances probe their zone, and death waits for two suspect times.

--- a/internal/member/calls.go
+++ b/internal/member/calls.go
@@ -76,7 +76,7 @@
 	before := m.me.Record
 	m.corrections = nil
 	m.hear(now, g.From)
-	m.merge(now, g, true)
+	m.mergeNews(now, g, true)
 	m.compareTables(now, g)
 	if g.Probe != "" && m.probeFor(now, r.Call, g.Probe) {
 		return
@@ -118,9 +118,14 @@
 	m.hear(now, a.From)
 	m.reached(now, a.From)
 	exchanged := s != nil && s.exchange
-	m.merge(now, g, !exchanged)
-	m.compareTables(now, g)
-	m.continueExchange(now, a)
+	m.mergeNews(now, g, !exchanged)
+	differ := m.compareTables(now, g)
+	switch {
+	case g.Digest != nil:
+		m.continueExchange(now, a)
+	case differ && !exchanged:
+		m.startExchange(now, a.From)
+	}
 	if s != nil && s.purpose == indirect {
 		m.concludeIndirect(now, s.subject, g.Reached)
 	}
@@ -161,6 +166,9 @@
 
 // hear notes that an instance is running.
 func (m *Members) hear(now time.Time, id string) {
+	if m.isolated(now) {
+		m.endIsolation()
+	}
 	m.lastContact = now
 	if e, ok := m.table.byID[id]; ok {
 		e.heard = now
--- /dev/null
+++ b/internal/member/chaos_test.go
@@ -0,0 +1,126 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// quietLimit is the time in which the fleet must agree once faults end: the
+// longest backoff of a healing probe and the exchanges that follow.
+const quietLimit = healLimitRounds*testInterval + 30*time.Second
+
+// invariants checks what must hold after every step.
+type invariants struct {
+	t interface{ Fatalf(string, ...any) }
+	// newest is the newest record seen in each table, by life of the observer.
+	newest map[string]map[string]Record
+}
+
+func (v *invariants) check(n *testNode, effects []Effect) {
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case Send:
+			v.message(n, &e.Message)
+		case Reply:
+			v.message(n, &e.Message)
+		case Violation:
+			v.t.Fatalf("%s refused a message of %s: %s", n.id(), e.From, e.Cause)
+		case Learnt:
+			if n.learnt[e.Rumour.Key] > 1 {
+				v.t.Fatalf("%s learnt %s again", n.id(), e.Rumour.Key)
+			}
+		case Changed:
+			v.table(n)
+		}
+	}
+}
+
+func (v *invariants) message(n *testNode, g *Gossip) {
+	if cause := violation(n.net.now, g); cause != "" {
+		v.t.Fatalf("%s sent what is refused: %s", n.id(), cause)
+	}
+	if len(g.Records) < 32 && len(g.Beats) < 32 {
+		return
+	}
+	if size := frameSize("gossip", *g); size > 26_000 {
+		v.t.Fatalf("%s sent %d bytes at once", n.id(), size)
+	}
+}
+
+func (v *invariants) table(n *testNode) {
+	life := fmt.Sprint(n.id(), "/", n.life)
+	if v.newest[life] == nil {
+		v.newest[life] = make(map[string]Record)
+	}
+	var hash uint64
+	for _, e := range n.m.table.sorted {
+		hash += e.hash()
+		old, ok := v.newest[life][e.ID]
+		if ok && compare(e.Record, old) < 0 {
+			v.t.Fatalf("%s fell back from %+v to %+v", n.id(), old, e.Record)
+		}
+		v.newest[life][e.ID] = e.Record
+	}
+	if hash != n.m.table.hash {
+		v.t.Fatalf("%s has a wrong hash", n.id())
+	}
+}
+
+// disturb applies one random fault or change.
+func disturb(t *rapid.T, n *network) {
+	node := n.nodes[rapid.IntRange(0, len(n.nodes)-1).Draw(t, "node")]
+	switch rapid.IntRange(0, 8).Draw(t, "what") {
+	case 0:
+		node.kill()
+	case 1, 2:
+		node.restart(time.Duration(rapid.IntRange(-3600, 1).Draw(t, "skew")) * time.Second)
+	case 3:
+		node.paused = n.now.Add(time.Duration(rapid.IntRange(1, 40).Draw(t, "pause")) * time.Second)
+	case 4:
+		side := zoneOf(node)
+		n.cut = func(a, b *testNode) bool { return (zoneOf(a) == side) != (zoneOf(b) == side) }
+	case 5:
+		n.cut = nil
+	case 6:
+		node.step(version(node.m.Self().Version + 1))
+	case 7:
+		node.step(Leave{})
+	case 8:
+		node.step(Publish{Rumour: rumour(fmt.Sprint("r", n.seq), time.Minute)})
+	}
+}
+
+func TestFleetAgreesAfterAnyFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := newNetwork(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(3, 14).Draw(t, "size"), 3)
+		v := &invariants{t: t, newest: make(map[string]map[string]Record)}
+		n.check = v.check
+		n.tick = 4 * testTick
+		n.list()
+		n.loss = rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "loss")
+		n.duplicate = 0.1
+		n.delay = time.Duration(rapid.SampledFrom([]int{1, 20, 300}).Draw(t, "delay")) * time.Millisecond
+		for range rapid.IntRange(1, 8).Draw(t, "steps") {
+			disturb(t, n)
+			n.run(time.Duration(rapid.IntRange(0, 12_000).Draw(t, "wait")) * time.Millisecond)
+		}
+		n.cut, n.loss, n.delay = nil, 0, time.Millisecond
+		for _, node := range n.nodes {
+			node.paused = time.Time{}
+			if node.down {
+				node.restart(0)
+			}
+		}
+		n.list()
+		if _, ok := n.runUntil(quietLimit, n.agreed); !ok {
+			t.Fatalf("tables differ %v after the last fault", quietLimit)
+		}
+		n.run(time.Minute) // no relapse
+		if !n.agreed() {
+			t.Fatalf("tables differ again in quiet")
+		}
+	})
+}
--- a/internal/member/exchange.go
+++ b/internal/member/exchange.go
@@ -6,9 +6,11 @@
 )
 
 const (
-	// exchangeRounds is how long two tables must differ, in intervals, before
-	// they are compared bucket by bucket.
-	exchangeRounds = 2
+	// quietRounds is how long no news must have come, in intervals, before
+	// tables that differ are compared bucket by bucket; exchangeRounds is how
+	// long they must have differed if news keeps coming.
+	quietRounds    = 1
+	exchangeRounds = 4
 	// settleRounds is the number of equal tables in a row after which waiting
 	// updates are taken to be known everywhere.
 	settleRounds = 3
@@ -23,40 +25,56 @@
 
 // exchange is the state of the anti-entropy exchange.
 type exchange struct {
-	// due asks for an exchange in the next round.
+	// due asks for an exchange with the next peer whose table differs.
 	due bool
+	// last is when one was started, news when the table here last changed.
+	last, news time.Time
 	// differSince is when the tables compared began to differ.
 	differSince time.Time
 	// equal counts the tables in a row that did not differ.
 	equal int
 }
 
-// compareTables compares a peer's hashes with the ones here.
-func (m *Members) compareTables(now time.Time, g *Gossip) {
+// compareTables compares a peer's hashes with the ones here and reports
+// whether they differ.
+func (m *Members) compareTables(now time.Time, g *Gossip) bool {
 	x := &m.exchange
 	if g.Table != m.table.hash || g.RumourTable != m.rumours.hash {
 		x.equal = 0
 		if x.differSince.IsZero() {
 			x.differSince = now
 		}
-		return
+		return true
 	}
 	x.differSince = time.Time{}
-	if x.equal++; x.equal == settleRounds {
+	if x.equal++; x.equal >= settleRounds {
 		m.queue.settle()
 	}
+	return false
 }
 
-// startExchange adds the hashes of all buckets if an exchange is due.
-func (m *Members) startExchange(now time.Time, g *Gossip) {
-	x := &m.exchange
-	long := !x.differSince.IsZero() && now.Sub(x.differSince) >= exchangeRounds*m.cfg.Interval
-	if !x.due && !long {
+// ready reports whether tables that differ are worth an exchange: news has
+// ceased to come, or they have differed for long.
+func (x *exchange) ready(now time.Time, interval time.Duration) bool {
+	pause := quietRounds * interval
+	quiet := now.Sub(x.news) >= pause && now.Sub(x.last) >= pause
+	pause = exchangeRounds * interval
+	long := now.Sub(x.differSince) >= pause && now.Sub(x.last) >= pause
+	return x.due || quiet || long
+}
+
+// startExchange sends the hashes of all buckets to a peer whose table differs.
+func (m *Members) startExchange(now time.Time, id string) {
+	to := m.target(id)
+	if to.address == "" || !m.exchange.ready(now, m.cfg.Interval) {
 		return
 	}
-	x.due = false
-	x.differSince = now
+	m.exchange.due = false
+	m.exchange.last = now
+	g := m.message(now, id)
 	g.Buckets = slices.Clone(m.table.buckets[:])
+	m.send(now, to, direct, g)
+	m.outstanding[m.nextCall].exchange = true
 }
 
 // answerExchange answers what a message asks for.
@@ -114,9 +132,6 @@
 // continueExchange sends what the peer lacks and asks for what it has newer.
 func (m *Members) continueExchange(now time.Time, a Answered) {
 	d := a.Message.Digest
-	if d == nil {
-		return
-	}
 	m.exchange.due = m.exchange.due || d.More
 	to := m.target(a.From)
 	if to.address == "" {
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -12,7 +12,8 @@
 	Self Record
 	// Interval is the time between two gossip rounds.
 	Interval time.Duration
-	// SuspectAfter is the time after which a suspect counts as dead.
+	// SuspectAfter is the time that a suspect has to refute; then it counts as
+	// partitioned, or after a multiple of it as dead.
 	SuspectAfter time.Duration
 	// ForgetAfter is the time after which a dead record is dropped.
 	ForgetAfter time.Duration
@@ -172,6 +173,7 @@
 		m.lastRound = now
 		m.round(now)
 		m.heal(now)
+		m.probePartition(now)
 	}
 }
 
--- a/internal/member/merge.go
+++ b/internal/member/merge.go
@@ -2,6 +2,15 @@
 
 import "time"
 
+// mergeNews merges a message and notes whether it changed the table.
+func (m *Members) mergeNews(now time.Time, g *Gossip, hot bool) {
+	before := m.table.hash
+	m.merge(now, g, hot)
+	if m.table.hash != before {
+		m.exchange.news = now
+	}
+}
+
 // merge takes in the news of a message. Hot news is passed on at once.
 func (m *Members) merge(now time.Time, g *Gossip, hot bool) {
 	for _, r := range g.Records {
--- a/internal/member/network_test.go
+++ b/internal/member/network_test.go
@@ -34,6 +34,7 @@
 	// origins routes an answer to its question.
 	origins map[uint64]origin
 
+	tick            time.Duration
 	delay           time.Duration
 	loss, duplicate float64
 	// cut reports whether messages between two instances are lost.
@@ -116,6 +117,7 @@
 		rng:     rand.New(rand.NewPCG(seed, 7)),
 		byID:    make(map[string]*testNode),
 		origins: make(map[uint64]origin),
+		tick:    testTick,
 		delay:   time.Millisecond,
 	}
 	for i := range size {
@@ -166,7 +168,7 @@
 			return
 		}
 		t.step(Tick{})
-		t.net.after(testTick, tick)
+		t.net.after(t.net.tick, tick)
 	}
 	t.net.after(time.Duration(t.net.rng.Int64N(int64(testTick))), tick)
 }
--- a/internal/member/partition.go
+++ b/internal/member/partition.go
@@ -14,9 +14,13 @@
 	// partition, and massZoneShare that of one availability zone.
 	massShare     = 10
 	massZoneShare = 2
-	// waitRounds is how long, in units of SuspectAfter, death is put off while
-	// several instances are suspect.
+	// buryRounds is how long, in units of SuspectAfter, an instance is suspect
+	// before it counts as dead, and waitRounds the same while several are.
+	buryRounds = 2
 	waitRounds = 4
+	// zoneProbes is about how many instances probe another instance of the
+	// availability zone of a new suspect, to find out whether all of it is lost.
+	zoneProbes = 24
 	// expiryParts is how often in an interval suspicions are looked at.
 	expiryParts = 4
 	// partitionLimit is how long a partition may last.
@@ -81,6 +85,7 @@
 		e.partitioned = true
 		e.since = now
 		m.transition(e, Suspect, "unreachable with a large share of the fleet")
+	case missed < buryRounds*m.cfg.SuspectAfter:
 	case c.total >= massLeast && missed < waitRounds*m.cfg.SuspectAfter:
 	default:
 		m.bury(now, e, e.Record, "no answer", true)
@@ -132,6 +137,53 @@
 	return len(m.table.sorted) > massLeast && now.Sub(m.lastContact) >= max(m.cfg.SuspectAfter, massLeast*m.cfg.Interval)
 }
 
+// endIsolation trusts everyone again: what was missed meanwhile was missed
+// because of this proxy's own fault.
+func (m *Members) endIsolation() {
+	for _, e := range m.table.sorted {
+		if s := e.state(); s == Suspect || s == Partitioned {
+			m.trust(e, "contact regained")
+			delete(m.retries, e.ID)
+		}
+	}
+	m.exchange.due = true
+}
+
+// probeZone probes another instance of the suspect's availability zone, if it
+// falls to this proxy.
+func (m *Members) probeZone(now time.Time, suspect *entry) {
+	if m.rng.IntN(len(m.table.sorted)) >= zoneProbes {
+		return
+	}
+	mates := m.pick(1, func(e *entry) bool {
+		return e.AvailabilityZone == suspect.AvailabilityZone && m.inquiries[e.ID] == nil
+	})
+	for _, e := range mates {
+		m.send(now, e.target(), direct, m.message(now, e.ID))
+	}
+}
+
+// probePartition probes one instance that shares its availability zone with
+// partitioned ones and has not been heard since.
+func (m *Members) probePartition(now time.Time) {
+	lost := make(map[string]time.Time)
+	for _, e := range m.table.sorted {
+		if e.partitioned {
+			lost[e.AvailabilityZone] = e.since
+		}
+	}
+	if len(lost) == 0 {
+		return
+	}
+	mates := m.pick(1, func(e *entry) bool {
+		since, ok := lost[e.AvailabilityZone]
+		return ok && e.heard.Before(since) && m.inquiries[e.ID] == nil
+	})
+	for _, e := range mates {
+		m.send(now, e.target(), direct, m.message(now, e.ID))
+	}
+}
+
 // healZone trusts the instances of an availability zone again after one of
 // them has answered; those still out of reach are missed anew.
 func (m *Members) healZone(now time.Time, answered *entry) {
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -125,6 +125,7 @@
 	e.suspected = since
 	m.queue.add(&update{suspect: e, hot: true})
 	m.transition(e, from, cause)
+	m.probeZone(now, e)
 }
 
 // addSuspicion adds the suspicion of an instance unless it is too old.
--- a/internal/member/queue.go
+++ b/internal/member/queue.go
@@ -132,10 +132,11 @@
 	q.updates = slices.DeleteFunc(q.updates, func(u *update) bool { return u.gone })
 }
 
-// settle drops everything that has been pushed already.
+// settle drops what has been pushed already and is covered by the hashes of
+// tables. Suspicions are not; they end by age.
 func (q *queue) settle() {
 	for _, u := range q.updates {
-		if !u.hot && !u.gone {
+		if !u.hot && !u.gone && u.suspect == nil {
 			q.drop(u)
 		}
 	}
--- a/internal/member/round.go
+++ b/internal/member/round.go
@@ -32,7 +32,6 @@
 	}
 	g := m.message(now, e.ID)
 	m.fill(now, &g, m.queue.take(roundBudget, 1, m.limit(), false))
-	m.startExchange(now, &g)
 	m.send(now, e.target(), direct, g)
 }
 
@@ -100,7 +99,7 @@
 	next     time.Time
 }
 
-// heal probes one instance that is listed but unknown, dead or partitioned.
+// heal probes one instance that is listed but unknown, or out of reach.
 func (m *Members) heal(now time.Time) {
 	due := m.dueForHealing(now)
 	if len(due) == 0 {
@@ -118,7 +117,6 @@
 	g := m.message(now, to.id)
 	if _, known := m.table.byID[to.id]; !known {
 		g.Records = append(g.Records, m.me.Record)
-		m.startExchange(now, &g)
 	}
 	m.send(now, to, healing, g)
 }
@@ -131,7 +129,7 @@
 		}
 	}
 	for _, e := range m.table.sorted {
-		if s := e.state(); s == Dead || s == Partitioned {
+		if e.state() >= Suspect {
 			add(e.target())
 		}
 	}
--- a/internal/member/scale_test.go
+++ b/internal/member/scale_test.go
@@ -88,3 +88,82 @@
 		b.ReportMetric(took.Seconds(), "s-to-agree")
 	})
 }
+
+// BenchmarkRestart kills an instance, starts it again after ten seconds, and
+// reports bytes over a minute, to be compared with BenchmarkSteadyState.
+func BenchmarkRestart(b *testing.B) {
+	benchmarkSizes(b, func(b *testing.B, n *network) {
+		n.bytesPerNode(b, func() {
+			n.nodes[3].kill()
+			n.run(10 * time.Second)
+			n.nodes[3].restart(0)
+			n.list()
+			n.run(50 * time.Second)
+		})
+		if !n.agreed() {
+			b.Fatal("tables differ")
+		}
+	})
+}
+
+// BenchmarkRumour reports how long a rumour and a leaving instance take to be
+// known everywhere, with a latency of 1 to 2 ms.
+func BenchmarkRumour(b *testing.B) {
+	benchmarkSizes(b, func(b *testing.B, n *network) {
+		n.measure = false
+		n.nodes[7].step(Publish{Rumour: rumour("k", time.Minute)})
+		took, _ := n.runUntil(time.Minute, func() bool { return n.learntBy("k") == len(n.nodes) })
+		b.ReportMetric(took.Seconds(), "s-rumour")
+		n.nodes[9].step(Leave{})
+		took, _ = n.runUntil(time.Minute, func() bool { return n.seenAs(Leaving, n.nodes[9]) })
+		b.ReportMetric(took.Seconds(), "s-leaving")
+		b.ReportMetric(0, "ns/op")
+	})
+}
+
+func (n *network) learntBy(key string) int {
+	count := 0
+	for _, t := range n.nodes {
+		count += t.learnt[key]
+	}
+	return count
+}
+
+// BenchmarkZoneLost loses an availability zone and reports bytes over a minute,
+// and the time until all that remain see all of it as partitioned.
+func BenchmarkZoneLost(b *testing.B) {
+	benchmarkSizes(b, func(b *testing.B, n *network) {
+		var lost []*testNode
+		for _, t := range n.nodes {
+			if zoneOf(t) == "zone-2" {
+				lost = append(lost, t)
+				t.kill()
+			}
+		}
+		var took time.Duration
+		n.bytesPerNode(b, func() {
+			took, _ = n.runUntil(time.Minute, func() bool { return n.seenAs(Partitioned, lost...) })
+			n.run(time.Minute - took)
+		})
+		b.ReportMetric(took.Seconds(), "s-to-see")
+	})
+}
+
+// BenchmarkStep reports the processor time that the state machine of one
+// instance takes for a second of its life, at rest and during a new version.
+func BenchmarkStep(b *testing.B) {
+	benchmarkSizes(b, func(b *testing.B, n *network) {
+		n.measure = false
+		perNode := func(seconds float64, f func()) float64 {
+			start := time.Now()
+			f()
+			return float64(time.Since(start).Microseconds()) / seconds / float64(len(n.nodes))
+		}
+		b.ReportMetric(perNode(30, func() { n.run(30 * time.Second) }), "us/s-rest")
+		b.ReportMetric(perNode(10, func() {
+			n.enforce(1, 2*time.Second)
+			n.run(10 * time.Second)
+		}), "us/s-version")
+		b.ReportMetric(0, "ns/op")
+	})
+}
