Test that suspicions from before a pause are probed anew

With the reset of timers after a pause removed, the earlier test still passed, because hearing nobody also keeps an instance from burying others. The new test uses three instances, where that rule does not apply; it fails on the variant with 'after waking: From:suspect To:dead Cause:no answer'.

--- a/internal/member/failure_test.go
+++ b/internal/member/failure_test.go
@@ -206,3 +206,28 @@
 	_, ok := n.runUntil(70*time.Second, n.agreed)
 	is.True(ok)
 }
+
+// TestSuspicionFromBeforeAPauseIsProbedAnew pauses an instance that suspects
+// another, which answers again when the first wakes.
+func TestSuspicionFromBeforeAPauseIsProbedAnew(t *testing.T) {
+	is := is.New(t)
+	n := formed(t, 11, 3, 3)
+	sleeper, missed := n.nodes[0], n.nodes[1]
+	n.cut = func(a, b *testNode) bool { return a == missed || b == missed }
+	_, ok := n.runUntil(10*time.Second, func() bool {
+		return sleeper.m.table.byID[missed.id()].state() == Suspect
+	})
+	is.True(ok)
+	sleeper.paused = n.now.Add(20 * time.Second)
+	n.cut = nil
+	n.check = func(at *testNode, effects []Effect) {
+		for _, e := range effects {
+			if tr, ok := e.(Transition); ok && at == sleeper && tr.To == Dead {
+				t.Fatalf("after waking: %+v", tr)
+			}
+		}
+	}
+	n.run(20 * time.Second)
+	_, ok = n.runUntil(10*time.Second, n.agreed)
+	is.True(ok)
+}
--- a/internal/member/scale_test.go
+++ b/internal/member/scale_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -167,3 +168,26 @@
 		b.ReportMetric(0, "ns/op")
 	})
 }
+
+// BenchmarkTable reports the memory held by the table of one instance.
+func BenchmarkTable(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprint("n=", size), func(b *testing.B) {
+			records := newNetwork(1, size, 7).nodes
+			var before, after runtime.MemStats
+			for b.Loop() {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				t := newTable()
+				for _, node := range records {
+					t.put(node.cfg.Self)
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(t)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(size), "B/record")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
