Test losses across availability zones and a long isolation

Broken variants: without the rule of a tenth of the fleet TestLossAcrossZonesIsPartitioned fails ('not true: ok'); without the notice of isolation TestAloneInALargeFleetBuriesNobody fails ('From:suspect To:dead Cause:no answer'), while TestIsolatedInstanceSpreadsNoDeath still passed, being too small a fleet for it.

--- a/internal/member/failure_test.go
+++ b/internal/member/failure_test.go
@@ -231,3 +231,40 @@
 	_, ok = n.runUntil(10*time.Second, n.agreed)
 	is.True(ok)
 }
+
+// TestAloneInALargeFleetBuriesNobody cuts off one instance; it misses others
+// one by one, too slowly to take them for a large share of the fleet.
+func TestAloneInALargeFleetBuriesNobody(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(1, 770, 7)
+	alone := n.nodes[0]
+	for _, node := range n.nodes[1:] {
+		alone.m.table.put(node.cfg.Self)
+	}
+	n.cut = func(a, b *testNode) bool { return a == alone || b == alone }
+	for _, node := range n.nodes[1:] {
+		node.kill()
+	}
+	n.check = func(_ *testNode, effects []Effect) {
+		for _, e := range effects {
+			if tr, ok := e.(Transition); ok && tr.To == Dead {
+				t.Fatalf("%+v", tr)
+			}
+		}
+	}
+	n.run(2 * time.Minute)
+	is.True(alone.m.Partition().CutOff)
+}
+
+// TestLossAcrossZonesIsPartitioned loses a tenth of the fleet, no more than one
+// instance in an availability zone.
+func TestLossAcrossZonesIsPartitioned(t *testing.T) {
+	is := is.New(t)
+	n := formed(t, 14, 42, 7)
+	lost := n.nodes[:6]
+	for _, node := range lost {
+		node.kill()
+	}
+	_, ok := n.runUntil(time.Minute, func() bool { return n.seenAs(Partitioned, lost...) })
+	is.True(ok)
+}
