--- a/internal/member/failure_test.go
+++ b/internal/member/failure_test.go
@@ -268,3 +268,23 @@
 	_, ok := n.runUntil(time.Minute, func() bool { return n.seenAs(Partitioned, lost...) })
 	is.True(ok)
 }
+
+// TestLateJoinerAgreesDespiteTheDead has an instance join after another died
+// and left the platform's list: it never learns of the dead one.
+func TestLateJoinerAgreesDespiteTheDead(t *testing.T) {
+	is := is.New(t)
+	n := formed(t, 15, 12, 3)
+	gone := n.nodes[5]
+	gone.kill()
+	_, ok := n.runUntil(20*time.Second, func() bool { return n.seenAs(Dead, gone) })
+	is.True(ok)
+	joiner := n.add(12, 3)
+	n.list(gone.id())
+	n.settle(t, 20*time.Second)
+	is.Equal(joiner.m.table.byID[gone.id()], nil)
+	n.run(testForgetAfter + 10*time.Second)
+	for _, node := range n.nodes {
+		is.True(node.down || node.m.table.byID[gone.id()] == nil) // forgotten
+	}
+	n.settle(t, time.Second)
+}
--- a/internal/member/health.go
+++ b/internal/member/health.go
@@ -43,6 +43,18 @@
 	return &p
 }
 
+// RumourCount counts rumours.
+type RumourCount struct {
+	Held int `json:"held"`
+	// Dropped counts those that made way for newer ones.
+	Dropped uint64 `json:"dropped"`
+}
+
+// Rumours returns the number of rumours held and dropped here.
+func (m *Members) Rumours() RumourCount {
+	return RumourCount{Held: len(m.rumours.held), Dropped: m.rumours.dropped}
+}
+
 // Unknown returns the instances on the platform's list of which nothing has
 // been heard, sorted.
 func (m *Members) Unknown() []string {
--- a/internal/member/scale_test.go
+++ b/internal/member/scale_test.go
@@ -191,3 +191,20 @@
 		})
 	}
 }
+
+// BenchmarkWholeTable reports the size of a message with the whole table, which
+// the naive protocol sends in every round.
+func BenchmarkWholeTable(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprint("n=", size), func(b *testing.B) {
+			g := Gossip{From: "service-0-0"}
+			for _, node := range newNetwork(1, size, 7).nodes {
+				g.Records = append(g.Records, node.cfg.Self)
+			}
+			for b.Loop() {
+				b.ReportMetric(float64(frameSize("gossip", g)), "B/message")
+			}
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -11,6 +11,9 @@
 // journalLength bounds the decisions kept in memory.
 const journalLength = 256
 
+// violationInterval is the shortest time between two violations entered.
+const violationInterval = 10 * time.Second
+
 // Entry is a decision of the proxy.
 type Entry struct {
 	At    time.Time `json:"at"`
@@ -23,6 +26,8 @@
 	entries []Entry
 	next    int
 	total   uint64
+	// violation is when a violation was last entered.
+	violation time.Time
 }
 
 func (j *journal) add(now time.Time, what, cause string) {
@@ -51,6 +56,16 @@
 	j.add(now, "instance "+t.To.String(), t.ID+": "+t.Cause)
 }
 
+// addViolation enters at most one violation an interval, so that a peer cannot
+// push everything else out.
+func (j *journal) addViolation(now time.Time, from, cause string) {
+	if !j.violation.IsZero() && now.Sub(j.violation) < violationInterval {
+		return
+	}
+	j.violation = now
+	j.add(now, "violation by "+strconv.Quote(from), cause)
+}
+
 // list returns the entries, oldest first.
 func (j *journal) list() []Entry {
 	out := make([]Entry, 0, len(j.entries))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -156,7 +156,7 @@
 		case member.Transition:
 			n.journal.addTransition(now, effect)
 		case member.Violation:
-			n.journal.add(now, "violation by "+effect.From, effect.Cause)
+			n.journal.addViolation(now, effect.From, effect.Cause)
 			out.Member = append(out.Member, effect)
 		default:
 			out.Member = append(out.Member, effect)
@@ -212,7 +212,7 @@
 		case dist.RoleChanged:
 			n.journal.add(now, "role "+effect.To.String(), "was "+effect.From.String())
 		case dist.Violation:
-			n.journal.add(now, "violation by "+effect.From, effect.Cause)
+			n.journal.addViolation(now, effect.From, effect.Cause)
 		default:
 			out.Dist = append(out.Dist, effect)
 		}
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -102,6 +102,8 @@
 	Dedupe     dedupe.State     `json:"dedupe"`
 	Quarantine quarantine.State `json:"quarantine"`
 	Load       Load             `json:"load"`
+
+	Rumours member.RumourCount `json:"rumours"`
 }
 
 // Dump returns the state of the proxy.
@@ -117,6 +119,7 @@
 		Dedupe:     n.dedupe.State(),
 		Quarantine: n.quarantine.State(),
 		Load:       n.dumpLoad(),
+		Rumours:    n.members.Rumours(),
 	}
 }
 
