Bound the keys of rumours and backoffs; test the platform's list

The test fails if held keys are forgotten too ('not true: !again'). Random faults now include links that lose messages one way only.

--- a/internal/member/chaos_test.go
+++ b/internal/member/chaos_test.go
@@ -72,7 +72,7 @@
 // disturb applies one random fault or change.
 func disturb(t *rapid.T, n *network) {
 	node := n.nodes[rapid.IntRange(0, len(n.nodes)-1).Draw(t, "node")]
-	switch rapid.IntRange(0, 8).Draw(t, "what") {
+	switch rapid.IntRange(0, 9).Draw(t, "what") {
 	case 0:
 		node.kill()
 	case 1, 2:
@@ -82,6 +82,8 @@
 	case 4:
 		side := zoneOf(node)
 		n.cut = func(a, b *testNode) bool { return (zoneOf(a) == side) != (zoneOf(b) == side) }
+	case 9: // one way only
+		n.cut = func(a, b *testNode) bool { return a == node && b != node }
 	case 5:
 		n.cut = nil
 	case 6:
--- a/internal/member/failure_test.go
+++ b/internal/member/failure_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"heatherlift.example/heatherlift/internal/source"
 )
 
 // formed returns a network whose tables agree.
@@ -288,3 +290,27 @@
 	}
 	n.settle(t, time.Second)
 }
+
+func TestListMarksLeavingAndRemovesNobodyWhoAnswers(t *testing.T) {
+	is := is.New(t)
+	n := formed(t, 17, 12, 3)
+	marked, absent := n.nodes[3], n.nodes[4]
+	var instances []source.Instance
+	for _, node := range n.nodes {
+		i := source.Instance{ID: node.id(), Address: node.cfg.Self.PeerAddress}
+		if node == marked {
+			i.State = source.InstanceLeaving
+		}
+		if node != absent {
+			instances = append(instances, i)
+		}
+	}
+	n.nodes[0].step(Listed{Instances: instances})
+	is.Equal(n.nodes[0].m.table.byID[marked.id()].state(), Leaving) // before it says so itself
+	for _, node := range n.nodes {
+		node.step(Listed{Instances: instances})
+	}
+	n.run(time.Minute)
+	is.True(n.seenAs(Leaving, marked))
+	is.True(n.seenAs(Alive, absent))
+}
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -166,7 +166,6 @@
 		m.lastRound = now.Add(-m.jitter(m.cfg.Interval))
 	}
 	m.lastTick = now
-	m.rumours.expire(now)
 	m.expireCalls(now)
 	m.expireStates(now)
 	if now.Sub(m.lastRound) >= m.cfg.Interval {
--- a/internal/member/partition.go
+++ b/internal/member/partition.go
@@ -30,12 +30,14 @@
 	delistedAfter = 10 * time.Second
 )
 
-// expireStates turns suspects dead or partitioned, and forgets the dead.
+// expireStates turns suspects dead or partitioned, and forgets the dead and
+// old rumours.
 func (m *Members) expireStates(now time.Time) {
 	if now.Sub(m.lastExpiry) < m.cfg.Interval/expiryParts {
 		return
 	}
 	m.lastExpiry = now
+	m.rumours.expire(now)
 	var expired []*entry
 	for _, e := range m.table.sorted {
 		switch e.state() {
@@ -209,11 +211,22 @@
 	for _, e := range m.table.sorted {
 		m.listEntry(now, e)
 	}
+	m.dropRetries()
 	if len(m.table.sorted) == 1 {
 		m.heal(now) // join at once
 	}
 }
 
+// dropRetries drops the backoff of instances neither listed nor known.
+func (m *Members) dropRetries() {
+	for id := range m.retries {
+		_, listed := m.listed[id]
+		if _, known := m.table.byID[id]; !known && !listed {
+			delete(m.retries, id)
+		}
+	}
+}
+
 func (m *Members) listEntry(now time.Time, e *entry) {
 	i, listed := m.listed[e.ID]
 	from := e.state()
--- a/internal/member/rumour.go
+++ b/internal/member/rumour.go
@@ -20,6 +20,9 @@
 	MaxRumourPayloadBytes = 2 << 10
 	// MaxRumourTTL bounds the life of a rumour.
 	MaxRumourTTL = time.Hour
+	// maxKnownRumours bounds the keys remembered of rumours that expired or
+	// made way for newer ones.
+	maxKnownRumours = 4 * MaxRumours
 	// rumourMemory is how long the key of an expired rumour is remembered,
 	// so that a late copy is not taken for a new one.
 	rumourMemory = 10 * time.Second
@@ -54,9 +57,11 @@
 
 // rumours is a bounded table, oldest first.
 type rumours struct {
-	held    []*heldRumour
-	bytes   int
-	known   map[string]time.Time
+	held  []*heldRumour
+	bytes int
+	known map[string]time.Time
+	// order holds the keys known, oldest first.
+	order   []string
 	hash    uint64
 	dropped uint64
 }
@@ -75,13 +80,33 @@
 	t.bytes += r.size()
 	t.hash += xxhash.Sum64String(r.Key)
 	t.known[r.Key] = h.expires.Add(rumourMemory)
+	t.order = append(t.order, r.Key)
 	for len(t.held) > MaxRumours || t.bytes > MaxRumoursBytes {
 		t.remove(0)
 		t.dropped++
 	}
+	t.forgetKeys(func(string) bool { return len(t.order) > MaxRumours+maxKnownRumours })
 	return h, true
 }
 
+// forgetKeys forgets keys that are not held any more, oldest first, while the
+// condition holds for the key.
+func (t *rumours) forgetKeys(condition func(key string) bool) {
+	held := make(map[string]bool, len(t.held))
+	for _, h := range t.held {
+		held[h.Key] = true
+	}
+	for i := 0; i < len(t.order); {
+		key := t.order[i]
+		if held[key] || !condition(key) {
+			i++
+			continue
+		}
+		delete(t.known, key)
+		t.order = slices.Delete(t.order, i, i+1)
+	}
+}
+
 func (t *rumours) remove(i int) {
 	h := t.held[i]
 	t.bytes -= h.size()
@@ -89,19 +114,17 @@
 	t.held = slices.Delete(t.held, i, i+1)
 }
 
-// expire removes what has outlived its TTL. A dropped rumour's key stays known
-// for as long as its TTL, which is bounded as the rate of rumours is.
+// expire removes what has outlived its TTL, and keys after their time.
 func (t *rumours) expire(now time.Time) {
+	if len(t.order) == 0 {
+		return
+	}
 	for i := len(t.held) - 1; i >= 0; i-- {
 		if !now.Before(t.held[i].expires) {
 			t.remove(i)
 		}
 	}
-	for key, until := range t.known {
-		if !now.Before(until) {
-			delete(t.known, key)
-		}
-	}
+	t.forgetKeys(func(key string) bool { return !now.Before(t.known[key]) })
 }
 
 // remaining returns the rumour as it is sent at the given time.
--- a/internal/member/rumour_test.go
+++ b/internal/member/rumour_test.go
@@ -32,6 +32,21 @@
 	is.Equal(table.hash, uint64(0))
 }
 
+func TestKeysOfShortRumoursAreBounded(t *testing.T) {
+	is := is.New(t)
+	table := newRumours()
+	table.add(epoch, rumour("long", time.Hour))
+	for i := range 20 * MaxRumours {
+		now := epoch.Add(time.Duration(i) * time.Millisecond)
+		table.expire(now)
+		table.add(now, rumour(fmt.Sprint("k", i), 10*time.Millisecond))
+	}
+	is.True(len(table.known) <= MaxRumours+maxKnownRumours)
+	is.Equal(len(table.known), len(table.order))
+	_, again := table.add(epoch.Add(time.Minute), rumour("long", time.Hour))
+	is.True(!again) // still held, so still known
+}
+
 func TestLateCopyOfAnExpiredRumourIsNotNew(t *testing.T) {
 	is := is.New(t)
 	table := newRumours()
