Read configuration strictly and pace a herd's use of the platform

Cause: the TOML decoder stopped at the first wrong type and named Go types; a reference inside text passed as text; min = 0 meant no bound; a manifest of "null" or "{}" would have removed every organisation; a hash in it could be any path; a manifest over 1 MB was packed. The list of instances was read at once by every proxy that started, and a proxy that knew nobody took itself for a reader.

--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -163,7 +163,10 @@
 	if err != nil {
 		return c.fail(err)
 	}
-	manifest, packed := d.Pack(previous, blobs)
+	manifest, packed, err := d.Pack(previous, blobs)
+	if err != nil {
+		return c.fail(err)
+	}
 	if err := writePack(c.out, manifest, packed); err != nil {
 		return c.fail(err)
 	}
--- a/internal/config/dir.go
+++ b/internal/config/dir.go
@@ -79,9 +79,25 @@
 		orgs[name] = org
 	}
 	all = append(all, d.unusedTemplates()...)
+	var problems Problems
+	if errors.As(d.largestManifest().check(), &problems) {
+		all = append(all, problems...)
+	}
 	return orgs, dedupe(all)
 }
 
+// largestManifest returns a manifest of the size that this directory's can
+// reach: every organisation has content and previous content.
+func (d *Directory) largestManifest() *Manifest {
+	hash := HashOf(nil)
+	content := Content{Template: hash, Parameters: hash}
+	m := &Manifest{Organisations: make(map[string]Entry, len(d.Organisations))}
+	for name := range d.Organisations {
+		m.Organisations[name] = Entry{Content: content, Previous: &content}
+	}
+	return m
+}
+
 func (d *Directory) compile(name string) (*Organisation, error) {
 	o, err := ParseOrganisation(organisationFile(name), d.Organisations[name])
 	if err != nil {
@@ -124,8 +140,12 @@
 // Pack returns the manifest of the directory and its blobs. Each organisation
 // keeps the content accepted before as the content that stays in force should
 // its own be rejected. Previous is the manifest in the configuration source
-// with its blobs; it may be nil.
-func (d *Directory) Pack(previous *Manifest, previousBlobs map[Hash][]byte) (*Manifest, map[Hash][]byte) {
+// with its blobs; it may be nil. Pack returns Problems if the manifest or a
+// file exceeds what the source can hold.
+func (d *Directory) Pack(previous *Manifest, previousBlobs map[Hash][]byte) (*Manifest, map[Hash][]byte, error) {
+	if err := d.checkSizes(); err != nil {
+		return nil, nil, err
+	}
 	m := &Manifest{Organisations: make(map[string]Entry)}
 	blobs := make(map[Hash][]byte)
 	put := func(text []byte) Hash {
@@ -144,7 +164,32 @@
 		m.Organisations[name] = Entry{Content: content, Previous: &kept}
 		putContent(blobs, kept, previousBlobs)
 	}
-	return m, blobs
+	if err := m.check(); err != nil {
+		return nil, nil, err
+	}
+	return m, blobs, nil
+}
+
+// checkSizes returns a problem for each file that exceeds a value's maximum.
+func (d *Directory) checkSizes() error {
+	var all Problems
+	check := func(file string, text []byte) {
+		problems := &problemList{file: file}
+		if len(text) > MaxBlobBytes {
+			problems.add("", "%d bytes exceed the maximum of %d", len(text), MaxBlobBytes)
+		}
+		all = append(all, problems.list...)
+	}
+	for _, name := range slices.Sorted(maps.Keys(d.Templates)) {
+		check(templateFile(name), d.Templates[name])
+	}
+	for _, name := range slices.Sorted(maps.Keys(d.Organisations)) {
+		check(organisationFile(name), d.Organisations[name])
+	}
+	if len(all) == 0 {
+		return nil
+	}
+	return all
 }
 
 // accepted returns the content of the organisation that was accepted before
--- a/internal/config/errors.go
+++ b/internal/config/errors.go
@@ -56,9 +56,24 @@
 type problemList struct {
 	file string
 	list Problems
+	// silenced holds the keys whose defect is reported already.
+	silenced map[string]bool
 }
 
+// silence keeps back further problems of a key.
+func (l *problemList) silence(key string) {
+	if l.silenced == nil {
+		l.silenced = make(map[string]bool)
+	}
+	l.silenced[key] = true
+}
+
+// add records a problem. Only the first problem of a key in a file is kept.
 func (l *problemList) add(key, format string, args ...any) {
+	if key != "" && l.silenced[key] {
+		return
+	}
+	l.silence(key)
 	l.list = append(l.list, Problem{File: l.file, Key: key, Message: fmt.Sprintf(format, args...)})
 }
 
--- a/internal/config/hash.go
+++ b/internal/config/hash.go
@@ -24,3 +24,16 @@
 	}
 	return string(h[:8])
 }
+
+// valid reports whether h has the form of a hash.
+func (h Hash) valid() bool {
+	if len(h) != 2*hashBytes {
+		return false
+	}
+	for _, c := range []byte(h) {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'f') {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/config/manifest.go
+++ b/internal/config/manifest.go
@@ -1,10 +1,14 @@
 package config
 
 import (
+	"bytes"
 	"encoding/json"
+	"io"
 	"maps"
 	"slices"
 	"unicode/utf8"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Keys of the configuration source.
@@ -49,16 +53,58 @@
 		return nil, problems.err()
 	}
 	m := &Manifest{}
-	if err := json.Unmarshal(data, m); err != nil {
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(m); err != nil {
 		problems.add("", "%v", err)
 		return nil, problems.err()
 	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		problems.add("", "text after the manifest")
+	}
+	m.validate(problems)
+	if err := problems.err(); err != nil {
+		return nil, err
+	}
+	return m, nil
+}
+
+// validate adds the defects of the manifest. A manifest without the key of the
+// organisations is no manifest: it would remove them all.
+func (m *Manifest) validate(problems *problemList) {
+	if m.Organisations == nil {
+		problems.add("organisations", "missing")
+	}
 	for _, name := range slices.Sorted(maps.Keys(m.Organisations)) {
+		key := "organisations." + name
 		if !ValidName(name) {
-			problems.add("organisations."+name, "invalid organisation name")
+			problems.add(key, "invalid organisation name")
 		}
+		entry := m.Organisations[name]
+		entry.Content.validate(key, problems)
+		if entry.Previous != nil && *entry.Previous != (Content{}) {
+			entry.Previous.validate(key+".previous", problems)
+		}
+	}
+}
+
+// validate adds a problem for each hash that is missing or malformed.
+func (c Content) validate(key string, problems *problemList) {
+	if !c.Template.valid() {
+		problems.add(key+".template", "%q is no hash", c.Template)
+	}
+	if !c.Parameters.valid() {
+		problems.add(key+".parameters", "%q is no hash", c.Parameters)
+	}
+}
+
+// check returns a problem if the manifest exceeds what the source can hold.
+func (m *Manifest) check() error {
+	problems := &problemList{file: ManifestKey}
+	if size := len(m.Encode()); size > MaxBlobBytes {
+		problems.add("organisations", "%d organisations make %d bytes, above the maximum of %d for one value", len(m.Organisations), size, MaxBlobBytes)
 	}
-	return m, problems.err()
+	return problems.err()
 }
 
 // Encode returns the canonical text of the manifest.
--- a/internal/config/parameter.go
+++ b/internal/config/parameter.go
@@ -5,6 +5,7 @@
 	"maps"
 	"regexp"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -17,6 +18,9 @@
 	KindList     = "list"
 )
 
+// parameterName matches the name of a parameter.
+var parameterName = regexp.MustCompile(`^[a-z][a-z0-9_]*$`)
+
 // reference matches a template value that stands for a parameter.
 var reference = regexp.MustCompile(`^\$\{([a-z][a-z0-9_]*)\}$`)
 
@@ -26,12 +30,19 @@
 // Parameter declares a typed parameter of a template.
 type Parameter struct {
 	// Type is one of the Kind constants.
-	Type string `toml:"type"`
+	Type string
 	// Default is used if the organisation gives no value; nil means required.
-	Default any `toml:"default"`
-	// Min and Max bound integers; zero values mean no bound.
-	Min int64 `toml:"min"`
-	Max int64 `toml:"max"`
+	Default any
+	// Min and Max bound integers; nil means no bound.
+	Min, Max *int64
+}
+
+func knownKind(kind string) bool {
+	switch kind {
+	case KindInteger, KindBoolean, KindString, KindDuration, KindList:
+		return true
+	}
+	return false
 }
 
 // check reports why v is no value of the parameter, or "".
@@ -41,7 +52,7 @@
 		return p.checkInteger(v)
 	case KindBoolean:
 		if _, ok := v.(bool); !ok {
-			return fmt.Sprintf("want a boolean, got %T", v)
+			return fmt.Sprintf("want a boolean, got %s", kindOf(v))
 		}
 	case KindString:
 		return checkString(v)
@@ -49,8 +60,6 @@
 		return checkDuration(v)
 	case KindList:
 		return checkList(v)
-	default:
-		return fmt.Sprintf("unknown type %q: want integer, boolean, string, duration or list", p.Type)
 	}
 	return ""
 }
@@ -58,13 +67,13 @@
 func (p Parameter) checkInteger(v any) string {
 	n, ok := v.(int64)
 	if !ok {
-		return fmt.Sprintf("want an integer, got %T", v)
+		return fmt.Sprintf("want an integer, got %s", kindOf(v))
 	}
-	if p.Min != 0 && n < p.Min {
-		return fmt.Sprintf("%d is below the minimum %d", n, p.Min)
+	if p.Min != nil && n < *p.Min {
+		return fmt.Sprintf("%d is below the minimum %d", n, *p.Min)
 	}
-	if p.Max != 0 && n > p.Max {
-		return fmt.Sprintf("%d is above the maximum %d", n, p.Max)
+	if p.Max != nil && n > *p.Max {
+		return fmt.Sprintf("%d is above the maximum %d", n, *p.Max)
 	}
 	return ""
 }
@@ -72,7 +81,7 @@
 func checkString(v any) string {
 	s, ok := v.(string)
 	if !ok {
-		return fmt.Sprintf("want a string, got %T", v)
+		return fmt.Sprintf("want a string, got %s", kindOf(v))
 	}
 	if !safeString.MatchString(s) {
 		return fmt.Sprintf("%q may hold only letters, digits, '.', '_' and '-'", s)
@@ -83,7 +92,7 @@
 func checkDuration(v any) string {
 	s, ok := v.(string)
 	if !ok {
-		return fmt.Sprintf("want a duration such as \"250ms\", got %T", v)
+		return fmt.Sprintf("want a duration such as \"250ms\", got %s", kindOf(v))
 	}
 	if _, err := time.ParseDuration(s); err != nil {
 		return fmt.Sprintf("%q is no duration such as \"250ms\"", s)
@@ -94,7 +103,7 @@
 func checkList(v any) string {
 	items, ok := v.([]any)
 	if !ok {
-		return fmt.Sprintf("want a list of strings, got %T", v)
+		return fmt.Sprintf("want a list of strings, got %s", kindOf(v))
 	}
 	for _, item := range items {
 		if msg := checkString(item); msg != "" {
@@ -114,7 +123,7 @@
 			v = p.Default
 		}
 		if v == nil {
-			problems.add("parameters."+name, "missing: the template requires a %s", p.Type)
+			problems.add("parameters."+name, "missing: the template requires type %s", p.Type)
 			continue
 		}
 		if msg := p.check(v); msg != "" {
@@ -152,25 +161,30 @@
 			if v, ok := bound[m[1]]; ok {
 				return v
 			}
+			return unbound{}
 		}
 	}
 	return node
 }
 
-// references adds the names of all parameters used below node to used.
-func references(node any, used map[string]bool) {
+// references adds the names of all parameters used below node to used. A
+// reference is a whole value: one inside other text is a problem.
+func references(key string, node any, used map[string]bool, problems *problemList) {
 	switch n := node.(type) {
 	case map[string]any:
-		for _, v := range n {
-			references(v, used)
+		t := newTable(key, n, problems)
+		for _, name := range t.names() {
+			references(t.path(name), n[name], used, problems)
 		}
 	case []any:
-		for _, v := range n {
-			references(v, used)
+		for i, v := range n {
+			references(fmt.Sprintf("%s[%d]", key, i), v, used, problems)
 		}
 	case string:
 		if m := reference.FindStringSubmatch(n); m != nil {
 			used[m[1]] = true
+		} else if strings.Contains(n, "${") {
+			problems.add(key, "%q: a reference must be the whole value, such as \"${name}\"", n)
 		}
 	}
 }
--- a/internal/config/template.go
+++ b/internal/config/template.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
@@ -24,40 +25,16 @@
 		return nil, problems.err()
 	}
 	t := &Template{file: file, body: tree}
-	t.parameters = decodeParameters(tree["parameters"], problems)
+	t.parameters = readParameters(newTable("", tree, problems).table("parameters"))
 	delete(tree, "parameters")
 	t.checkReferences(problems)
 	return t, problems.err()
 }
 
-// decodeParameters decodes the declarations of a template.
-func decodeParameters(node any, problems *problemList) map[string]Parameter {
-	if node == nil {
-		return nil
-	}
-	var wrapper struct {
-		Parameters map[string]Parameter `toml:"parameters"`
-	}
-	if !strictDecode(map[string]any{"parameters": node}, &wrapper, problems) {
-		return nil
-	}
-	for _, name := range slices.Sorted(maps.Keys(wrapper.Parameters)) {
-		p := wrapper.Parameters[name]
-		if p.Default == nil {
-			p.Default = nil
-			continue
-		}
-		if msg := p.check(p.Default); msg != "" {
-			problems.add("parameters."+name+".default", "%s", msg)
-		}
-	}
-	return wrapper.Parameters
-}
-
 // checkReferences refuses undeclared and unused parameters.
 func (t *Template) checkReferences(problems *problemList) {
 	used := make(map[string]bool)
-	references(t.body, used)
+	references("", t.body, used, problems)
 	for _, name := range slices.Sorted(maps.Keys(used)) {
 		if _, ok := t.parameters[name]; !ok {
 			problems.add("parameters."+name, "used but not declared")
@@ -74,9 +51,9 @@
 type OrganisationFile struct {
 	file string
 	// Template names the template, without its file extension.
-	Template string `toml:"template"`
+	Template string
 	// Parameters holds the values for the template's parameters.
-	Parameters map[string]any `toml:"parameters"`
+	Parameters map[string]any
 }
 
 // ParseOrganisation parses an organisation file. Defects are returned as Problems.
@@ -86,28 +63,27 @@
 	if tree == nil {
 		return nil, problems.err()
 	}
-	o := &OrganisationFile{file: file}
-	if strictDecode(tree, o, problems) && o.Template == "" {
+	t := newTable("", tree, problems)
+	o := &OrganisationFile{file: file, Template: t.str("template")}
+	o.Parameters = t.table("parameters").values
+	t.close()
+	if o.Template == "" {
 		problems.add("template", "missing: name the template")
 	}
 	return o, problems.err()
 }
 
 // Instantiate substitutes the organisation's parameters into the template and
-// validates the result. Defects are returned as Problems.
+// validates the result. Defects are returned as Problems, those of the
+// organisation file first.
 func Instantiate(name string, t *Template, o *OrganisationFile) (*Organisation, error) {
 	problems := &problemList{file: o.file}
 	bound := bind(t.parameters, o.Parameters, problems)
-	if err := problems.err(); err != nil {
-		return nil, err
-	}
-	problems.file = t.file
-	org := &Organisation{}
-	if !strictDecode(substitute(t.body, bound), org, problems) {
-		return nil, problems.err()
-	}
+	body := &problemList{file: t.file}
+	org := readOrganisation(substitute(t.body, bound).(map[string]any), body)
 	org.Name = name
-	validate(org, problems)
+	validate(org, body)
+	problems.list = append(problems.list, body.list...)
 	return org, problems.err()
 }
 
@@ -123,29 +99,44 @@
 	}
 	tree := make(map[string]any)
 	if err := toml.Unmarshal(data, &tree); err != nil {
-		addDecodeError(err, problems)
+		addDecodeError(err, data, problems)
 		return nil
 	}
 	return tree
 }
 
-// strictDecode decodes a tree into target and refuses unknown keys.
-func strictDecode(tree, target any, problems *problemList) bool {
-	text, err := toml.Marshal(tree)
-	if err != nil {
+// addDecodeError records an error of the TOML decoder with its key. Where the
+// decoder gives only a position, the key is that of the line.
+func addDecodeError(err error, data []byte, problems *problemList) {
+	var decode *toml.DecodeError
+	if !errors.As(err, &decode) {
 		problems.add("", "%v", err)
-		return false
+		return
 	}
-	return DecodeStrict(text, target, problems.file, &problems.list)
+	row, column := decode.Position()
+	key := joinKey(decode.Key())
+	if key == "" {
+		key = keyAt(string(data), row)
+	}
+	problems.add(key, "line %d column %d: %s", row, column, decode.Error())
 }
 
-// addDecodeError records an error of the TOML decoder with its key.
-func addDecodeError(err error, problems *problemList) {
-	var decode *toml.DecodeError
-	if errors.As(err, &decode) {
-		row, column := decode.Position()
-		problems.add(joinKey(decode.Key()), "line %d column %d: %s", row, column, decode.Error())
-		return
+// keyAt returns the key that is set in a line, with the table it stands in.
+func keyAt(text string, row int) string {
+	var table, key string
+	for i, line := range strings.Split(text, "\n") {
+		line = strings.TrimSpace(line)
+		name, _, isKey := strings.Cut(line, "=")
+		key = ""
+		switch {
+		case strings.HasPrefix(line, "["):
+			table = strings.Trim(line, "[] ")
+		case isKey:
+			key = strings.TrimSpace(name)
+		}
+		if i+1 == row {
+			break
+		}
 	}
-	problems.add("", "%v", err)
+	return strings.Trim(table+"."+key, ".")
 }
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -75,10 +75,13 @@
 	if len(r.Methods) == 0 {
 		problems.add(key+".methods", "missing: want at least one of %v", knownMethods)
 	}
-	for _, m := range r.Methods {
+	for i, m := range r.Methods {
 		if !slices.Contains(knownMethods, m) {
 			problems.add(key+".methods", "%q: want one of %v", m, knownMethods)
 		}
+		if slices.Contains(r.Methods[:i], m) {
+			problems.add(key+".methods", "%q is listed twice", m)
+		}
 	}
 	if _, ok := groups[r.Group]; !ok {
 		problems.add(key+".group", "no group %q in this version", r.Group)
--- a/internal/dist/announce.go
+++ b/internal/dist/announce.go
@@ -19,7 +19,7 @@
 	}
 	zone := d.cfg.AvailabilityZone
 	for _, m := range d.fleet.zones[zone] {
-		r, known := d.fleet.records[m.id]
+		r, known := d.fleet.record(m.id)
 		if !known || m.id == d.cfg.ID || r.State > member.Leaving {
 			continue
 		}
--- a/internal/dist/assemble.go
+++ b/internal/dist/assemble.go
@@ -77,9 +77,9 @@
 		need = d.partial.Version
 	}
 	var candidates []string
-	for _, id := range d.fleet.ids {
-		if d.alive(id) && d.peers[id].head.Version >= need && helps(d.fleet.records[id].Scope(), missing) {
-			candidates = append(candidates, id)
+	for _, r := range d.fleet.records {
+		if d.alive(r.ID) && d.peers[r.ID].head.Version >= need && helps(r.Scope(), missing) {
+			candidates = append(candidates, r.ID)
 		}
 	}
 	return d.draw(candidates)
--- a/internal/dist/dist.go
+++ b/internal/dist/dist.go
@@ -37,8 +37,10 @@
 
 	fleet  fleet
 	listed []source.Instance
-	peers  map[string]peerHead
-	role   roleState
+	// listRead reports that the platform's list was read in this life.
+	listRead bool
+	peers    map[string]peerHead
+	role     roleState
 
 	current *config.Snapshot
 	history []*config.Snapshot
@@ -186,6 +188,7 @@
 // report tells the membership what changed about this instance.
 func (d *Dist) report() {
 	state := HeadChanged{Head: d.Held(), Ready: d.ready.ready, SourceFailing: d.source.failing}
+	state.Refused, _ = d.RefusedVersion()
 	if state == d.reported {
 		return
 	}
--- a/internal/dist/events.go
+++ b/internal/dist/events.go
@@ -95,6 +95,7 @@
 		Head          Head
 		Ready         bool
 		SourceFailing bool
+		Refused       uint64
 	}
 	// BecameReady reports that the instance may take requests, and why.
 	BecameReady struct{ Cause string }
--- a/internal/dist/fleet.go
+++ b/internal/dist/fleet.go
@@ -27,8 +27,14 @@
 
 // fleet is the view of the fleet, derived from the membership and the list.
 type fleet struct {
-	records map[string]member.Record
-	ids     []string
+	// records is the view as it was given, sorted by ID; index finds a
+	// record that counts.
+	records []member.Record
+	index   map[string]int
+	// listed is the number of instances that are only on the list.
+	listed int
+	// digest is the hash of what the ranks depend on.
+	digest uint64
 	// zones holds the ranked members of each availability zone.
 	zones map[string][]ranked
 	roles map[string]Role
@@ -70,16 +76,17 @@
 // ranks; different views differ only by extra or missing holders.
 func newFleet(records []member.Record, listed []source.Instance) fleet {
 	f := fleet{
-		records: make(map[string]member.Record, len(records)),
+		records: records,
+		digest:  digestOf(records),
+		index:   make(map[string]int, len(records)),
 		zones:   make(map[string][]ranked),
 		roles:   make(map[string]Role, len(records)),
 	}
-	for _, r := range records {
+	for at, r := range records {
 		if r.State > member.Suspect {
 			continue
 		}
-		f.records[r.ID] = r
-		f.ids = append(f.ids, r.ID)
+		f.index[r.ID] = at
 		f.add(r.AvailabilityZone, ranked{
 			id:      r.ID,
 			leaving: r.State != member.Alive,
@@ -88,15 +95,40 @@
 		})
 	}
 	for _, i := range listed {
-		if _, known := f.records[i.ID]; !known {
+		if _, known := f.index[i.ID]; !known {
+			f.listed++
 			f.add(i.AvailabilityZone, ranked{id: i.ID, leaving: i.State != source.InstanceLive, hash: xxhash.Sum64String(i.ID)})
 		}
 	}
-	slices.Sort(f.ids)
 	f.assignRoles()
 	return f
 }
 
+// digestOf hashes what the ranks depend on, in the order of the records.
+func digestOf(records []member.Record) uint64 {
+	h := xxhash.New()
+	for i := range records {
+		r := &records[i]
+		_, _ = h.WriteString(r.ID)
+		_, _ = h.WriteString(r.AvailabilityZone)
+		flags := [3]byte{0, byte(r.State), 0}
+		if r.SourceFailing {
+			flags[2] = 1
+		}
+		_, _ = h.Write(flags[:])
+	}
+	return h.Sum64()
+}
+
+// record returns the record of an instance that is not dead.
+func (f *fleet) record(id string) (member.Record, bool) {
+	at, known := f.index[id]
+	if !known {
+		return member.Record{}, false
+	}
+	return f.records[at], true
+}
+
 func (f *fleet) add(zone string, r ranked) {
 	f.zones[zone] = append(f.zones[zone], r)
 }
@@ -168,9 +200,10 @@
 			d.peers[r.ID] = peerHead{incarnation: r.Incarnation}
 		}
 		d.heard(r.ID, Head{Version: r.Version, Root: r.Root})
+		d.heardRefused(now, r)
 	}
 	for id := range d.peers {
-		if _, ok := d.fleet.records[id]; !ok {
+		if _, ok := d.fleet.index[id]; !ok {
 			delete(d.peers, id)
 		}
 	}
@@ -180,23 +213,22 @@
 	if d.cfg.Naive {
 		return
 	}
+	d.listRead = true
 	d.listed = instances
-	d.rank(now, d.records())
+	if now.Sub(d.started) < listTrust {
+		d.fleet = newFleet(d.fleet.records, d.listed)
+	}
 }
 
 // rank derives the fleet from the records and, soon after the start, the list.
+// The ranks of an unchanged view stand.
 func (d *Dist) rank(now time.Time, records []member.Record) {
 	if now.Sub(d.started) >= listTrust {
 		d.listed = nil
 	}
-	d.fleet = newFleet(records, d.listed)
-}
-
-// records returns the records of the present view, sorted by ID.
-func (d *Dist) records() []member.Record {
-	out := make([]member.Record, 0, len(d.fleet.ids))
-	for _, id := range d.fleet.ids {
-		out = append(out, d.fleet.records[id])
+	if d.listed == nil && d.fleet.listed == 0 && len(records) > 0 && digestOf(records) == d.fleet.digest {
+		d.fleet.records = records
+		return
 	}
-	return out
+	d.fleet = newFleet(records, d.listed)
 }
--- a/internal/dist/provider.go
+++ b/internal/dist/provider.go
@@ -17,7 +17,7 @@
 	own := d.fleet.holderOf(d.cfg.ID, d.cfg.AvailabilityZone)
 	need := d.need()
 	if own != d.pull.avoid && d.holds(own, need) {
-		return d.fleet.records[own], true
+		return d.fleet.record(own)
 	}
 	near, far := d.candidates(need)
 	if len(near) > 0 {
@@ -48,14 +48,15 @@
 }
 
 func (d *Dist) candidates(need uint64) (near, far []string) {
-	for _, id := range d.fleet.ids {
-		if !d.holds(id, need) {
+	for i := range d.fleet.records {
+		r := &d.fleet.records[i]
+		if !d.holds(r.ID, need) {
 			continue
 		}
-		if d.fleet.records[id].AvailabilityZone == d.cfg.AvailabilityZone {
-			near = append(near, id)
+		if r.AvailabilityZone == d.cfg.AvailabilityZone {
+			near = append(near, r.ID)
 		} else {
-			far = append(far, id)
+			far = append(far, r.ID)
 		}
 	}
 	return near, far
@@ -64,14 +65,18 @@
 // holds reports whether a living peer is believed to hold at least the version
 // in every service of this scope.
 func (d *Dist) holds(id string, version uint64) bool {
-	p := d.peers[id]
-	promising := p.head.Version >= version && !d.lastStep.Before(p.skipUntil)
-	return promising && d.alive(id) && d.covers(d.fleet.records[id])
+	p, known := d.peers[id]
+	if !known || p.head.Version < version {
+		return false
+	}
+	r, known := d.fleet.record(id)
+	promising := known && !d.lastStep.Before(p.skipUntil)
+	return promising && d.alive(id) && d.covers(r)
 }
 
 // alive reports whether the ID is of another instance that is not suspect.
 func (d *Dist) alive(id string) bool {
-	r, known := d.fleet.records[id]
+	r, known := d.fleet.record(id)
 	return known && id != d.cfg.ID && r.State <= member.Leaving
 }
 
@@ -103,30 +108,35 @@
 	if len(ids) > 1 {
 		ids = slices.DeleteFunc(ids, func(id string) bool { return id == d.pull.avoid })
 	}
-	return d.fleet.records[ids[d.rng.IntN(len(ids))]], true
+	return d.fleet.record(ids[d.rng.IntN(len(ids))])
 }
 
 // foreignRechecks is the number of rechecks of which one goes to a random zone.
 const foreignRechecks = 4
 
-// recheckPeer picks the peer with which heads are exchanged: for a leaf mostly
-// its holder, for others a random holder of a random zone. A proxy that is not
-// ready asks anybody of a random zone.
+// recheckPeer picks the peer with which heads are exchanged: one that can
+// explain a refusal, for a leaf mostly its holder, else a random holder of a
+// random zone. A proxy that is not ready also asks others of a random zone, as
+// the holders may have died.
 func (d *Dist) recheckPeer() (member.Record, bool) {
+	if id := d.pull.refusedBy; id != "" {
+		d.pull.refusedBy = ""
+		r, _ := d.fleet.record(id)
+		return r, d.alive(id)
+	}
 	own := d.fleet.holderOf(d.cfg.ID, d.cfg.AvailabilityZone)
-	record, known := d.fleet.records[own]
-	leaf := d.role.current == Leaf && own != d.cfg.ID
-	if d.ready.ready && leaf && known && own != d.pull.avoid && d.rng.IntN(foreignRechecks) != 0 {
-		return record, true
+	if d.ready.ready && d.alive(own) && own != d.pull.avoid && d.rng.IntN(foreignRechecks) != 0 {
+		return d.fleet.record(own)
 	}
 	if len(d.fleet.zoneNames) == 0 {
 		return member.Record{}, false
 	}
 	zone := d.fleet.zoneNames[d.rng.IntN(len(d.fleet.zoneNames))]
-	members := d.fleet.zones[zone]
-	if d.ready.ready {
-		members = d.fleet.holders(zone)
+	members := d.fleet.holders(zone)
+	if !d.ready.ready && d.rng.IntN(2) == 0 {
+		members = d.fleet.zones[zone]
 	}
 	to := members[d.rng.IntN(len(members))].id
-	return d.fleet.records[to], d.alive(to)
+	r, _ := d.fleet.record(to)
+	return r, d.alive(to)
 }
--- a/internal/dist/pull.go
+++ b/internal/dist/pull.go
@@ -21,7 +21,10 @@
 	skipInterval = 5 * time.Second
 	// recheckInterval is the least time between two exchanges of heads with
 	// a holder; the most is twice as long.
-	recheckInterval = 4 * time.Second
+	recheckInterval = 30 * time.Second
+	// failingInterval is recheckInterval of a reader that cannot read the
+	// source, which has to learn whether others can.
+	failingInterval = 4 * time.Second
 	// unreadyInterval is recheckInterval of a proxy that is not ready.
 	unreadyInterval = 250 * time.Millisecond
 )
@@ -36,6 +39,8 @@
 	avoid string
 	// recheck is when heads are exchanged although nothing is missing.
 	recheck time.Time
+	// refusedBy is a peer that can explain a refused version.
+	refusedBy string
 	// behindSince is when a newer version was first heard of, farAt when it
 	// may be pulled from another zone. Zero while nothing is missing.
 	behindSince, farAt time.Time
@@ -98,14 +103,22 @@
 	p.call++
 	p.to = from.ID
 	p.since = now
-	interval := recheckInterval
-	if !d.ready.ready {
-		interval = unreadyInterval
-	}
+	interval := d.recheckEvery()
 	p.recheck = now.Add(interval + jitter(d.rng, interval))
 	d.emit(Pull{Call: p.call, To: from.ID, Address: from.PeerAddress, Request: d.request()})
 }
 
+func (d *Dist) recheckEvery() time.Duration {
+	switch {
+	case !d.ready.ready:
+		return unreadyInterval
+	case d.role.current == Reader && d.source.failures > 0:
+		return failingInterval
+	default:
+		return recheckInterval
+	}
+}
+
 func (d *Dist) request() PullRequest {
 	r := PullRequest{From: d.cfg.ID, All: d.role.current != Leaf}
 	missing := d.missing()
--- a/internal/dist/role.go
+++ b/internal/dist/role.go
@@ -30,6 +30,9 @@
 	// much again, so that a herd that knows little does not rise at once.
 	promoteAfter = time.Second
 	demoteAfter  = 10 * time.Second
+	// readWithoutList is how long a proxy that could not read the platform's
+	// list waits before it takes itself for a reader.
+	readWithoutList = 10 * time.Second
 )
 
 // holders returns the number of readers and relays of a zone with n instances.
@@ -69,7 +72,7 @@
 		return
 	}
 	if d.listed != nil && now.Sub(d.started) >= listTrust {
-		d.rank(now, d.records())
+		d.rank(now, d.fleet.records)
 	}
 	r := &d.role
 	wanted, known := d.fleet.roles[d.cfg.ID]
@@ -81,12 +84,18 @@
 		r.wanted = wanted
 		r.changeAt = now.Add(d.roleDelay(wanted))
 	}
-	if now.Before(r.changeAt) {
+	if now.Before(r.changeAt) || wanted == Reader && !d.mayRead(now) {
 		return
 	}
 	d.setRole(wanted)
 }
 
+// mayRead reports whether the instance knows enough of the fleet to take
+// itself for a reader.
+func (d *Dist) mayRead(now time.Time) bool {
+	return d.listRead || now.Sub(d.started) >= readWithoutList
+}
+
 func (d *Dist) roleDelay(wanted Role) time.Duration {
 	if wanted < d.role.current {
 		return demoteAfter
--- a/internal/dist/source.go
+++ b/internal/dist/source.go
@@ -139,6 +139,7 @@
 	s := &d.source
 	if s.failures == 0 {
 		s.failingSince = now
+		d.pull.recheck = now.Add(jitter(d.rng, failingInterval))
 	}
 	s.failures++
 	s.retry.fail(now, d.rng)
--- /dev/null
+++ b/internal/dist/storm_test.go
@@ -0,0 +1,127 @@
+package dist
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"heatherlift.example/heatherlift/internal/member"
+	"heatherlift.example/heatherlift/internal/source"
+)
+
+const (
+	sourceLimit = 2000
+	// herdBlobs is the number of blobs of a first reading.
+	herdBlobs = 2000
+	herdLimit = time.Minute
+)
+
+// herd starts a whole fleet of 7 availability zones at once, without memory,
+// and returns the peak of source calls a second and the time to convergence.
+// Gossip shows nothing in the first seconds.
+func herd(fail func(string, ...any), perZone int, naive bool) (peak int, took time.Duration, ok bool) {
+	n := newNetwork(11, 7, perZone, fail)
+	n.source.limit = sourceLimit
+	n.source.coldBlobs = herdBlobs
+	n.sharedView = true
+	n.nextGossip = n.now.Add(3 * time.Second)
+	n.source.publish("a-desk", 1)
+	if naive {
+		for _, p := range n.proxies {
+			p.naive = true
+			n.start(p)
+			p.pace = source.NewPace(testListInterval, 1, n.rng.Uint64())
+			p.listAt = n.now
+		}
+	}
+	begin := n.now
+	for n.now.Sub(begin) < herdLimit {
+		n.run(time.Second)
+		if differs(n) == "" {
+			return n.source.peak, n.now.Sub(begin), true
+		}
+	}
+	return n.source.peak, n.now.Sub(begin), false
+}
+
+func TestHerdRestartStaysWithinTheSourceLimit(t *testing.T) {
+	is := is.New(t)
+	peak, took, ok := herd(t.Fatalf, 110, false)
+	t.Logf("770 proxies: peak %d calls a second, converged %v after %v", peak, ok, took)
+	is.True(ok)
+	is.True(peak <= sourceLimit)
+	naivePeak, _, _ := herd(t.Fatalf, 10, true)
+	is.True(naivePeak > sourceLimit) // already 70 naive proxies go beyond
+}
+
+// TestProxyThatKnowsNobodyReadsNothing covers the first seconds of a herd.
+func TestProxyThatKnowsNobodyReadsNothing(t *testing.T) {
+	n := newNetwork(5, 1, 1, t.Fatalf)
+	p := n.proxies[0]
+	p.listAt = n.now.Add(time.Hour)
+	n.source.publish("a-desk", 1)
+	n.run(readWithoutList - time.Second)
+	is.New(t).Equal(n.source.calls, 0)
+	n.run(3 * time.Second)
+	is.New(t).True(n.source.calls > 0)
+}
+
+// TestNumberOfReadersDoesNotGrowWithTheFleet checks that the calls of readers
+// stay flat while the fleet grows tenfold, and that no holder has to announce
+// to more than a bounded number.
+func TestNumberOfReadersDoesNotGrowWithTheFleet(t *testing.T) {
+	is := is.New(t)
+	for _, perZone := range []int{110, 1100} {
+		var records []member.Record
+		for z := range 7 {
+			for i := range perZone {
+				records = append(records, member.Record{ID: fmt.Sprintf("p-%d-%d", z, i), AvailabilityZone: fmt.Sprintf("zone-%d", z)})
+			}
+		}
+		f := newFleet(records, nil)
+		is.Equal(len(f.readers), 7*readersPerZone)
+		targets := make(map[string]int)
+		for _, r := range records {
+			targets[f.holderOf(r.ID, r.AvailabilityZone)]++
+		}
+		delete(targets, "")
+		for id, n := range targets {
+			is.True(n <= 2*leavesPerRelay)
+			is.True(f.roles[id] != Leaf)
+		}
+	}
+}
+
+func BenchmarkHerdRestart(b *testing.B) {
+	cases := []struct {
+		name    string
+		perZone int
+		naive   bool
+	}{{"770", 110, false}, {"770naive", 110, true}, {"2100", 300, false}}
+	for _, c := range cases {
+		b.Run(c.name, func(b *testing.B) {
+			for range b.N {
+				peak, took, ok := herd(b.Fatalf, c.perZone, c.naive)
+				b.ReportMetric(float64(peak), "peak_calls/s")
+				b.ReportMetric(took.Seconds(), "converged_s")
+				if !ok {
+					b.ReportMetric(0, "converged")
+				}
+			}
+		})
+	}
+}
+
+// gossipShared gives every proxy the same view of all that run.
+func (n *network) gossipShared() {
+	records := make([]member.Record, 0, len(n.proxies))
+	for _, p := range n.proxies {
+		records = append(records, p.record)
+	}
+	sortByID(records)
+	for _, p := range n.proxies {
+		n.step(p, Peers{Records: records})
+	}
+}
--- a/internal/dist/version.go
+++ b/internal/dist/version.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"heatherlift.example/heatherlift/internal/config"
+	"heatherlift.example/heatherlift/internal/member"
 )
 
 const (
@@ -14,6 +15,8 @@
 	historyLength = 8
 	// maxRefusalProblems bounds the problems that a refusal carries.
 	maxRefusalProblems = 20
+	// refusalJitter is the longest wait before a refusal is asked for.
+	refusalJitter = time.Second
 )
 
 // accept holds a snapshot if it is newer than the one held, or holds more of
@@ -129,6 +132,20 @@
 	}
 }
 
+// heardRefused asks a peer soon for the refusal that its record names. The
+// jitter keeps a herd from asking at once.
+func (d *Dist) heardRefused(now time.Time, r member.Record) {
+	known, _ := d.RefusedVersion()
+	if r.Refused <= d.Held().Version || r.Refused <= known || r.State > member.Leaving || d.pull.refusedBy != "" {
+		return
+	}
+	d.pull.refusedBy = r.ID
+	at := now.Add(jitter(d.rng, refusalJitter))
+	if d.pull.recheck.After(at) {
+		d.pull.recheck = at
+	}
+}
+
 func (d *Dist) announced(now time.Time, a Announcement) {
 	if d.cfg.Naive {
 		return
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -177,7 +177,10 @@
 // Publish packs a configuration directory as an operator does, even if it is
 // invalid, and returns the version. It reads nothing from the platform.
 func (l *Lab) Publish(d *config.Directory) (uint64, error) {
-	manifest, packed := d.Pack(l.manifest, l.blobs)
+	manifest, packed, err := d.Pack(l.manifest, l.blobs)
+	if err != nil {
+		return 0, err
+	}
 	for hash, text := range packed {
 		if _, ok := l.blobs[hash]; ok {
 			continue
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -72,6 +72,9 @@
 	Instances string `toml:"instances"`
 	// InstancesInterval is the mean time between two readings of the list.
 	InstancesInterval config.Duration `toml:"instances_interval"`
+	// FleetSize is the number of proxies to expect before the list is first
+	// read. A fleet that starts at once spreads its first readings by it.
+	FleetSize int `toml:"fleet_size"`
 }
 
 // Distribution configures how versions spread.
@@ -134,7 +137,7 @@
 			LoadPath:       "/load",
 			HealthInterval: config.Duration(time.Second),
 		},
-		Platform: Platform{InstancesInterval: config.Duration(10 * time.Second)},
+		Platform: Platform{InstancesInterval: config.Duration(10 * time.Second), FleetSize: 1000},
 		Distribution: Distribution{
 			Mode:      ModePeers,
 			WatchWait: config.Duration(30 * time.Second),
@@ -203,6 +206,7 @@
 	c.url("platform.source", s.Platform.Source)
 	c.url("platform.instances", s.Platform.Instances)
 	c.duration("platform.instances_interval", s.Platform.InstancesInterval, 100*time.Millisecond, time.Hour)
+	c.between("platform.fleet_size", s.Platform.FleetSize, 1, 1_000_000)
 	c.oneOf("distribution.mode", s.Distribution.Mode, ModePeers, ModeNaive)
 	c.duration("distribution.watch_wait", s.Distribution.WatchWait, time.Second, time.Minute)
 	c.duration("distribution.gossip_interval", s.Distribution.Gossip, 10*time.Millisecond, time.Minute)
