--- a/internal/config/compile.go
+++ b/internal/config/compile.go
@@ -11,7 +11,8 @@
 // of the last manifest, so that a change costs what it changes. It is not safe
 // for concurrent use.
 type Compiler struct {
-	compiled map[unit]result
+	compiled  map[unit]result
+	templates parsedTemplates
 }
 
 // unit identifies the compilation of one organisation.
@@ -38,7 +39,8 @@
 // ErrMissingBlob if a blob is absent. The result depends on the manifest and
 // the blobs alone.
 func (c *Compiler) Compile(version uint64, m *Manifest, blobs map[Hash][]byte) (*Snapshot, error) {
-	next := make(map[unit]result)
+	next := make(map[unit]result, len(m.Organisations))
+	c.templates = make(parsedTemplates)
 	sets := make(map[string]map[string]*Slice)
 	var rejected []Rejection
 	for _, name := range slices.Sorted(maps.Keys(m.Organisations)) {
@@ -57,6 +59,7 @@
 		collect(sets, compiled.slices)
 	}
 	c.compiled = next
+	c.templates = nil
 	return NewSnapshot(version, seal(sets), rejected), nil
 }
 
@@ -84,7 +87,7 @@
 		next[u] = r
 		return r, nil
 	}
-	r, err := compileUnit(u, blobs)
+	r, err := compileUnit(u, blobs, c.templates)
 	if err != nil {
 		return result{}, err
 	}
@@ -92,7 +95,31 @@
 	return r, nil
 }
 
-func compileUnit(u unit, blobs map[Hash][]byte) (result, error) {
+// parsedTemplates holds the templates of one compilation, so that each is
+// parsed once for all its organisations.
+type parsedTemplates map[templateKey]parsedTemplate
+
+type templateKey struct {
+	file string
+	hash Hash
+}
+
+type parsedTemplate struct {
+	template *Template
+	err      error
+}
+
+// parse returns the template, from memory if it was parsed before.
+func (p parsedTemplates) parse(file string, hash Hash, text []byte) (*Template, error) {
+	key := templateKey{file, hash}
+	if _, ok := p[key]; !ok {
+		t, err := ParseTemplate(file, text)
+		p[key] = parsedTemplate{t, err}
+	}
+	return p[key].template, p[key].err
+}
+
+func compileUnit(u unit, blobs map[Hash][]byte, templates parsedTemplates) (result, error) {
 	templateText, err := blob(blobs, u.content.Template)
 	if err != nil {
 		return result{}, err
@@ -101,7 +128,7 @@
 	if err != nil {
 		return result{}, err
 	}
-	org, err := parseAndInstantiate(u.name, templateText, orgText)
+	org, err := parseAndInstantiate(u.name, u.content.Template, templateText, orgText, templates)
 	var problems Problems
 	if errors.As(err, &problems) {
 		return result{problems: problems}, nil
@@ -113,12 +140,12 @@
 }
 
 // parseAndInstantiate compiles the texts of one organisation.
-func parseAndInstantiate(name string, templateText, orgText []byte) (*Organisation, error) {
+func parseAndInstantiate(name string, hash Hash, templateText, orgText []byte, templates parsedTemplates) (*Organisation, error) {
 	o, err := ParseOrganisation(organisationFile(name), orgText)
 	if err != nil {
 		return nil, err
 	}
-	t, err := ParseTemplate(templateFile(o.Template), templateText)
+	t, err := templates.parse(templateFile(o.Template), hash, templateText)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/config/dir.go
+++ b/internal/config/dir.go
@@ -69,8 +69,9 @@
 func (d *Directory) Check() (map[string]*Organisation, Problems) {
 	orgs := make(map[string]*Organisation)
 	var all Problems
+	templates := make(parsedTemplates)
 	for _, name := range slices.Sorted(maps.Keys(d.Organisations)) {
-		org, err := d.compile(name)
+		org, err := d.compile(name, templates)
 		var problems Problems
 		if errors.As(err, &problems) {
 			all = append(all, problems...)
@@ -98,7 +99,7 @@
 	return m
 }
 
-func (d *Directory) compile(name string) (*Organisation, error) {
+func (d *Directory) compile(name string, templates parsedTemplates) (*Organisation, error) {
 	o, err := ParseOrganisation(organisationFile(name), d.Organisations[name])
 	if err != nil {
 		return nil, err
@@ -107,7 +108,7 @@
 	if !ok {
 		return nil, Problems{{File: o.file, Key: "template", Message: "no template " + o.Template}}
 	}
-	return parseAndInstantiate(name, text, d.Organisations[name])
+	return parseAndInstantiate(name, HashOf(text), text, d.Organisations[name], templates)
 }
 
 // unusedTemplates parses the templates that no organisation uses, so that
@@ -147,6 +148,7 @@
 		return nil, nil, err
 	}
 	m := &Manifest{Organisations: make(map[string]Entry)}
+	templates := make(parsedTemplates)
 	blobs := make(map[Hash][]byte)
 	put := func(text []byte) Hash {
 		h := HashOf(text)
@@ -160,7 +162,7 @@
 			o = &OrganisationFile{}
 		}
 		content.Template = put(d.Templates[o.Template])
-		kept := accepted(name, content, previous, previousBlobs)
+		kept := accepted(name, content, previous, previousBlobs, templates)
 		m.Organisations[name] = Entry{Content: content, Previous: &kept}
 		putContent(blobs, kept, previousBlobs)
 	}
@@ -194,7 +196,7 @@
 
 // accepted returns the content of the organisation that was accepted before
 // its present content.
-func accepted(name string, content Content, previous *Manifest, blobs map[Hash][]byte) Content {
+func accepted(name string, content Content, previous *Manifest, blobs map[Hash][]byte, templates parsedTemplates) Content {
 	if previous == nil {
 		return Content{}
 	}
@@ -202,7 +204,7 @@
 	if !ok {
 		return Content{}
 	}
-	r, err := compileUnit(unit{name, entry.Content}, blobs)
+	r, err := compileUnit(unit{name, entry.Content}, blobs, templates)
 	usable := err == nil && r.problems == nil && entry.Content != content
 	if usable || entry.Previous == nil {
 		return entry.Content
--- a/internal/config/fuzz_test.go
+++ b/internal/config/fuzz_test.go
@@ -12,7 +12,7 @@
 		f.Add(seed, "template = \"t\"\n[parameters]\nrate = 1\n")
 	}
 	f.Fuzz(func(t *testing.T, template, organisation string) {
-		org, err := parseAndInstantiate("acme", []byte(template), []byte(organisation))
+		org, err := parseAndInstantiate("acme", HashOf([]byte(template)), []byte(template), []byte(organisation), make(parsedTemplates))
 		if err != nil {
 			if !errors.Is(err, ErrInvalid) {
 				t.Fatalf("error of another kind: %v", err)
