--- a/internal/config/dir.go
+++ b/internal/config/dir.go
@@ -69,8 +69,9 @@
 func (d *Directory) Check() (map[string]*Organisation, Problems) {
 	orgs := make(map[string]*Organisation)
 	var all Problems
+	templates := make(parsedTemplates)
 	for _, name := range slices.Sorted(maps.Keys(d.Organisations)) {
-		org, err := d.compile(name)
+		org, err := d.compile(name, templates)
 		var problems Problems
 		if errors.As(err, &problems) {
 			all = append(all, problems...)
@@ -79,10 +80,26 @@
 		orgs[name] = org
 	}
 	all = append(all, d.unusedTemplates()...)
+	var problems Problems
+	if errors.As(d.largestManifest().check(), &problems) {
+		all = append(all, problems...)
+	}
 	return orgs, dedupe(all)
 }
 
-func (d *Directory) compile(name string) (*Organisation, error) {
+// largestManifest returns a manifest of the size that this directory's can
+// reach: every organisation has content and previous content.
+func (d *Directory) largestManifest() *Manifest {
+	hash := HashOf(nil)
+	content := Content{Template: hash, Parameters: hash}
+	m := &Manifest{Organisations: make(map[string]Entry, len(d.Organisations))}
+	for name := range d.Organisations {
+		m.Organisations[name] = Entry{Content: content, Previous: &content}
+	}
+	return m
+}
+
+func (d *Directory) compile(name string, templates parsedTemplates) (*Organisation, error) {
 	o, err := ParseOrganisation(organisationFile(name), d.Organisations[name])
 	if err != nil {
 		return nil, err
@@ -91,7 +108,7 @@
 	if !ok {
 		return nil, Problems{{File: o.file, Key: "template", Message: "no template " + o.Template}}
 	}
-	return parseAndInstantiate(name, text, d.Organisations[name])
+	return parseAndInstantiate(name, HashOf(text), text, d.Organisations[name], templates)
 }
 
 // unusedTemplates parses the templates that no organisation uses, so that
@@ -124,9 +141,14 @@
 // Pack returns the manifest of the directory and its blobs. Each organisation
 // keeps the content accepted before as the content that stays in force should
 // its own be rejected. Previous is the manifest in the configuration source
-// with its blobs; it may be nil.
-func (d *Directory) Pack(previous *Manifest, previousBlobs map[Hash][]byte) (*Manifest, map[Hash][]byte) {
+// with its blobs; it may be nil. Pack returns Problems if the manifest or a
+// file exceeds what the source can hold.
+func (d *Directory) Pack(previous *Manifest, previousBlobs map[Hash][]byte) (*Manifest, map[Hash][]byte, error) {
+	if err := d.checkSizes(); err != nil {
+		return nil, nil, err
+	}
 	m := &Manifest{Organisations: make(map[string]Entry)}
+	templates := make(parsedTemplates)
 	blobs := make(map[Hash][]byte)
 	put := func(text []byte) Hash {
 		h := HashOf(text)
@@ -140,16 +162,41 @@
 			o = &OrganisationFile{}
 		}
 		content.Template = put(d.Templates[o.Template])
-		kept := accepted(name, content, previous, previousBlobs)
+		kept := accepted(name, content, previous, previousBlobs, templates)
 		m.Organisations[name] = Entry{Content: content, Previous: &kept}
 		putContent(blobs, kept, previousBlobs)
 	}
-	return m, blobs
+	if err := m.check(); err != nil {
+		return nil, nil, err
+	}
+	return m, blobs, nil
+}
+
+// checkSizes returns a problem for each file that exceeds a value's maximum.
+func (d *Directory) checkSizes() error {
+	var all Problems
+	check := func(file string, text []byte) {
+		problems := &problemList{file: file}
+		if len(text) > MaxBlobBytes {
+			problems.add("", "%d bytes exceed the maximum of %d", len(text), MaxBlobBytes)
+		}
+		all = append(all, problems.list...)
+	}
+	for _, name := range slices.Sorted(maps.Keys(d.Templates)) {
+		check(templateFile(name), d.Templates[name])
+	}
+	for _, name := range slices.Sorted(maps.Keys(d.Organisations)) {
+		check(organisationFile(name), d.Organisations[name])
+	}
+	if len(all) == 0 {
+		return nil
+	}
+	return all
 }
 
 // accepted returns the content of the organisation that was accepted before
 // its present content.
-func accepted(name string, content Content, previous *Manifest, blobs map[Hash][]byte) Content {
+func accepted(name string, content Content, previous *Manifest, blobs map[Hash][]byte, templates parsedTemplates) Content {
 	if previous == nil {
 		return Content{}
 	}
@@ -157,7 +204,7 @@
 	if !ok {
 		return Content{}
 	}
-	r, err := compileUnit(unit{name, entry.Content}, blobs)
+	r, err := compileUnit(unit{name, entry.Content}, blobs, templates)
 	usable := err == nil && r.problems == nil && entry.Content != content
 	if usable || entry.Previous == nil {
 		return entry.Content
--- a/internal/settings/field.go
+++ b/internal/settings/field.go
@@ -38,6 +38,7 @@
 	{"platform.source", addressRule{"http://"}, "configuration service of the platform"},
 	{"platform.instances", addressRule{"http://"}, "list of instances of the platform"},
 	{"platform.instances_interval", durationRule{100 * time.Millisecond, time.Hour}, "mean time between two readings of the list"},
+	{"platform.fleet_size", numberRule{1, 1_000_000}, "number of instances that the fleet may have; a starting proxy paces its calls by it"},
 	{"distribution.mode", choiceRule{ModePeers, ModeNaive}, "how versions spread; naive reads everything from the source"},
 	{"distribution.watch_wait", durationRule{time.Second, time.Minute}, "time that a watch of the source waits"},
 	{"distribution.gossip_interval", durationRule{10 * time.Millisecond, time.Minute}, "time between two rounds of gossip"},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -69,6 +69,9 @@
 	Instances string `toml:"instances"`
 	// InstancesInterval is the mean time between two readings of the list.
 	InstancesInterval config.Duration `toml:"instances_interval"`
+	// FleetSize is the number of proxies to expect before the list is first
+	// read. A fleet that starts at once spreads its first readings by it.
+	FleetSize int `toml:"fleet_size"`
 }
 
 // Distribution configures how versions spread.
@@ -131,7 +134,7 @@
 			LoadPath:       "/load",
 			HealthInterval: config.Duration(time.Second),
 		},
-		Platform: Platform{InstancesInterval: config.Duration(10 * time.Second)},
+		Platform: Platform{InstancesInterval: config.Duration(10 * time.Second), FleetSize: 1000},
 		Distribution: Distribution{
 			Mode:      ModePeers,
 			WatchWait: config.Duration(30 * time.Second),
