--- a/internal/routing/balance.go
+++ b/internal/routing/balance.go
@@ -103,7 +103,7 @@
 	far := r.better(now, r.scratch.far)
 	switch {
 	case near != nil && far != nil:
-		if spills(now, near, far) {
+		if c.avoid == r.cfg.AvailabilityZone || spills(now, near, far) {
 			r.stats.Spills++
 			return far
 		}
--- a/internal/routing/balance_test.go
+++ b/internal/routing/balance_test.go
@@ -185,3 +185,30 @@
 	liar.report(start, 1e9)
 	is.True(liar.score(start) <= (1+maxReportedLoad)*silent.score(start)) // overstating is bounded
 }
+
+func TestFastFailuresAttractNothing(t *testing.T) {
+	is := is.New(t)
+	r := newTestRouter(3) // desk-00 and desk-02 are in this zone
+	counts := make(map[string]int)
+	for id := range uint64(60) {
+		now := start.Add(time.Duration(id) * 10 * time.Millisecond)
+		s, _ := sent(r.Step(now, write(id)))
+		counts[s.Instance]++
+		if s.Instance == "desk-00" {
+			r.Step(now, AttemptEnded{ID: id, Outcome: outcome.Answered, Status: 500, Latency: time.Microsecond})
+		} else {
+			r.Step(now, answered(id, 10*time.Millisecond))
+		}
+	}
+	is.True(counts["desk-00"] <= 20) // less than its share
+	is.True(counts["desk-02"] >= 40) // the healthy one in the zone has the rest
+}
+
+func TestNextAttemptLeavesAFailingZone(t *testing.T) {
+	is := is.New(t)
+	r := newTestRouter(8)
+	first, _ := sent(r.Step(start, write(1)))
+	is.Equal(r.known[first.Instance].AvailabilityZone, testZone)
+	second, _ := sent(r.Step(start, ended(1, outcome.NotRun, outcome.ConnectFailed)))
+	is.Equal(r.known[second.Instance].AvailabilityZone, "kilwa")
+}
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -31,10 +31,12 @@
 	// inDoubt reports that an attempt may have run. It never turns false, so
 	// that no later refusal claims that the request was not run.
 	inDoubt bool
-	target  *instance
-	sentAt  time.Time
-	tried   []*instance
-	first   [3]*instance
+	// avoid is the availability zone in which the last attempt failed.
+	avoid  string
+	target *instance
+	sentAt time.Time
+	tried  []*instance
+	first  [3]*instance
 }
 
 func (c *call) hasTried(i *instance) bool {
@@ -154,6 +156,9 @@
 	case e.Outcome == outcome.Unknown:
 		i.observeSlow(now, now.Sub(c.sentAt))
 	}
+	if failed(e) {
+		c.avoid = i.AvailabilityZone
+	}
 	i.observe(now, failed(e), refused)
 	r.considerEjection(now, i)
 }
