Charge attempts after a failed claim, count crashes as failures

Cause: reasons added meanwhile fell into the default: a failed claim was sent on at no charge, up to the bound of attempts, each with the messages of a claim; a crash or malformed answer did not count against the instance.

Change: claim-failed is charged like a refusal for overload; crashes and malformed answers count as failures.

Broken variants, seen failing: claims at no charge ("not true: refused" in TestFailedClaimsAreNotMultiplied), crashed not final (TestFinalReasonsEndTheRequest, a Send in place of a Refuse).

--- a/internal/routing/instance.go
+++ b/internal/routing/instance.go
@@ -158,12 +158,12 @@
 
 // failed reports whether an outcome speaks against the instance.
 func failed(e AttemptEnded) bool {
-	switch {
-	case e.Outcome == outcome.Answered:
+	if e.Outcome == outcome.Answered {
 		return e.Status >= 500
-	case e.Reason == outcome.ConnectFailed, e.Reason == outcome.ConnectionLost:
+	}
+	switch e.Reason {
+	case outcome.ConnectFailed, outcome.ConnectionLost, outcome.Crashed, outcome.BadAnswer:
 		return true
-	default:
-		return e.Outcome == outcome.Unknown && e.Reason == outcome.DeadlineExpired
 	}
+	return e.Outcome == outcome.Unknown && e.Reason == outcome.DeadlineExpired
 }
--- a/internal/routing/retry.go
+++ b/internal/routing/retry.go
@@ -70,13 +70,13 @@
 		}
 		return charged
 	}
-	if isOverload(e.Reason) {
-		if c.retry {
-			return final
-		}
-		return charged
+	if !isOverload(e.Reason) && e.Reason != outcome.ClaimFailed {
+		return free
+	}
+	if c.retry {
+		return final
 	}
-	return free
+	return charged
 }
 
 // isFinal reports whether no other instance would decide otherwise.
--- a/internal/routing/retry_test.go
+++ b/internal/routing/retry_test.go
@@ -32,7 +32,7 @@
 }
 
 func TestFinalReasonsEndTheRequest(t *testing.T) {
-	for _, reason := range []outcome.Reason{outcome.Quarantined, outcome.Duplicate, outcome.Fenced, outcome.Malformed, outcome.DeadlineExpired} {
+	for _, reason := range []outcome.Reason{outcome.Quarantined, outcome.Duplicate, outcome.Fenced, outcome.Malformed, outcome.DeadlineExpired, outcome.Crashed} {
 		for _, o := range []outcome.Outcome{outcome.NotRun, outcome.Unknown} {
 			is := is.New(t)
 			r := newTestRouter(3)
@@ -57,6 +57,19 @@
 	is.True(refusal.RetryAfter > 0)
 }
 
+// TestFailedClaimsAreNotMultiplied checks that claims, which cost messages, are
+// charged like work.
+func TestFailedClaimsAreNotMultiplied(t *testing.T) {
+	is := is.New(t)
+	r := newTestRouter(6)
+	r.Step(start, write(1))
+	_, ok := sent(r.Step(start, ended(1, outcome.NotRun, outcome.ClaimFailed)))
+	is.True(ok)
+	_, refused := r.Step(start, ended(1, outcome.NotRun, outcome.ClaimFailed))[0].(Refuse)
+	is.True(refused)
+	is.Equal(r.Stats().Retries, uint64(1))
+}
+
 func TestRetryOfALevelAboveIsNotRetried(t *testing.T) {
 	is := is.New(t)
 	for _, e := range []AttemptEnded{ended(1, outcome.Unknown, outcome.ConnectionLost), ended(1, outcome.NotRun, outcome.Overload)} {
@@ -118,7 +131,8 @@
 var drawnReasons = []outcome.Reason{
 	outcome.Overload, outcome.Shed, outcome.RateLimit, outcome.Concurrency, outcome.InstanceLeaving,
 	outcome.ConnectFailed, outcome.ConnectionLost, outcome.DeadlineExpired, outcome.Quarantined,
-	outcome.Duplicate, outcome.Fenced, outcome.Malformed, outcome.NoVersion, "",
+	outcome.Duplicate, outcome.Fenced, outcome.Malformed, outcome.NoVersion, outcome.Crashed,
+	outcome.ClaimFailed, outcome.BadAnswer, "",
 }
 
 func TestInvariantsOfEveryRequest(t *testing.T) {
