--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -28,7 +28,11 @@
 // buffers only during an exchange.
 type connection struct {
 	net.Conn
-	raw     syscall.RawConn
+	raw syscall.RawConn
+	// peek is peekSocket, bound once; open and peeked are its results.
+	peek    func(fd uintptr) bool
+	open    bool
+	peeked  [1]byte
 	address string
 	reader  *bufio.Reader
 	writer  *bufio.Writer
@@ -41,7 +45,9 @@
 }
 
 func newConnection(c net.Conn, address string) *connection {
-	return &connection{Conn: c, raw: rawConn(c), address: address, readLimit: unlimitedBytes}
+	conn := &connection{Conn: c, raw: rawConn(c), address: address, readLimit: unlimitedBytes}
+	conn.peek = conn.peekSocket
+	return conn
 }
 
 // rawConn returns the socket below c, nil if there is none.
@@ -107,12 +113,13 @@
 	if c.raw == nil {
 		return true
 	}
-	open := false
-	err := c.raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = err == syscall.EAGAIN
-		return true
-	})
-	return err == nil && open
+	c.open = false
+	return c.raw.Read(c.peek) == nil && c.open
+}
+
+// peekSocket looks at what the socket holds, without waiting.
+func (c *connection) peekSocket(fd uintptr) bool {
+	_, _, err := syscall.Recvfrom(int(fd), c.peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	c.open = err == syscall.EAGAIN
+	return true
 }
