Collect garbage less often, within a memory limit

Cause: a proxy's live heap is a few megabytes, so that by default it is collected every few megabytes of requests.

--- a/internal/cli/proxy.go
+++ b/internal/cli/proxy.go
@@ -55,6 +55,7 @@
 		return c.fail(err)
 	}
 	defer flush()
+	limitMemory()
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	h, err := host.New(s, newLogger(c.stderr, s.Log), recorder)
