Carry load, status and the mark of a retry between proxies

The router weighs what an instance reports and what the backend server answered, and bounds retries across levels; nothing filled these in. A proxy reports requests running and waiting per slot with each answer, and Heatherlift-Retry travels to the backend server, which passes it on.

TestRetryAndLoadTravel; a backend server that forges the load header has no effect.

--- a/internal/forward/entry.go
+++ b/internal/forward/entry.go
@@ -73,6 +73,7 @@
 		Path:         r.URL.Path,
 		Budget:       budget,
 		Fingerprint:  c.hash,
+		Retry:        r.Header.Get(RetryHeader) != "",
 	})
 }
 
@@ -136,19 +137,21 @@
 	fencing := c.fencing(d)
 	x, err := c.pool.Do(c.r.Context(), d.Deadline, d.Address, c.message)
 	if err != nil {
-		return c.failed(fencing.resolve(c.r.Context(), d.Deadline, lostRefusal(err)))
+		return c.failed(fencing.resolve(c.r.Context(), d.Deadline, lostRefusal(err)), 0)
 	}
 	if refusal, refused := refusalOf(x.Response); refused {
+		load := reportedLoad(x.Response.Header)
 		x.Close(false)
-		return c.failed(refusal)
+		return c.failed(refusal, load)
 	}
-	defer c.answered(start)()
-	relay(c.w, c.r, x, d.Deadline, strconv.FormatUint(d.Version, 10))
+	defer c.answered(x.Response, start)()
+	relay(c.w, c.r, x, d.Deadline, versionField(d))
 	return true
 }
 
 // sendLocal makes an attempt at the backend server beside this proxy.
 func (c *entryCall) sendLocal(d routing.Send, start time.Time) bool {
+	c.message.retry = d.Retry
 	a := c.local.start(c.r.Context(), c.message, admission.Arrived{
 		Request:      c.request(),
 		Organisation: c.organisation,
@@ -159,23 +162,30 @@
 	})
 	c.message.expect = true
 	if a.exchange == nil {
-		return c.failed(a.refusal)
+		return c.failed(a.refusal, 0)
 	}
-	defer c.answered(start)()
-	a.relay(c.w, c.r, strconv.FormatUint(d.Version, 10))
+	defer c.answered(a.exchange.Response, start)()
+	a.relay(c.w, c.r, versionField(d))
 	return true
 }
 
 // failed reports an attempt without an answer to the reducer, which decides
 // what follows, unless the caller has left.
-func (c *entryCall) failed(r outcome.Refusal) bool {
+func (c *entryCall) failed(r outcome.Refusal, load float64) bool {
 	if c.r.Context().Err() != nil {
 		c.core.Route(routing.Abandoned{ID: c.id})
 		panic(http.ErrAbortHandler)
 	}
 	c.last = r
 	c.doubtful = c.doubtful || r.Outcome != outcome.NotRun
-	c.core.Route(routing.AttemptEnded{ID: c.id, Outcome: r.Outcome, Reason: r.Reason, RetryAfter: r.RetryAfter})
+	c.core.Route(routing.AttemptEnded{
+		ID:         c.id,
+		Outcome:    r.Outcome,
+		Reason:     r.Reason,
+		RetryAfter: r.RetryAfter,
+		Status:     r.Status,
+		Load:       load,
+	})
 	return false
 }
 
@@ -190,11 +200,15 @@
 
 // answered notes the time until the answer's header and returns the function
 // that ends the attempt.
-func (c *entryCall) answered(start time.Time) func() {
-	latency := time.Since(start)
-	return func() {
-		c.core.Route(routing.AttemptEnded{ID: c.id, Outcome: outcome.Answered, Latency: latency})
-	}
+func (c *entryCall) answered(resp *http.Response, start time.Time) func() {
+	e := routing.AttemptEnded{
+		ID:      c.id,
+		Outcome: outcome.Answered,
+		Latency: time.Since(start),
+		Status:  resp.StatusCode,
+		Load:    reportedLoad(resp.Header),
+	}
+	return func() { c.core.Route(e) }
 }
 
 // request names the request in the whole fleet.
@@ -202,6 +216,11 @@
 	return c.origin + "-" + strconv.FormatUint(c.id, 36)
 }
 
+// versionField tells the caller under which version it was routed.
+func versionField(d routing.Send) field {
+	return field{VersionHeader, strconv.FormatUint(d.Version, 10)}
+}
+
 // setFields sets the headers for the proxy beside the backend server.
 func (c *entryCall) setFields(d routing.Send) {
 	fields := append(c.message.fields[:0],
@@ -214,6 +233,9 @@
 	if key := c.r.Header.Get(IdempotencyHeader); key != "" {
 		fields = append(fields, field{IdempotencyHeader, key})
 	}
+	if d.Retry {
+		fields = append(fields, field{RetryHeader, "1"})
+	}
 	if d.Repeatable {
 		fields = append(fields, field{repeatableHeader, "1"})
 	}
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -24,6 +24,9 @@
 	OrganisationHeader = "Heatherlift-Organisation"
 	// DeadlineHeader is the remaining time of a request in milliseconds.
 	DeadlineHeader = "Heatherlift-Deadline-Ms"
+	// RetryHeader marks a request that is itself a retry: no level below it
+	// retries on top. A backend server passes it on with its own calls.
+	RetryHeader = "Heatherlift-Retry"
 	// IdempotencyHeader is the caller's key for a request.
 	IdempotencyHeader = "Idempotency-Key"
 	// OutcomeHeader tells on refusals whether the request was run.
@@ -42,6 +45,7 @@
 	requestHeader     = "Heatherlift-Request"
 	repeatableHeader  = "Heatherlift-Repeatable"
 	fingerprintHeader = "Heatherlift-Fingerprint"
+	loadHeader        = "Heatherlift-Load"
 )
 
 // passes reports whether a header is end to end: it concerns neither one
--- a/internal/forward/hygiene_test.go
+++ b/internal/forward/hygiene_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -101,6 +102,28 @@
 	}
 }
 
+func TestRetryAndLoadTravel(t *testing.T) {
+	is := is.New(t)
+	g := newRig(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(loadHeader, "9")
+		w.WriteHeader(http.StatusTeapot)
+		_, _ = io.WriteString(w, r.Header.Get(RetryHeader))
+	})
+	g.core.retry = true
+	resp, body, err := dialRaw(t, g.callers).exchange(t, "GET /a HTTP/1.1\r\nHost: a\r\nHeatherlift-Retry: 1\r\n\r\n")
+	is.NoErr(err)
+	is.Equal(body, "1")
+	is.Equal(resp.Header.Get(loadHeader), "")
+	await(t, "attempt ended", func() bool {
+		g.core.mu.Lock()
+		defer g.core.mu.Unlock()
+		return len(g.core.attempted) == 1
+	})
+	is.True(g.core.arrived[0].Retry)
+	is.Equal(g.core.attempted[0].Load, 0.25)
+	is.Equal(g.core.attempted[0].Status, http.StatusTeapot)
+}
+
 func TestRequestIsPassedOnUnchanged(t *testing.T) {
 	is := is.New(t)
 	var mu sync.Mutex
--- a/internal/forward/local.go
+++ b/internal/forward/local.go
@@ -50,7 +50,7 @@
 		writeRefusal(w, notRun(outcome.Malformed, http.StatusBadRequest), false)
 		return
 	}
-	m := &message{in: r}
+	m := &message{in: r, retry: r.Header.Get(RetryHeader) != ""}
 	if !isSmall(r) {
 		m.upload = newUpload(w, r)
 		defer m.upload.finish()
@@ -71,10 +71,11 @@
 		Deadline:     time.Now().Add(budget),
 	})
 	if a.exchange == nil {
+		l.load().set(w.Header())
 		refuse(w, m.upload, a.refusal)
 		return
 	}
-	a.relay(w, r, "")
+	a.relay(w, r, l.load())
 }
 
 // start asks admission for a slot, passes the request to the backend server
@@ -139,6 +140,9 @@
 		field{OrganisationHeader, c.arrived.Organisation},
 		field{DeadlineHeader, formatDeadline(time.Until(c.deadline))},
 	)
+	if c.message.retry {
+		c.message.fields = append(c.message.fields, field{RetryHeader, "1"})
+	}
 	if c.arrived.Key != "" {
 		c.message.fields = append(c.message.fields, field{IdempotencyHeader, c.arrived.Key})
 	}
@@ -149,10 +153,10 @@
 }
 
 // relay passes the answer on and ends the run.
-func (a localAnswer) relay(w http.ResponseWriter, r *http.Request, version string) {
+func (a localAnswer) relay(w http.ResponseWriter, r *http.Request, extra field) {
 	o, reason := outcome.Unknown, outcome.ConnectionLost
 	defer func() { a.call.end(o, reason) }()
-	relay(w, r, a.exchange, a.call.deadline, version)
+	relay(w, r, a.exchange, a.call.deadline, extra)
 	o, reason = outcome.Answered, ""
 }
 
--- a/internal/forward/message.go
+++ b/internal/forward/message.go
@@ -25,6 +25,8 @@
 	body []byte
 	// expect makes the receiver decide before the body is sent.
 	expect bool
+	// retry tells that the request is a retry.
+	retry bool
 }
 
 // lingerTime is how long the sender of a body may take to read an answer that
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -19,9 +19,9 @@
 // relay writes an answer to its receiver and ends the exchange. It panics
 // with http.ErrAbortHandler if the answer broke off, so that the receiver sees
 // an aborted connection and never a clean end of a partial answer.
-func relay(w http.ResponseWriter, r *http.Request, x *Exchange, deadline time.Time, version string) {
+func relay(w http.ResponseWriter, r *http.Request, x *Exchange, deadline time.Time, extra field) {
 	a := answer{w: w, r: r, x: x}
-	a.setHeader(version)
+	a.setHeader(extra)
 	small := x.Response.ContentLength >= 0 && x.Response.ContentLength <= smallAnswer
 	controller := http.NewResponseController(w)
 	if !small {
@@ -47,16 +47,14 @@
 	unframed bool
 }
 
-func (a *answer) setHeader(version string) {
+func (a *answer) setHeader(extra field) {
 	h := a.w.Header()
 	resp := a.x.Response
 	copyEndToEnd(h, resp.Header)
 	if _, ok := h["Content-Type"]; !ok {
 		h["Content-Type"] = nil // keeps the library from guessing one
 	}
-	if version != "" {
-		h[VersionHeader] = []string{version}
-	}
+	extra.set(h)
 	if !a.x.Sent() {
 		h["Connection"] = []string{"close"} // what is left of the body is no request
 	}
--- a/internal/forward/rig_test.go
+++ b/internal/forward/rig_test.go
@@ -31,6 +31,7 @@
 type fakeCore struct {
 	targets    []string
 	repeatable bool
+	retry      bool
 	budget     time.Duration
 
 	mu        sync.Mutex
@@ -40,7 +41,8 @@
 	attempts  map[uint64]int
 	deadlines map[uint64]time.Time
 	admission *admission.Admission
-	ended     []admission.Ended
+	arrived   []routing.Arrived
+	attempted []routing.AttemptEnded
 	abandoned int
 }
 
@@ -77,12 +79,14 @@
 	defer f.mu.Unlock()
 	switch e := e.(type) {
 	case routing.Arrived:
+		f.arrived = append(f.arrived, e)
 		if e.Budget == 0 {
 			e.Budget = f.budget
 		}
 		f.deadlines[e.ID] = time.Now().Add(e.Budget)
 		f.next(e.ID, notRun(outcome.NoBackendServer, http.StatusServiceUnavailable))
 	case routing.AttemptEnded:
+		f.attempted = append(f.attempted, e)
 		last := outcome.Refusal{Outcome: e.Outcome, Reason: e.Reason, Status: http.StatusBadGateway}
 		if e.Outcome == outcome.NotRun || (e.Outcome == outcome.Unknown && f.repeatable) {
 			f.next(e.ID, last)
@@ -101,15 +105,12 @@
 		return
 	}
 	f.attempts[id]++
-	f.routes[id] <- routing.Send{ID: id, Address: f.targets[n], Version: 7, Repeatable: f.repeatable, Deadline: f.deadlines[id]}
+	f.routes[id] <- routing.Send{ID: id, Address: f.targets[n], Version: 7, Repeatable: f.repeatable, Deadline: f.deadlines[id], Retry: f.retry}
 }
 
 func (f *fakeCore) Admit(e admission.Event) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if ended, ok := e.(admission.Ended); ok {
-		f.ended = append(f.ended, ended)
-	}
 	for _, effect := range f.admission.Step(time.Now(), e) {
 		switch effect := effect.(type) {
 		case admission.Run:
@@ -120,6 +121,9 @@
 	}
 }
 
+// Load implements Loader.
+func (f *fakeCore) Load() float64 { return 0.25 }
+
 // awaitSlots waits until no request holds a slot.
 func (f *fakeCore) awaitSlots(t *testing.T) {
 	t.Helper()
--- a/internal/host/core.go
+++ b/internal/host/core.go
@@ -6,6 +6,7 @@
 	"heatherlift.example/heatherlift/internal/admission"
 	"heatherlift.example/heatherlift/internal/dist"
 	"heatherlift.example/heatherlift/internal/member"
+	"heatherlift.example/heatherlift/internal/node"
 	"heatherlift.example/heatherlift/internal/routing"
 )
 
@@ -57,3 +58,9 @@
 		return none, ctx.Err()
 	}
 }
+
+// Load implements forward.Loader.
+func (h *Host) Load() (load float64) {
+	h.view(func(n *node.Node) { load = n.Pressure() })
+	return load
+}
--- /dev/null
+++ b/internal/node/pressure.go
@@ -0,0 +1,8 @@
+package node
+
+// Pressure returns the requests that run and wait at the backend server, per
+// slot.
+func (n *Node) Pressure() float64 {
+	running, waiting := n.admission.InFlight()
+	return float64(running+waiting) / float64(max(1, n.cfg.Admission.Slots))
+}
