--- a/bench/requests/leaving.go
+++ b/bench/requests/leaving.go
@@ -39,7 +39,7 @@
 		rows = append(rows, row)
 	}
 	o.table.print("time until no new work reaches a leaving instance", []string{
-		"way", "last new work after s", "sent", "answered", "not run", "unknown", "cut", "contradicted",
+		"way", "last new work after s", "sent", "answered", "not run", "unknown", "cut", "contradicted", "refused for",
 	}, rows)
 	return nil
 }
@@ -119,6 +119,7 @@
 		strconv.Itoa(count(replies, outcome.Unknown)),
 		strconv.Itoa(cuts(replies)),
 		strconv.Itoa(twice),
+		reasons(replies),
 	}
 }
 
@@ -155,7 +156,7 @@
 		return err
 	}
 	o.table.print("restart of every proxy of an availability zone", []string{
-		"sent", "answered", "not run", "unknown", "cut", "contradicted",
+		"sent", "answered", "not run", "unknown", "cut", "contradicted", "refused for",
 	}, [][]string{summary(replies, twice)})
 	return nil
 }
--- a/bench/requests/load.go
+++ b/bench/requests/load.go
@@ -2,11 +2,16 @@
 
 import (
 	"bufio"
+	"cmp"
+	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"runtime"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -47,6 +52,7 @@
 	outcome outcome.Outcome
 	// cut tells that the connection broke after the request was sent.
 	cut     bool
+	reason  outcome.Reason
 	backend string
 }
 
@@ -147,6 +153,7 @@
 	r.outcome = outcome.Answered
 	if told := resp.Header.Get(forward.OutcomeHeader); told != "" {
 		r.outcome = outcome.Outcome(told)
+		r.reason = outcome.Reason(resp.Header.Get(forward.ReasonHeader))
 	} else if resp.StatusCode != http.StatusOK {
 		r.outcome = outcome.NotRun
 	}
@@ -208,3 +215,21 @@
 	}
 	return n
 }
+
+// reasons lists why requests were refused, the most frequent first.
+func reasons(replies []reply) string {
+	counts := make(map[outcome.Reason]int)
+	for _, r := range replies {
+		if r.reason != "" {
+			counts[r.reason]++
+		}
+	}
+	names := slices.SortedFunc(maps.Keys(counts), func(a, b outcome.Reason) int {
+		return cmp.Or(counts[b]-counts[a], strings.Compare(string(a), string(b)))
+	})
+	var text []string
+	for _, name := range names {
+		text = append(text, fmt.Sprintf("%s %d", name, counts[name]))
+	}
+	return strings.Join(text, ", ")
+}
--- a/bench/requests/overload.go
+++ b/bench/requests/overload.go
@@ -47,7 +47,7 @@
 		rows = append(rows, fairness(f, organisations, flood, o.duration)...)
 	}
 	o.table.print("fairness: latency in ms by organisation", []string{
-		"flooder", "organisation", "rate", "sent", "answered", "not run", "unknown", "p50", "p99",
+		"flooder", "organisation", "rate", "sent", "answered", "not run", "unknown", "p50", "p99", "refused for",
 	}, rows)
 	return nil
 }
@@ -66,7 +66,7 @@
 			rows[n] = []string{
 				strconv.FormatBool(flood), name, strconv.Itoa(rate), strconv.Itoa(len(replies)),
 				strconv.Itoa(count(replies, outcome.Answered)), strconv.Itoa(count(replies, outcome.NotRun)),
-				strconv.Itoa(count(replies, outcome.Unknown)), millis(h.ValueAtQuantile(50)), millis(h.ValueAtQuantile(99)),
+				strconv.Itoa(count(replies, outcome.Unknown)), millis(h.ValueAtQuantile(50)), millis(h.ValueAtQuantile(99)), reasons(replies),
 			}
 		})
 	}
@@ -91,11 +91,11 @@
 			fmt.Sprint(factor), strconv.Itoa(rate), strconv.Itoa(int(float64(answered) / o.duration.Seconds())),
 			fmt.Sprintf("%.2f", float64(answered)/o.duration.Seconds()/float64(capacity)),
 			strconv.Itoa(count(replies, outcome.NotRun)), strconv.Itoa(count(replies, outcome.Unknown)),
-			millis(h.ValueAtQuantile(50)), millis(h.ValueAtQuantile(99)),
+			millis(h.ValueAtQuantile(50)), millis(h.ValueAtQuantile(99)), reasons(replies),
 		})
 	}
 	o.table.print(fmt.Sprintf("goodput: capacity %d requests/s", capacity), []string{
-		"offered", "rate", "answered/s", "of capacity", "not run", "unknown", "p50", "p99",
+		"offered", "rate", "answered/s", "of capacity", "not run", "unknown", "p50", "p99", "refused for",
 	}, rows)
 	return nil
 }
--- a/internal/forward/entry.go
+++ b/internal/forward/entry.go
@@ -192,8 +192,12 @@
 // refuse gives the caller a refusal. It does not claim that the request was
 // not run if that holds for the last attempt only.
 func (c *entryCall) refuse(r outcome.Refusal) {
-	if c.doubtful {
+	if c.doubtful && r.Outcome == outcome.NotRun {
 		r.Outcome = outcome.Unknown
+		r.RetryAfter = 0
+		if r.Status != http.StatusGatewayTimeout {
+			r.Status = http.StatusBadGateway
+		}
 	}
 	refuse(c.w, c.message.upload, r)
 }
--- a/internal/forward/lost.go
+++ b/internal/forward/lost.go
@@ -12,7 +12,7 @@
 func lostRefusal(err error) outcome.Refusal {
 	r := outcome.Refusal{Outcome: outcome.Unknown, Reason: outcome.ConnectionLost, Status: http.StatusBadGateway}
 	if errors.Is(err, ErrNotSent) {
-		r.Outcome, r.Reason = outcome.NotRun, outcome.ConnectFailed
+		r.Outcome, r.Reason, r.Status = outcome.NotRun, outcome.ConnectFailed, http.StatusServiceUnavailable
 	}
 	if errors.Is(err, ErrBadAnswer) {
 		r.Reason = outcome.BadAnswer
