--- a/internal/forward/rig_test.go
+++ b/internal/forward/rig_test.go
@@ -31,6 +31,7 @@
 type fakeCore struct {
 	targets    []string
 	repeatable bool
+	retry      bool
 	budget     time.Duration
 
 	mu        sync.Mutex
@@ -40,7 +41,8 @@
 	attempts  map[uint64]int
 	deadlines map[uint64]time.Time
 	admission *admission.Admission
-	ended     []admission.Ended
+	arrived   []routing.Arrived
+	attempted []routing.AttemptEnded
 	abandoned int
 }
 
@@ -77,12 +79,14 @@
 	defer f.mu.Unlock()
 	switch e := e.(type) {
 	case routing.Arrived:
+		f.arrived = append(f.arrived, e)
 		if e.Budget == 0 {
 			e.Budget = f.budget
 		}
 		f.deadlines[e.ID] = time.Now().Add(e.Budget)
 		f.next(e.ID, notRun(outcome.NoBackendServer, http.StatusServiceUnavailable))
 	case routing.AttemptEnded:
+		f.attempted = append(f.attempted, e)
 		last := outcome.Refusal{Outcome: e.Outcome, Reason: e.Reason, Status: http.StatusBadGateway}
 		if e.Outcome == outcome.NotRun || (e.Outcome == outcome.Unknown && f.repeatable) {
 			f.next(e.ID, last)
@@ -101,15 +105,12 @@
 		return
 	}
 	f.attempts[id]++
-	f.routes[id] <- routing.Send{ID: id, Address: f.targets[n], Version: 7, Repeatable: f.repeatable, Deadline: f.deadlines[id]}
+	f.routes[id] <- routing.Send{ID: id, Address: f.targets[n], Version: 7, Repeatable: f.repeatable, Deadline: f.deadlines[id], Retry: f.retry}
 }
 
 func (f *fakeCore) Admit(e admission.Event) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if ended, ok := e.(admission.Ended); ok {
-		f.ended = append(f.ended, ended)
-	}
 	for _, effect := range f.admission.Step(time.Now(), e) {
 		switch effect := effect.(type) {
 		case admission.Run:
@@ -120,6 +121,9 @@
 	}
 }
 
+// Load implements Loader.
+func (f *fakeCore) Load() float64 { return 0.25 }
+
 // awaitSlots waits until no request holds a slot.
 func (f *fakeCore) awaitSlots(t *testing.T) {
 	t.Helper()
@@ -297,14 +301,26 @@
 	return l.Addr().String()
 }
 
-// answering returns a raw server that reads a request and writes a text.
+// answering returns a raw server that reads a request, writes a text and closes
+// the connection.
 func answering(t *testing.T, text string) string {
+	return rawServer(t, func(c net.Conn, r *bufio.Reader) { answerOne(c, r, text) })
+}
+
+// answeringAll is answering with connections that stay open.
+func answeringAll(t *testing.T, text string) string {
 	return rawServer(t, func(c net.Conn, r *bufio.Reader) {
-		req, err := http.ReadRequest(r)
-		if err != nil {
-			return
+		for answerOne(c, r, text) {
 		}
-		_, _ = io.Copy(io.Discard, req.Body)
-		_, _ = io.WriteString(c, text)
 	})
 }
+
+func answerOne(c net.Conn, r *bufio.Reader, text string) bool {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return false
+	}
+	_, _ = io.Copy(io.Discard, req.Body)
+	_, err = io.WriteString(c, text)
+	return err == nil
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -67,7 +67,8 @@
 	Source string `toml:"source"`
 	// Instances is the base URL of the list of instances.
 	Instances string `toml:"instances"`
-	// InstancesInterval is the mean time between two readings of the list.
+	// InstancesInterval is the longest mean time between two readings of
+	// the list; a small fleet reads it more often.
 	InstancesInterval config.Duration `toml:"instances_interval"`
 	// FleetSize is the number of proxies to expect before the list is first
 	// read. A fleet that starts at once spreads its first readings by it.
