Let one of several conflicting claims win; spread crashes as rumours

Cause: of four callers that sent one key at the same time to four proxies, in some races every claim met another's grant and all four were refused; nothing ran, and each caller was told 'unknown'. A crash was known at its own proxy only.

Ruled out: granting with a majority in spite of a veto (with views that disagree, the veto is what remains).

Change: a claim that loses to one not known to have run gives its grants back under a holder of its own and is made anew, at most three times; one with a majority keeps it meanwhile. Incidents of package quarantine travel as rumours of the membership. Property tests start from the fixed seed.

Seen, not mended here: TestAnswersWithoutBody fails now and then with and without this change ('502 != 304').

--- a/internal/dedupe/claim.go
+++ b/internal/dedupe/claim.go
@@ -6,10 +6,20 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"heatherlift.example/heatherlift/internal/outcome"
 )
 
-const retryAfter = time.Second
+const (
+	retryAfter = time.Second
+	// maxRetries bounds how often a claim that met another one is made anew:
+	// of several at the same time each may have got a part of the owners.
+	maxRetries = 3
+	// maxBackoff bounds the first wait before a claim is made anew; it doubles
+	// with each try.
+	maxBackoff = 100 * time.Millisecond
+)
 
 // claim is a claim of this instance.
 type claim struct {
@@ -20,18 +30,32 @@
 	quorums [][]string
 	asked   []Peer
 	votes   map[string]Vote
+	// ran reports that an owner knows of a run with the key.
+	ran     bool
 	decided bool
+	retries int
+	// releases counts the tries that gave their grants back.
+	releases int
+	// retryAt is when the claim is made anew, zero while it is in progress.
+	retryAt time.Time
 }
 
 func (d *Dedupe) claim(now time.Time, e Claim) {
 	d.counters.Claims++
-	c := &claim{id: e.ID, at: now, votes: make(map[string]Vote)}
-	c.request = ClaimRequest{
-		Key:     d.digest(e.Organisation, e.Key),
-		Request: e.Request,
-		Holder:  d.cfg.Origin + "/" + strconv.FormatUint(e.ID, 36),
-	}
+	c := &claim{id: e.ID}
+	c.request = ClaimRequest{Key: d.digest(e.Organisation, e.Key), Request: e.Request}
 	d.claims[e.ID] = c
+	d.begin(now, c)
+}
+
+// begin makes a claim under a holder of its own, so that the release of an
+// earlier try cannot end it.
+func (d *Dedupe) begin(now time.Time, c *claim) {
+	c.at = now
+	c.retryAt = time.Time{}
+	c.asked = nil
+	c.votes = make(map[string]Vote)
+	c.request.Holder = d.cfg.Origin + "/" + strconv.FormatUint(c.id, 36) + "/" + strconv.Itoa(c.releases)
 	// An instance that has just started may know a part of the view only.
 	if !d.synced || !d.views.complete(now) {
 		d.refuse(now, c, outcome.ClaimFailed)
@@ -52,7 +76,9 @@
 			}
 			c.asked = append(c.asked, p)
 			if id == d.cfg.Self {
-				c.votes[id] = d.vote(now, c.request).Vote
+				reply := d.vote(now, c.request)
+				c.votes[id] = reply.Vote
+				c.ran = c.ran || reply.Ran
 				continue
 			}
 			d.emit(AskClaim{ID: c.id, To: id, Address: p.Address, Request: c.request})
@@ -62,7 +88,7 @@
 
 func (d *Dedupe) claimAnswered(now time.Time, e ClaimAnswered) {
 	c, ok := d.claims[e.ID]
-	if !ok || c.decided {
+	if !ok || c.decided || !c.retryAt.IsZero() || c.request.Holder != e.Holder {
 		return
 	}
 	vote := e.Reply.Vote
@@ -70,6 +96,7 @@
 		vote = Abstained
 	}
 	c.votes[e.From] = vote
+	c.ran = c.ran || e.Reply.Ran
 	d.decide(now, c)
 }
 
@@ -83,26 +110,54 @@
 	d.decide(now, c)
 }
 
-// decide ends the claim when one owner has seen the key or all have answered.
+// decide ends the claim when one owner knows of a run or all have answered.
 func (d *Dedupe) decide(now time.Time, c *claim) {
-	for _, vote := range c.votes {
-		if vote == Seen {
-			d.refuse(now, c, outcome.Duplicate)
-			return
-		}
+	if c.ran {
+		d.refuse(now, c, outcome.Duplicate)
+		return
 	}
 	if len(c.votes) < len(c.asked) {
 		return
 	}
-	for _, quorum := range c.quorums {
-		if !c.majority(quorum) {
-			d.refuse(now, c, outcome.ClaimFailed)
-			return
+	won := !slices.ContainsFunc(c.quorums, func(quorum []string) bool { return !c.majority(quorum) })
+	switch {
+	case c.seen():
+		d.lose(now, c, won)
+	case won:
+		c.decided = true
+		d.counters.Granted++
+		d.emit(Decided{ID: c.id, Granted: true})
+	default:
+		d.refuse(now, c, outcome.ClaimFailed)
+	}
+}
+
+// lose gives way to another claim whose request is not known to have run.
+// Both may have lost, so that this one is made anew after a while. A claim with
+// a majority keeps it, and waits for the other to give way.
+func (d *Dedupe) lose(now time.Time, c *claim, won bool) {
+	if c.retries == maxRetries {
+		d.refuse(now, c, outcome.Duplicate)
+		return
+	}
+	c.retries++
+	c.retryAt = now
+	if !won {
+		d.tell(now, c, false)
+		c.releases++
+		spread := uint64(maxBackoff) << c.retries
+		c.retryAt = now.Add(time.Duration(xxhash.Sum64String(c.request.Holder) % spread))
+		c.asked = nil
+	}
+}
+
+func (c *claim) seen() bool {
+	for _, vote := range c.votes {
+		if vote == Seen {
+			return true
 		}
 	}
-	c.decided = true
-	d.counters.Granted++
-	d.emit(Decided{ID: c.id, Granted: true})
+	return false
 }
 
 func (c *claim) majority(quorum []string) bool {
@@ -144,9 +199,13 @@
 	d.release(now, c, e.Ran)
 }
 
-// release tells every owner that was asked what became of the claim.
 func (d *Dedupe) release(now time.Time, c *claim, ran bool) {
 	delete(d.claims, c.id)
+	d.tell(now, c, ran)
+}
+
+// tell tells every owner that was asked what became of the claim.
+func (d *Dedupe) tell(now time.Time, c *claim, ran bool) {
 	s := Settlement{Key: c.request.Key, Holder: c.request.Holder, Ran: ran}
 	for _, p := range c.asked {
 		if p.ID == d.cfg.Self {
--- a/internal/dedupe/dedupe.go
+++ b/internal/dedupe/dedupe.go
@@ -98,16 +98,24 @@
 	d.recover(now)
 	d.grants.expire(now)
 	d.views.expire(now)
-	for _, id := range d.overdue(now) {
-		d.timeOut(now, d.claims[id])
+	for _, id := range d.due(now) {
+		c := d.claims[id]
+		if c.retryAt.IsZero() {
+			d.timeOut(now, c)
+		} else {
+			d.begin(now, c)
+		}
 	}
 }
 
-// overdue returns the claims whose owners did not all answer in time.
-func (d *Dedupe) overdue(now time.Time) []uint64 {
+// due returns the claims whose owners did not all answer in time, and those
+// to be made anew.
+func (d *Dedupe) due(now time.Time) []uint64 {
 	var ids []uint64
 	for id, c := range d.claims {
-		if !c.decided && now.Sub(c.at) >= d.cfg.ClaimTimeout {
+		retry := !c.retryAt.IsZero()
+		overdue := !retry && !c.decided && now.Sub(c.at) >= d.cfg.ClaimTimeout
+		if overdue || (retry && !now.Before(c.retryAt)) {
 			ids = append(ids, id)
 		}
 	}
--- a/internal/dedupe/events.go
+++ b/internal/dedupe/events.go
@@ -101,8 +101,10 @@
 	}
 	// ClaimAnswered is the result of the effect AskClaim.
 	ClaimAnswered struct {
-		ID     uint64
-		From   string
+		ID   uint64
+		From string
+		// Holder is that of the claim that was answered.
+		Holder string
 		Failed bool
 		Reply  ClaimReply
 	}
--- a/internal/host/dedupe.go
+++ b/internal/host/dedupe.go
@@ -44,7 +44,7 @@
 
 func (h *Host) askClaim(e dedupe.AskClaim) {
 	reply, err := h.transport.Claim(h.ctx, e.Address, e.Request)
-	h.step(dedupe.ClaimAnswered{ID: e.ID, From: e.To, Failed: err != nil, Reply: reply})
+	h.step(dedupe.ClaimAnswered{ID: e.ID, From: e.To, Holder: e.Request.Holder, Failed: err != nil, Reply: reply})
 }
 
 func (h *Host) askSync(e dedupe.AskSync) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,13 +41,12 @@
 
 // Effects is the output of one step, by the package that carries it out.
 type Effects struct {
-	Member     []member.Effect
-	Dist       []dist.Effect
-	Routing    []routing.Effect
-	Admission  []admission.Effect
-	Dedupe     []dedupe.Effect
-	Quarantine []quarantine.Effect
-	Limit      []limit.Effect
+	Member    []member.Effect
+	Dist      []dist.Effect
+	Routing   []routing.Effect
+	Admission []admission.Effect
+	Dedupe    []dedupe.Effect
+	Limit     []limit.Effect
 }
 
 // Node is the reducer. It is not safe for concurrent use.
@@ -155,6 +154,8 @@
 			n.viewChanged(now, out)
 		case member.Transition:
 			n.journal.addTransition(now, effect)
+		case member.Learnt:
+			n.learnRumour(now, effect.Rumour, out)
 		case member.Violation:
 			n.journal.addViolation(now, effect.From, effect.Cause)
 			out.Member = append(out.Member, effect)
--- a/internal/node/once.go
+++ b/internal/node/once.go
@@ -52,10 +52,6 @@
 	}
 }
 
-func (n *Node) stepQuarantine(now time.Time, e quarantine.Event, out *Effects) {
-	out.Quarantine = append(out.Quarantine, n.quarantine.Step(now, e)...)
-}
-
 // stepRouting feeds an event to the router, but for requests in quarantine.
 func (n *Node) stepRouting(now time.Time, e routing.Event, out *Effects) {
 	if arrived, ok := e.(routing.Arrived); ok {
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	_ "heatherlift.example/heatherlift/internal/fixedseed"
 	"heatherlift.example/heatherlift/internal/outcome"
 )
 
