Print the slowest proxy of each change in bench/fleet

Cause: p99 of a change was 600 to 800 ms at 40 proxies and the table does not tell where. Change: -v prints the last proxy to enforce each change, with role and zone.

--- a/bench/fleet/main.go
+++ b/bench/fleet/main.go
@@ -28,6 +28,7 @@
 	steady        time.Duration
 	faults        bool
 	tls           bool
+	verbose       bool
 }
 
 func main() {
@@ -56,6 +57,7 @@
 	flags.DurationVar(&o.steady, "steady", 10*time.Second, "time measured without changes")
 	flags.BoolVar(&o.faults, "faults", true, "measure failures too")
 	flags.BoolVar(&o.tls, "tls", true, "proxies authenticate each other")
+	flags.BoolVar(&o.verbose, "v", false, "print the last proxy to enforce each change")
 	if err := flags.Parse(args); err != nil {
 		return o, err
 	}
--- a/bench/fleet/measure.go
+++ b/bench/fleet/measure.go
@@ -183,12 +183,32 @@
 			return err
 		}
 		m.convergence = append(m.convergence, after(at, since)...)
+		if r.options.verbose {
+			r.explainSlowest(version, after(at, since), instances)
+		}
 		m.changes++
 		time.Sleep(r.options.interval)
 	}
 	return nil
 }
 
+// explainSlowest prints the proxy that was last to enforce a version.
+func (r *runner) explainSlowest(version uint64, times []time.Duration, instances []*lab.Instance) {
+	slowest := 0
+	for n := range times {
+		if times[n] > times[slowest] {
+			slowest = n
+		}
+	}
+	i := instances[slowest]
+	head, err := r.fleet.lab.Head(i)
+	if err != nil {
+		return
+	}
+	fmt.Fprintf(os.Stderr, "version %d: %s, a %s in %s, was last after %v\n",
+		version, i.Settings.ID, head.Role, i.Settings.AvailabilityZone, times[slowest])
+}
+
 // frozen stops a quarter of the proxies during changes and wakes them.
 func (r *runner) frozen() error {
 	cut := len(r.fleet.instances) / 4
