--- a/internal/member/partition.go
+++ b/internal/member/partition.go
@@ -21,6 +21,9 @@
 	// zoneProbes is about how many instances probe another instance of the
 	// availability zone of a new suspect, to find out whether all of it is lost.
 	zoneProbes = 24
+	// partitionProbes is how many instances of an availability zone in doubt
+	// are probed in a round.
+	partitionProbes = 4
 	// expiryParts is how often in an interval suspicions are looked at.
 	expiryParts = 4
 	// partitionLimit is how long a partition may last.
@@ -165,8 +168,8 @@
 	}
 }
 
-// probePartition probes one instance that shares its availability zone with
-// partitioned ones and has not been heard since.
+// probePartition probes a few instances that share their availability zone with
+// partitioned ones and have not been heard since.
 func (m *Members) probePartition(now time.Time) {
 	lost := make(map[string]time.Time)
 	for _, e := range m.table.sorted {
@@ -177,7 +180,7 @@
 	if len(lost) == 0 {
 		return
 	}
-	mates := m.pick(1, func(e *entry) bool {
+	mates := m.pick(partitionProbes, func(e *entry) bool {
 		since, ok := lost[e.AvailabilityZone]
 		return ok && e.heard.Before(since) && m.inquiries[e.ID] == nil
 	})
