--- a/internal/member/naive_test.go
+++ b/internal/member/naive_test.go
@@ -15,6 +15,10 @@
 	down  bool
 }
 
+// quietWithoutPartition is the time in which the fleet must agree after losses
+// and crashes, when no backoff of healing probes is to be waited for.
+const quietWithoutPartition = 40 * time.Second
+
 type naiveFleet struct {
 	nodes []*naive
 	draw  func(n int) int
@@ -117,7 +121,7 @@
 			n.run(time.Duration(rapid.IntRange(0, 2000).Draw(t, "wait")) * time.Millisecond)
 		}
 		n.loss = 0
-		n.run(quietLimit)
+		n.run(quietWithoutPartition)
 		for range 80 {
 			reference.round()
 		}
