Let readers watch the platform's list for all others

Cause: each proxy read the list of instances every 5 to 15 s. At 770 instances the list has about 100 KB: 10 KB/s for each proxy of the 26 KB/s allowed for control, and still up to 12 s until a mark was seen.

Ruled out: reading more often (bytes), and only trusting gossip (an instance must learn of its own mark).

Change: readers read the list every 2 s while it is unchanged, by entity tag, and otherwise at a pace that bounds the bytes; all others read it once a minute or less often. A reader that sees a mark spreads it as a rumour that names the life of the process, and the marked instance begins to leave.

Shown failing first: without Node.spreadMarks, TestMarkSeenByOneReaderStopsTheInstanceEverywhere fails at "not true: w.proxies[marked].node.Leaving()".

Bytes: computed from 130 B a line, 1.6 KB/s for each proxy and at most 10 KB/s for a reader of a list that changes all the time.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -44,8 +44,10 @@
 	identity  *identity.Identity
 	transport *peer.Transport
 	source    *source.Client
-	instances *source.Client
-	fetcher   *source.Fetcher
+	// listClient carries the calls of instances.
+	listClient *source.Client
+	instances  *source.InstanceList
+	fetcher    *source.Fetcher
 	// peerPool connects to other proxies, backendPool to the backend server.
 	peerPool    *forward.Pool
 	backendPool *forward.Pool
@@ -81,7 +83,8 @@
 	h.metrics = newMetrics(h)
 	h.transport = peer.NewTransport(h, h.metrics, h.peerTLS())
 	h.source = source.NewClient(s.Platform.Source, h.metrics.sourceCall)
-	h.instances = source.NewClient(s.Platform.Instances, h.metrics.sourceCall)
+	h.listClient = source.NewClient(s.Platform.Instances, h.metrics.sourceCall)
+	h.instances = source.NewInstanceList(h.listClient)
 	h.fetcher = source.NewFetcher(h.source)
 	recorder.start(nodeConfig(s, now))
 	return h, nil
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -86,7 +86,7 @@
 	h.peerPool.Close()
 	h.backendPool.Close()
 	h.source.Close()
-	h.instances.Close()
+	h.listClient.Close()
 	h.log.Info("proxy stopped", "id", h.settings.ID)
 	return err
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,6 +63,8 @@
 	lives   map[string]Life
 	now     time.Time
 	journal journal
+	// marks holds the keys of the marks spread for the present list.
+	marks   map[string]bool
 	begun   bool
 	leaving bool
 	// inForceSince is when the version in force was accepted.
@@ -109,6 +111,7 @@
 	case member.Listed:
 		n.stepDist(now, dist.Listed{Instances: e.Instances}, &out)
 		n.stepMember(now, e, &out)
+		n.spreadMarks(now, e.Instances, &out)
 	case member.Event:
 		n.stepMember(now, e, &out)
 	case dist.Event:
--- a/internal/node/rumour.go
+++ b/internal/node/rumour.go
@@ -31,6 +31,10 @@
 
 // learnRumour passes on a rumour to the state machine that it concerns.
 func (n *Node) learnRumour(now time.Time, r member.Rumour, out *Effects) {
+	if isMark(r) {
+		n.learnMark(now, r.Key, out)
+		return
+	}
 	if !strings.HasPrefix(r.Key, incidentPrefix) {
 		return
 	}
--- a/internal/settings/field.go
+++ b/internal/settings/field.go
@@ -37,7 +37,7 @@
 	{"backend_server.shed_not_run", switchRule{}, "an answer 503 with Retry-After means that the backend server did not run the request"},
 	{"platform.source", addressRule{"http://"}, "configuration service of the platform"},
 	{"platform.instances", addressRule{"http://"}, "list of instances of the platform"},
-	{"platform.instances_interval", durationRule{100 * time.Millisecond, time.Hour}, "mean time between two readings of the list"},
+	{"platform.instances_interval", durationRule{100 * time.Millisecond, time.Hour}, "mean time between two readings of the list; readers read it more often, and a long list is read less often"},
 	{"platform.fleet_size", numberRule{1, 1_000_000}, "number of instances that the fleet may have; a starting proxy paces its calls by it"},
 	{"distribution.mode", choiceRule{ModePeers, ModeNaive}, "how versions spread; naive reads everything from the source"},
 	{"distribution.watch_wait", durationRule{time.Second, time.Minute}, "time that a watch of the source waits"},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -135,7 +135,7 @@
 			LoadPath:       "/load",
 			HealthInterval: config.Duration(time.Second),
 		},
-		Platform: Platform{InstancesInterval: config.Duration(10 * time.Second), FleetSize: 1000},
+		Platform: Platform{InstancesInterval: config.Duration(time.Minute), FleetSize: 1000},
 		Distribution: Distribution{
 			Mode:      ModePeers,
 			WatchWait: config.Duration(30 * time.Second),
--- a/internal/source/client.go
+++ b/internal/source/client.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -32,30 +31,9 @@
 const RevisionHeader = "X-Revision"
 
 const (
-	callTimeout      = 5 * time.Second
-	maxInstanceBytes = 16 << 20
+	callTimeout = 5 * time.Second
 )
 
-// InstanceState is the state of an instance on the platform's list.
-type InstanceState string
-
-// States of an instance.
-const (
-	InstanceLive    InstanceState = "live"
-	InstanceLeaving InstanceState = "leaving"
-)
-
-// Instance is one line of the platform's list of instances.
-type Instance struct {
-	ID               string        `json:"id"`
-	Service          string        `json:"service"`
-	AvailabilityZone string        `json:"availability_zone"`
-	State            InstanceState `json:"state"`
-	// Address is the IP address and port at which the proxy beside the
-	// instance listens for other proxies.
-	Address string `json:"address"`
-}
-
 // Client reads from one endpoint of the platform. It is safe for concurrent use.
 type Client struct {
 	base  string
@@ -103,33 +81,8 @@
 	return v, err
 }
 
-// Instances returns the platform's list of instances.
-func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	list, err := c.instances(ctx)
-	c.calls("instances", err)
-	return list, err
-}
-
-func (c *Client) instances(ctx context.Context) ([]Instance, error) {
-	resp, err := c.call(ctx, "/v1/instances")
-	if err != nil {
-		return nil, err
-	}
-	defer drain(resp)
-	if resp.StatusCode != http.StatusOK {
-		return nil, errors.Wrapf(ErrUnavailable, "instances: status %d", resp.StatusCode)
-	}
-	var list []Instance
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxInstanceBytes)).Decode(&list); err != nil {
-		return nil, errors.Wrapf(ErrMalformed, "instances: %v", err)
-	}
-	return list, nil
-}
-
 func (c *Client) value(ctx context.Context, path string) (Value, error) {
-	resp, err := c.call(ctx, path)
+	resp, err := c.call(ctx, path, nil)
 	if err != nil {
 		return Value{}, err
 	}
@@ -161,11 +114,14 @@
 	return Value{Revision: revision, Data: data}, nil
 }
 
-func (c *Client) call(ctx context.Context, path string) (*http.Response, error) {
+func (c *Client) call(ctx context.Context, path string, header http.Header) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
 	if err != nil {
 		return nil, errors.Wrapf(ErrUnavailable, "%v", err)
 	}
+	if header != nil {
+		req.Header = header
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return nil, errors.Wrapf(ErrUnavailable, "%v", err)
--- a/internal/source/pace.go
+++ b/internal/source/pace.go
@@ -14,6 +14,13 @@
 	// retryBase and retryLimit bound the full-jitter backoff.
 	retryBase  = 500 * time.Millisecond
 	retryLimit = 15 * time.Second
+	// watchInterval is the mean time between two readings by a proxy that
+	// watches the list for others.
+	watchInterval = 2 * time.Second
+	// perInstance and perInstanceOften are the mean times between two
+	// transfers of the list for each instance on it.
+	perInstance      = 80 * time.Millisecond
+	perInstanceOften = 13 * time.Millisecond
 	// maxDoublings keeps the backoff from overflowing.
 	maxDoublings = 10
 )
@@ -39,10 +46,30 @@
 }
 
 // Read returns the delay of the reading after one that listed size instances.
+// The interval grows with the list, so that the bytes a second do not.
 func (p *Pace) Read(size int) time.Duration {
+	p.succeeded(size)
+	return p.about(max(p.interval, 2*p.spread(), time.Duration(size)*perInstance))
+}
+
+// ReadOften is Read for the few proxies that watch the list for all others. A
+// list that was not transferred cost nothing and is read again soon.
+func (p *Pace) ReadOften(size int, transferred bool) time.Duration {
+	p.succeeded(size)
+	mean := min(p.interval, watchInterval)
+	if transferred {
+		mean = max(mean, time.Duration(size)*perInstanceOften)
+	}
+	return p.about(mean)
+}
+
+func (p *Pace) succeeded(size int) {
 	p.failures = 0
 	p.size = max(size, 1)
-	mean := max(p.interval, 2*p.spread())
+}
+
+// about returns a random delay with the given mean, at least half of it.
+func (p *Pace) about(mean time.Duration) time.Duration {
 	return mean/2 + p.jitter(mean)
 }
 
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -13,6 +13,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"maps"
 	"net/http"
@@ -21,6 +22,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-chi/chi/v5"
 
 	"heatherlift.example/heatherlift/internal/source"
@@ -264,7 +266,7 @@
 }
 
 // getInstances lists the instances as they were a lag ago.
-func (p *Platform) getInstances(w http.ResponseWriter, _ *http.Request) {
+func (p *Platform) getInstances(w http.ResponseWriter, r *http.Request) {
 	if !p.admit(w, &p.counters.Instances) {
 		return
 	}
@@ -276,7 +278,18 @@
 			list = append(list, entry)
 		}
 	}
-	writeJSON(w, list)
+	text, err := json.Marshal(list)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	tag := fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(text), 16))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	_, _ = w.Write(text)
 }
 
 func visible(history []listed, at time.Time) (source.Instance, bool) {
