--- a/internal/dist/dist.go
+++ b/internal/dist/dist.go
@@ -188,7 +188,6 @@
 // report tells the membership what changed about this instance.
 func (d *Dist) report() {
 	state := HeadChanged{Head: d.Held(), Ready: d.ready.ready, SourceFailing: d.source.failing}
-	state.Refused, _ = d.RefusedVersion()
 	if state == d.reported {
 		return
 	}
--- a/internal/dist/events.go
+++ b/internal/dist/events.go
@@ -95,7 +95,6 @@
 		Head          Head
 		Ready         bool
 		SourceFailing bool
-		Refused       uint64
 	}
 	// BecameReady reports that the instance may take requests, and why.
 	BecameReady struct{ Cause string }
--- a/internal/dist/network_test.go
+++ b/internal/dist/network_test.go
@@ -67,7 +67,6 @@
 	pace        *source.Pace
 	listAt      time.Time
 	readyAt     time.Time
-	refused     uint64
 	violations  int
 	// warm reports that the blobs were read in this life.
 	warm  bool
@@ -148,7 +147,6 @@
 	p.pausedUntil = time.Time{}
 	p.enforced = nil
 	p.watch = nil
-	p.refused = 0
 	p.warm = false
 	p.view = make(map[string]seen)
 	p.pace = source.NewPace(testListInterval, len(n.proxies), n.rng.Uint64())
@@ -298,11 +296,11 @@
 			n.enforce(p, e.Snapshot)
 		case HeadChanged:
 			p.record.Version, p.record.Root = e.Head.Version, e.Head.Root
-			p.record.Ready, p.record.SourceFailing, p.record.Refused = e.Ready, e.SourceFailing, e.Refused
+			p.record.Ready, p.record.SourceFailing = e.Ready, e.SourceFailing
 		case BecameReady:
 			p.readyAt = n.now
 		case Refused:
-			p.refused = e.Version
+			p.record.Refused = e.Version
 		case Violation:
 			p.violations++
 		}
--- a/internal/dist/rules_test.go
+++ b/internal/dist/rules_test.go
@@ -250,6 +250,24 @@
 	}
 }
 
+// TestCrossedPullIsNotWasted lets a push overtake the answer to a pull.
+func TestCrossedPullIsNotWasted(t *testing.T) {
+	is := is.New(t)
+	n := settled(t, 3, 6)
+	p := n.proxies[0]
+	scope := config.NewScope(p.services...)
+	first := n.source.latest()
+	n.source.publish("a-desk", 2)
+	second := n.source.latest()
+	n.source.publish("a-desk", 3)
+	third := n.source.latest()
+	n.step(p, Announced{Announcement{From: "p-0-1", Head: headOf(second), Delta: config.Diff(first, second, scope)}})
+	is.Equal(p.d.Head().Version, uint64(2))
+	n.step(p, Pulled{From: "p-0-2", Reply: PullReply{Head: headOf(third), Delta: config.Diff(first, third, scope)}})
+	is.Equal(p.d.Head().Version, uint64(3))
+	is.Equal(p.violations, 0)
+}
+
 func TestWaitingTellsWhy(t *testing.T) {
 	is := is.New(t)
 	n := newNetwork(3, 2, 3, t.Fatalf)
--- a/internal/member/merge.go
+++ b/internal/member/merge.go
@@ -42,6 +42,7 @@
 		r.Root = b.Root
 		r.Refused = b.Refused
 		r.Ready = b.Ready
+		r.SourceFailing = b.SourceFailing
 		m.mergeRecord(now, from, r, false, hot)
 	}
 }
--- a/internal/member/message.go
+++ b/internal/member/message.go
@@ -45,6 +45,8 @@
 	Root    config.Hash `json:"h,omitempty"`
 	Refused uint64      `json:"x,omitempty"`
 	Ready   bool        `json:"r,omitempty"`
+	// SourceFailing is the field of the same name in the record.
+	SourceFailing bool `json:"f,omitempty"`
 	// Keys and Seqs run in parallel, one for each record.
 	Keys []uint64 `json:"k"`
 	Seqs []uint64 `json:"q"`
@@ -53,7 +55,7 @@
 // covers reports whether the record belongs in the set.
 func (b Beats) covers(r Record) bool {
 	return b.State == r.State && b.Version == r.Version && b.Root == r.Root &&
-		b.Refused == r.Refused && b.Ready == r.Ready
+		b.Refused == r.Refused && b.Ready == r.Ready && b.SourceFailing == r.SourceFailing
 }
 
 // Suspicion says that an instance did not answer for AgeMs milliseconds.
@@ -90,5 +92,7 @@
 		Ready:   r.Ready,
 		Keys:    []uint64{r.key()},
 		Seqs:    []uint64{r.Seq},
+
+		SourceFailing: r.SourceFailing,
 	})
 }
