--- a/internal/dist/rules_test.go
+++ b/internal/dist/rules_test.go
@@ -22,11 +22,25 @@
 	return n
 }
 
+// TestChangeIsInForceEverywhereWithinASecond has zones large enough for relays.
 func TestChangeIsInForceEverywhereWithinASecond(t *testing.T) {
-	n := settled(t, 7, 12)
-	n.source.publish("a-desk", 2)
-	n.run(time.Second)
+	n := newNetwork(1, 3, 2*leavesPerRelay+2, t.Fatalf)
+	n.sharedView = true
+	n.source.publish("a-desk", 1)
+	n.run(30 * time.Second)
 	converged(n)
+	relays := 0
+	for _, p := range n.proxies {
+		if p.d.Role() == Relay {
+			relays++
+		}
+	}
+	is.New(t).Equal(relays, 3*2)
+	for rate := range 3 {
+		n.source.publish("a-desk", 2+rate)
+		n.run(time.Second)
+		converged(n)
+	}
 }
 
 func TestRefusalReachesEveryProxyAndNextVersionPasses(t *testing.T) {
