Keep every blob that was read and let reads in flight end

Cause: the first failed read cancelled those beside it, so a version with one missing blob read the others again at each try. Change: after a failure no further read starts, those in flight end and their blobs are kept. Tests of the fetcher against a small server: a torn version is never compiled, each blob is read once, a manifest that is none is refused.

--- a/internal/source/fetcher.go
+++ b/internal/source/fetcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -109,26 +110,38 @@
 }
 
 // read returns the blobs in the order of their hashes, nil for those that
-// could not be read.
+// could not be read. After a failure no further read starts, but those in
+// flight end, so that none is in vain.
 func (f *Fetcher) read(ctx context.Context, hashes []config.Hash, limit *rate.Limiter) ([][]byte, error) {
 	texts := make([][]byte, len(hashes))
-	group, ctx := errgroup.WithContext(ctx)
+	var group errgroup.Group
+	var failed atomic.Bool
 	group.SetLimit(concurrentBlobReads)
 	for i, h := range hashes {
 		group.Go(func() error {
-			if err := limit.Wait(ctx); err != nil {
-				return errors.Wrapf(ErrUnavailable, "%v", err)
+			if failed.Load() {
+				return nil
 			}
-			value, err := f.client.Get(ctx, config.BlobPrefix+string(h))
-			if err != nil {
-				return err
-			}
-			if config.HashOf(value.Data) != h {
-				return errors.Wrapf(ErrMalformed, "blob %s: content does not match its hash", h.Short())
-			}
-			texts[i] = value.Data
-			return nil
+			text, err := f.readBlob(ctx, h, limit)
+			texts[i] = text
+			failed.CompareAndSwap(false, err != nil)
+			return err
 		})
 	}
 	return texts, group.Wait()
 }
+
+// readBlob reads a blob at the pace of the limiter and checks its hash.
+func (f *Fetcher) readBlob(ctx context.Context, h config.Hash, limit *rate.Limiter) ([]byte, error) {
+	if err := limit.Wait(ctx); err != nil {
+		return nil, errors.Wrapf(ErrUnavailable, "%v", err)
+	}
+	value, err := f.client.Get(ctx, config.BlobPrefix+string(h))
+	if err != nil {
+		return nil, err
+	}
+	if config.HashOf(value.Data) != h {
+		return nil, errors.Wrapf(ErrMalformed, "blob %s: content does not match its hash", h.Short())
+	}
+	return value.Data, nil
+}
--- /dev/null
+++ b/internal/source/fetcher_test.go
@@ -0,0 +1,130 @@
+package source
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"heatherlift.example/heatherlift/internal/config"
+)
+
+// values serves a manifest and blobs and counts the reads of blobs.
+type values struct {
+	mu       sync.Mutex
+	manifest []byte
+	blobs    map[string][]byte
+	reads    map[string]int
+}
+
+func (v *values) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	key := strings.TrimPrefix(r.URL.Path, "/v1/values/")
+	data, ok := v.manifest, true
+	if name, isBlob := strings.CutPrefix(key, config.BlobPrefix); isBlob {
+		v.reads[name]++
+		data, ok = v.blobs[name]
+	}
+	if !ok {
+		http.NotFound(w, r)
+		return
+	}
+	w.Header().Set(RevisionHeader, "7")
+	_, _ = w.Write(data)
+}
+
+// set changes a blob; nil removes it.
+func (v *values) set(hash string, text []byte) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if text == nil {
+		delete(v.blobs, hash)
+		return
+	}
+	v.blobs[hash] = text
+}
+
+func packed(t *testing.T) (*values, *config.Manifest) {
+	d := &config.Directory{
+		Templates: map[string][]byte{"std": []byte("[limits]\nrequests_per_second = 1\nconcurrency = 1\n[groups.g]\nservice = \"s\"\n[[routes]]\nname = \"r\"\nmethods = [\"GET\"]\npath = \"/\"\ngroup = \"g\"\ndeadline = \"1s\"\n")},
+		Organisations: map[string][]byte{
+			"a": []byte("template = \"std\"\n# a\n"),
+			"b": []byte("template = \"std\"\n# b\n"),
+		},
+	}
+	m, blobs, err := d.Pack(nil, nil)
+	is.New(t).NoErr(err)
+	v := &values{manifest: m.Encode(), blobs: make(map[string][]byte), reads: make(map[string]int)}
+	for h, text := range blobs {
+		v.blobs[string(h)] = text
+	}
+	return v, m
+}
+
+func fetcher(t *testing.T, v *values) *Fetcher {
+	server := httptest.NewServer(v)
+	t.Cleanup(server.Close)
+	client := NewClient(server.URL, nil)
+	t.Cleanup(client.Close)
+	return NewFetcher(client)
+}
+
+// TestFetcherNeverCompilesATornVersion publishes a manifest before its blobs,
+// and a blob with other content.
+func TestFetcherNeverCompilesATornVersion(t *testing.T) {
+	is := is.New(t)
+	v, m := packed(t)
+	f := fetcher(t, v)
+	hash := string(m.Organisations["a"].Parameters)
+	text := v.blobs[hash]
+	v.set(hash, nil)
+	_, err := f.Next(context.Background(), 0, 0, 0)
+	is.True(errors.Is(err, ErrNotFound))
+	v.set(hash, []byte("other"))
+	_, err = f.Next(context.Background(), 0, 0, 0)
+	is.True(errors.Is(err, ErrMalformed))
+	v.set(hash, text)
+	reading, err := f.Next(context.Background(), 0, 0, 0)
+	is.NoErr(err)
+	is.NoErr(reading.Snapshot.Consistent())
+	is.Equal(len(reading.Snapshot.Sets["s"].Slices), 2)
+}
+
+// TestFetcherReadsOnlyWhatItLacks also covers the tries after a failure: every
+// blob that was read once is kept.
+func TestFetcherReadsOnlyWhatItLacks(t *testing.T) {
+	is := is.New(t)
+	v, m := packed(t)
+	f := fetcher(t, v)
+	missing := string(m.Organisations["b"].Parameters)
+	text := v.blobs[missing]
+	v.set(missing, nil)
+	for range 5 {
+		_, err := f.Next(context.Background(), 0, 0, 0)
+		is.True(err != nil)
+	}
+	v.set(missing, text)
+	for range 3 {
+		_, err := f.Next(context.Background(), 0, 0, 0)
+		is.NoErr(err)
+	}
+	for hash, n := range v.reads {
+		is.True(hash == missing || n == 1)
+	}
+}
+
+func TestFetcherRefusesAManifestThatIsNone(t *testing.T) {
+	is := is.New(t)
+	v, _ := packed(t)
+	v.manifest = []byte("{}")
+	reading, err := fetcher(t, v).Next(context.Background(), 0, 0, 0)
+	is.NoErr(err)
+	is.Equal(reading.Version, uint64(7))
+	is.Equal(reading.Refused.Error(), "manifest:organisations: missing")
+}
