--- a/internal/dedupe/dedupe_test.go
+++ b/internal/dedupe/dedupe_test.go
@@ -370,6 +370,25 @@
 	})
 }
 
+func TestKeysSpreadOverInstances(t *testing.T) {
+	is := is.New(t)
+	var peers []Peer
+	for i := range 20 {
+		peers = append(peers, Peer{ID: "instance-" + strconv.Itoa(i), AvailabilityZone: strconv.Itoa(i % 4)})
+	}
+	const keys = 10_000
+	owned := make(map[string]int)
+	for i := range keys {
+		for _, p := range owners(strconv.Itoa(i), peers) {
+			owned[p.ID]++
+		}
+	}
+	mean := keys * ownersPerKey / len(peers)
+	for _, p := range peers {
+		is.True(owned[p.ID] > mean*8/10 && owned[p.ID] < mean*12/10)
+	}
+}
+
 func BenchmarkClaim(b *testing.B) {
 	for _, former := range []int{0, 8, 64} {
 		b.Run(strconv.Itoa(former)+" former views", func(b *testing.B) {
