Do not pass on rumours read after a pause

1500 random sequences found 'service-2-2 learnt r1201 again': a process paused for 12 s read a rumour that had waited meanwhile, took its remaining life as fresh, and passed it on after the others had forgotten the key. Copies read within an interval after a pause are now kept here only, and corrected by the next fresh copy. Longer memory of keys was ruled out: a pause has no bound. The sequence found passes, and the new test fails without the change.

--- a/internal/member/exchange.go
+++ b/internal/member/exchange.go
@@ -219,8 +219,8 @@
 	}
 	start := m.rng.IntN(len(held))
 	for i := range min(len(held), rumoursPerExchange) {
-		r := held[(start+i)%len(held)].remaining(now)
-		if r.TTL > 0 {
+		h := held[(start+i)%len(held)]
+		if r := h.remaining(now); r.TTL > 0 && !h.stale {
 			g.Rumours = append(g.Rumours, r)
 		}
 	}
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -40,6 +40,9 @@
 	rng     *rand.Rand
 
 	lastTick, lastRound, lastExpiry, lastPush time.Time
+	// woke is when this process last ran again after a pause. Messages read
+	// soon after may have waited for as long as the pause.
+	woke time.Time
 	// lastContact is when a peer was last heard.
 	lastContact time.Time
 	rounds      uint64
@@ -189,6 +192,7 @@
 	}
 	m.lastTick = now
 	m.lastContact = now
+	m.woke = now
 	clear(m.outstanding)
 	clear(m.inquiries)
 	clear(m.retries)
--- a/internal/member/merge.go
+++ b/internal/member/merge.go
@@ -148,8 +148,11 @@
 		m.emit(Violation{From: from, Cause: causeRumour})
 		return
 	}
-	if h, ok := m.rumours.add(now, r); ok {
-		m.queue.add(&update{rumour: h, hot: true})
+	stale := from != m.me.ID && now.Sub(m.woke) < m.cfg.Interval
+	if h, ok := m.rumours.add(now, r, stale); ok {
+		if !stale {
+			m.queue.add(&update{rumour: h, hot: true})
+		}
 		m.emit(Learnt{Rumour: r})
 	}
 }
--- a/internal/member/rumour.go
+++ b/internal/member/rumour.go
@@ -53,6 +53,9 @@
 type heldRumour struct {
 	Rumour
 	expires time.Time
+	// stale marks a copy that may have waited for long before it was read. It
+	// is not passed on, as its remaining life is not known.
+	stale bool
 }
 
 // rumours is a bounded table, oldest first.
@@ -70,15 +73,19 @@
 	return rumours{known: make(map[string]time.Time)}
 }
 
-// add stores a rumour that is not known yet and reports whether it was new.
-func (t *rumours) add(now time.Time, r Rumour) (*heldRumour, bool) {
+// add stores a rumour that is not known yet and reports whether it was new. A
+// fresh copy takes the place of a stale one.
+func (t *rumours) add(now time.Time, r Rumour, stale bool) (*heldRumour, bool) {
 	if _, ok := t.known[r.Key]; ok {
+		if !stale {
+			t.refresh(now, r)
+		}
 		return nil, false
 	}
-	h := &heldRumour{Rumour: r, expires: now.Add(r.TTL)}
+	h := &heldRumour{Rumour: r, expires: now.Add(r.TTL), stale: stale}
 	t.held = append(t.held, h)
 	t.bytes += r.size()
-	t.hash += xxhash.Sum64String(r.Key)
+	t.hash += h.hash()
 	t.known[r.Key] = h.expires.Add(rumourMemory)
 	t.order = append(t.order, r.Key)
 	for len(t.held) > MaxRumours || t.bytes > MaxRumoursBytes {
@@ -89,6 +96,26 @@
 	return h, true
 }
 
+// refresh corrects the life of a stale copy by a fresh one.
+func (t *rumours) refresh(now time.Time, r Rumour) {
+	for _, h := range t.held {
+		if h.stale && h.Key == r.Key {
+			h.stale = false
+			h.expires = now.Add(r.TTL)
+			t.hash += h.hash()
+			t.known[r.Key] = h.expires.Add(rumourMemory)
+		}
+	}
+}
+
+// hash is the rumour's part in the hash of the table.
+func (h *heldRumour) hash() uint64 {
+	if h.stale {
+		return 0
+	}
+	return xxhash.Sum64String(h.Key)
+}
+
 // forgetKeys forgets keys that are not held any more, oldest first, while the
 // condition holds for the key.
 func (t *rumours) forgetKeys(condition func(key string) bool) {
@@ -110,7 +137,7 @@
 func (t *rumours) remove(i int) {
 	h := t.held[i]
 	t.bytes -= h.size()
-	t.hash -= xxhash.Sum64String(h.Key)
+	t.hash -= h.hash()
 	t.held = slices.Delete(t.held, i, i+1)
 }
 
--- a/internal/member/rumour_test.go
+++ b/internal/member/rumour_test.go
@@ -20,7 +20,7 @@
 	table := newRumours()
 	big := json.RawMessage(fmt.Sprintf("\"%01000d\"", 1))
 	for i := range 2 * MaxRumours {
-		table.add(epoch, Rumour{Key: fmt.Sprint("k", i), Payload: big, TTL: time.Minute})
+		table.add(epoch, Rumour{Key: fmt.Sprint("k", i), Payload: big, TTL: time.Minute}, false)
 	}
 	is.True(len(table.held) <= MaxRumours)
 	is.True(table.bytes <= MaxRumoursBytes)
@@ -35,29 +35,46 @@
 func TestKeysOfShortRumoursAreBounded(t *testing.T) {
 	is := is.New(t)
 	table := newRumours()
-	table.add(epoch, rumour("long", time.Hour))
+	table.add(epoch, rumour("long", time.Hour), false)
 	for i := range 20 * MaxRumours {
 		now := epoch.Add(time.Duration(i) * time.Millisecond)
 		table.expire(now)
-		table.add(now, rumour(fmt.Sprint("k", i), 10*time.Millisecond))
+		table.add(now, rumour(fmt.Sprint("k", i), 10*time.Millisecond), false)
 	}
 	is.True(len(table.known) <= MaxRumours+maxKnownRumours)
 	is.Equal(len(table.known), len(table.order))
-	_, again := table.add(epoch.Add(time.Minute), rumour("long", time.Hour))
+	_, again := table.add(epoch.Add(time.Minute), rumour("long", time.Hour), false)
 	is.True(!again) // still held, so still known
 }
 
+func TestCopyReadAfterAPauseIsNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	m := New(Config{Self: good("self"), Interval: testInterval, SuspectAfter: testSuspectAfter, ForgetAfter: testForgetAfter})
+	m.Step(epoch, Tick{})
+	woke := epoch.Add(time.Minute)
+	late := Gossip{From: "peer", Rumours: []Rumour{rumour("k", time.Minute)}}
+	m.Step(woke, Received{Message: late})
+	is.Equal(len(m.rumours.held), 1) // learnt here
+	is.Equal(m.rumours.hash, uint64(0))
+	is.Equal(len(m.queue.bySubject), 1) // only the own record
+	fresh := Gossip{From: "peer", Rumours: []Rumour{rumour("k", time.Second)}}
+	now := woke.Add(testInterval)
+	m.Step(now, Received{Message: fresh})
+	is.Equal(m.rumours.held[0].expires, now.Add(time.Second))
+	is.True(m.rumours.hash != 0)
+}
+
 func TestLateCopyOfAnExpiredRumourIsNotNew(t *testing.T) {
 	is := is.New(t)
 	table := newRumours()
-	_, first := table.add(epoch, rumour("k", time.Second))
+	_, first := table.add(epoch, rumour("k", time.Second), false)
 	is.True(first)
 	late := epoch.Add(time.Second)
 	table.expire(late)
-	_, again := table.add(late, rumour("k", time.Millisecond))
+	_, again := table.add(late, rumour("k", time.Millisecond), false)
 	is.True(!again)
 	later := late.Add(rumourMemory)
 	table.expire(later)
-	_, again = table.add(later, rumour("k", time.Second))
+	_, again = table.add(later, rumour("k", time.Second), false)
 	is.True(again)
 }
