Treat rumours read just after the start as read after a pause

A process paused before its first tick read a rumour that had waited and passed it on: random faults found 'service-0-0 learnt r13 again' under make test. The sequence found failed before and passes now; so does the new test.

--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -40,8 +40,7 @@
 	rng     *rand.Rand
 
 	lastTick, lastRound, lastExpiry, lastPush time.Time
-	// woke is when this process last ran again after a pause. Messages read
-	// soon after may have waited for as long as the pause.
+	// woke is when this process started or last ran again after a pause.
 	woke time.Time
 	// lastContact is when a peer was last heard.
 	lastContact time.Time
@@ -165,6 +164,7 @@
 func (m *Members) tick(now time.Time) {
 	if m.lastTick.IsZero() {
 		m.lastContact = now
+		m.woke = now
 		// Start at a random phase, so that instances do not gossip in step.
 		m.lastRound = now.Add(-m.jitter(m.cfg.Interval))
 	}
--- a/internal/member/merge.go
+++ b/internal/member/merge.go
@@ -143,12 +143,18 @@
 	m.updateSelf(r, false)
 }
 
+// lately reports whether this process started, or ran again after a pause, so
+// lately that messages may have waited for it.
+func (m *Members) lately(now time.Time) bool {
+	return m.lastTick.IsZero() || now.Sub(m.woke) < m.cfg.Interval
+}
+
 func (m *Members) learnRumour(now time.Time, from string, r Rumour) {
 	if !r.valid() {
 		m.emit(Violation{From: from, Cause: causeRumour})
 		return
 	}
-	stale := from != m.me.ID && now.Sub(m.woke) < m.cfg.Interval
+	stale := from != m.me.ID && m.lately(now)
 	if h, ok := m.rumours.add(now, r, stale); ok {
 		if !stale {
 			m.queue.add(&update{rumour: h, hot: true})
--- a/internal/member/rumour_test.go
+++ b/internal/member/rumour_test.go
@@ -64,6 +64,16 @@
 	is.True(m.rumours.hash != 0)
 }
 
+func TestCopyReadBeforeTheFirstTickIsNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	m := New(Config{Self: good("self"), Interval: testInterval, SuspectAfter: testSuspectAfter, ForgetAfter: testForgetAfter})
+	m.Step(epoch, Received{Message: Gossip{From: "peer", Rumours: []Rumour{rumour("k", time.Minute)}}})
+	m.Step(epoch, Tick{})
+	m.Step(epoch, Received{Message: Gossip{From: "peer", Rumours: []Rumour{rumour("l", time.Minute)}}})
+	is.Equal(len(m.rumours.held), 2)
+	is.Equal(m.rumours.hash, uint64(0))
+}
+
 func TestLateCopyOfAnExpiredRumourIsNotNew(t *testing.T) {
 	is := is.New(t)
 	table := newRumours()
