--- a/internal/host/metrics.go
+++ b/internal/host/metrics.go
@@ -35,6 +35,7 @@
 	m.registry.MustRegister(newAdmissionMetrics(h))
 	m.registry.MustRegister(m.peerBytes, m.peerRefused, m.sourceCalls, m.refusals)
 	m.registry.MustRegister(newLoadMetrics(h))
+	m.registry.MustRegister(newVersionMetrics(h))
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "heatherlift_version_in_force", Help: "Version that this proxy enforces.",
 	}, func() float64 {
