Test that a withdrawn request stays fenced

Cause: a broken variant that did not remember the fence of a request withdrawn from the queue passed every test. Change: one assertion. Broken variant now fails ('0 != 1 // nor when it arrives once more').

--- a/internal/admission/fence_test.go
+++ b/internal/admission/fence_test.go
@@ -30,6 +30,8 @@
 	is.Equal(b.fence("running", time.Second), FenceRunning)
 	is.Equal(b.fence("waiting", time.Second), FenceNotRun)
 	is.Equal(len(b.end(running, outcome.Answered, "")), 0) // the fenced request does not run
+	_, effects = b.arrive("waiting", 0)
+	is.Equal(reasons(effects)[outcome.Fenced], 1) // nor when it arrives once more
 	is.Equal(b.fence("running", time.Second), FenceEnded)
 }
 
