Reach every stage of a large body in the test of deaths

Two faults of TestDeathAtEachStageIsReportedTruly, seen in a run of all tests on a loaded machine. All stages had a budget of 500 ms, in which 4 MB may not arrive: 'proof that the request was not run was lost'; now only the stage that needs it. And the dying proxy did not answer Expect, so that its stages of a large body ended at the deadline only; it now does, and they are reached.

--- a/internal/forward/failure_test.go
+++ b/internal/forward/failure_test.go
@@ -44,6 +44,9 @@
 			return
 		}
 		runs.add(req.URL.Path)
+		if req.Header.Get("Expect") != "" {
+			_, _ = io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n")
+		}
 		if at == inBody {
 			_, _ = io.CopyN(io.Discard, req.Body, 10)
 			return
@@ -97,7 +100,9 @@
 	}
 	g.core.targets = []string{first, good.forward}
 	g.core.repeatable = repeatable
-	g.core.budget = 500 * time.Millisecond
+	if at == neverAnswers {
+		g.core.budget = 500 * time.Millisecond
+	}
 
 	c := dialRaw(t, g.callers)
 	go func() {
