Stop the stand-in of a backend server gracefully

A planned stop of a backend server cuts no request; the stand-in ended at once at SIGTERM.

TestStopCutsNoRequest; with the server closed instead of shut down it fails: "EOF != ok one".

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -6,10 +6,14 @@
 package main
 
 import (
+	"context"
 	"flag"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"heatherlift.example/heatherlift/internal/standin/backend"
@@ -28,21 +32,32 @@
 	lag := flags.Duration("lag", time.Second, "`DURATION` by which the instance list lags")
 	limit := flags.Uint64("limit", 0, "calls a second before the platform refuses; 0 means none")
 	_ = flags.Parse(os.Args[2:])
-	var handler http.Handler
+	var err error
 	switch os.Args[1] {
 	case "platform":
-		handler = platform.New(*lag, *limit).Handler()
+		err = http.ListenAndServe(*listen, platform.New(*lag, *limit).Handler())
 	case "backend":
-		handler = backend.New(*id, *slots, *cold).Handler()
+		err = serveBackend(*listen, backend.New(*id, *slots, *cold))
 	default:
 		usage()
 	}
-	if err := http.ListenAndServe(*listen, handler); err != nil {
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 }
 
+// serveBackend serves until SIGTERM and then drains.
+func serveBackend(listen string, s *backend.Server) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	l, err := net.Listen("tcp", listen)
+	if err != nil {
+		return err
+	}
+	return s.Serve(ctx, l)
+}
+
 func usage() {
 	fmt.Fprintln(os.Stderr, "usage: standin platform|backend -listen IP:PORT [flags]")
 	os.Exit(2)
--- /dev/null
+++ b/internal/standin/backend/serve_test.go
@@ -0,0 +1,41 @@
+package backend
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestStopCutsNoRequest(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	s := New("one", 1, 0)
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve(ctx, l) }()
+	answers := make(chan string, 1)
+	go func() {
+		req, _ := http.NewRequest(http.MethodPost, "http://"+l.Addr().String()+"/a?work=200ms", nil)
+		req.Header.Set(KeyHeader, "k")
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			answers <- err.Error()
+			return
+		}
+		defer resp.Body.Close()
+		text, _ := io.ReadAll(resp.Body)
+		answers <- string(text)
+	}()
+	for s.Runs("k") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	stop()
+	is.Equal(<-answers, "ok one\n")
+	is.NoErr(<-ended)
+}
