Let a full queue hold nobody else

Cause: after one refusal for a full queue the router left the whole instance alone for 100 ms, for every organisation.

Change: only a backend server's own shed with Retry-After holds an instance.

Shown failing first: TestOverloadOfOneOrganisationHoldsNobody, "not true: ok".

--- a/internal/routing/balance_test.go
+++ b/internal/routing/balance_test.go
@@ -7,6 +7,8 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	_ "heatherlift.example/heatherlift/internal/fixedseed"
+
 	"heatherlift.example/heatherlift/internal/outcome"
 )
 
@@ -212,3 +214,18 @@
 	second, _ := sent(r.Step(start, ended(1, outcome.NotRun, outcome.ConnectFailed)))
 	is.Equal(r.known[second.Instance].AvailabilityZone, "kilwa")
 }
+
+// A full queue is shared fairly among organisations by the instance itself, so
+// a refusal by it says nothing about the requests of others.
+func TestOverloadOfOneOrganisationHoldsNobody(t *testing.T) {
+	is := is.New(t)
+	r := New(Config{AvailabilityZone: testZone, MaxAttempts: 3, Seed: 1})
+	r.Step(start, Enforced{Snapshot: testSnapshot(1, testSlice("acme", "desk"), testSlice("quiet", "desk"))})
+	r.Step(start, InstancesChanged{Instances: testInstances("desk", 1)})
+	r.Step(start, write(1))
+	r.Step(start, AttemptEnded{ID: 1, Outcome: outcome.NotRun, Reason: outcome.Overload, RetryAfter: time.Second})
+	other := write(2)
+	other.Organisation = "quiet"
+	_, ok := sent(r.Step(start, other))
+	is.True(ok)
+}
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -10,9 +10,6 @@
 const (
 	// maxHold bounds how long an instance may ask to be left alone.
 	maxHold = 30 * time.Second
-	// maxOverloadHold bounds it for a full queue, which empties much sooner
-	// than the whole second that Retry-After can say.
-	maxOverloadHold = 100 * time.Millisecond
 	// plausibleShare is the share of the expected latency that must remain
 	// for a retry.
 	plausibleShare = 0.5
@@ -163,16 +160,14 @@
 	r.considerEjection(now, i)
 }
 
-// hold leaves the instance alone for the time that it asked for.
+// hold leaves the instance alone for the time that its backend server asked
+// for. A refusal for a full queue holds nothing: the instance shares its queue
+// among organisations, and one that floods it must not stop the others.
 func (i *instance) hold(now time.Time, e AttemptEnded) {
-	if e.RetryAfter <= 0 || e.Outcome != outcome.NotRun || !isOverload(e.Reason) {
+	if e.RetryAfter <= 0 || e.Outcome != outcome.NotRun || e.Reason != outcome.Shed {
 		return
 	}
-	limit := maxOverloadHold
-	if e.Reason == outcome.Shed {
-		limit = maxHold
-	}
-	if until := now.Add(min(e.RetryAfter, limit)); until.After(i.heldUntil) {
+	if until := now.Add(min(e.RetryAfter, maxHold)); until.After(i.heldUntil) {
 		i.heldUntil = until
 	}
 }
