Refuse a waiting request at its deadline

Cause: a request that waits for a slot was refused at the next tick of the host, up to 100 ms after its deadline; its sender had given up by then and knew nothing of its outcome.

Change: the goroutine of the request ticks the reducer shortly before the deadline and at it.

Shown failing first: without the timer, TestWaitingRequestIsRefusedAtItsDeadline reports "cancelled != deadline-expired" after 10 s.

--- a/internal/forward/deadline_test.go
+++ b/internal/forward/deadline_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -15,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
+	"heatherlift.example/heatherlift/internal/admission"
 	"heatherlift.example/heatherlift/internal/outcome"
 )
 
@@ -105,3 +107,20 @@
 	is.Equal(resp.Header.Get(ReasonHeader), string(outcome.DeadlineExpired))
 	<-cancelled
 }
+
+func TestWaitingRequestIsRefusedAtItsDeadline(t *testing.T) {
+	is := is.New(t)
+	g := newRig(t, ok)
+	for id := range uint64(2) { // take both slots
+		g.core.AdmitDecisions(1000 + id)
+		g.core.Admit(admission.Arrived{ID: 1000 + id, Request: fmt.Sprint(id), Organisation: "a", Deadline: time.Now().Add(testTimeout)})
+	}
+	local := NewLocal(g.core, NewPool(DialTCP, 0), g.backend, true)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	answer := local.start(ctx, &message{}, admission.Arrived{
+		Request: "waiting", Organisation: "b", Deadline: time.Now().Add(50 * time.Millisecond),
+	})
+	is.Equal(answer.refusal.Outcome, outcome.NotRun)
+	is.Equal(answer.refusal.Reason, outcome.DeadlineExpired)
+}
--- a/internal/forward/local.go
+++ b/internal/forward/local.go
@@ -25,6 +25,10 @@
 	return &Local{core: core, pool: pool, address: backendServer, shedNotRun: shedNotRun}
 }
 
+// maxExpirySlack bounds the time before a deadline at which a waiting request
+// may be refused, so that the refusal reaches the sender in time.
+const maxExpirySlack = 20 * time.Millisecond
+
 // localCall is one request for the backend server.
 type localCall struct {
 	*Local
@@ -86,13 +90,39 @@
 	decisions, release := l.core.AdmitDecisions(arrived.ID)
 	defer release()
 	l.core.Admit(arrived)
-	select {
-	case decision := <-decisions:
-		return c.carryOut(decision)
-	case <-ctx.Done():
+	decision, ok := c.await(decisions)
+	if !ok {
 		l.core.Admit(admission.Abandoned{ID: arrived.ID})
 		return c.refused(notRun(outcome.Cancelled, http.StatusServiceUnavailable))
 	}
+	return c.carryOut(decision)
+}
+
+// await returns the decision about the request, or false if its sender left.
+// It ticks the reducer when the deadline is near and when it has passed, since
+// a short deadline ends between two ticks of the host.
+func (c *localCall) await(decisions <-chan admission.Effect) (admission.Effect, bool) {
+	select {
+	case decision := <-decisions:
+		return decision, true
+	default:
+	}
+	remaining := time.Until(c.deadline)
+	expiry := time.NewTimer(remaining - min(remaining/10, maxExpirySlack))
+	defer expiry.Stop()
+	for {
+		select {
+		case decision := <-decisions:
+			return decision, true
+		case <-expiry.C:
+			c.core.Admit(admission.Tick{})
+			if time.Now().Before(c.deadline) {
+				expiry.Reset(time.Until(c.deadline))
+			}
+		case <-c.ctx.Done():
+			return nil, false
+		}
+	}
 }
 
 func (c *localCall) refused(r outcome.Refusal) localAnswer {
