--- a/internal/host/core.go
+++ b/internal/host/core.go
@@ -7,11 +7,17 @@
 	"heatherlift.example/heatherlift/internal/dist"
 	"heatherlift.example/heatherlift/internal/member"
 	"heatherlift.example/heatherlift/internal/node"
+	"heatherlift.example/heatherlift/internal/outcome"
 	"heatherlift.example/heatherlift/internal/routing"
 )
 
 // Route implements forward.Core.
-func (h *Host) Route(e routing.Event) { h.step(e) }
+func (h *Host) Route(e routing.Event) {
+	if ended, ok := e.(routing.AttemptEnded); ok && ended.Outcome == outcome.Answered {
+		h.metrics.attempts.Observe(ended.Latency.Seconds())
+	}
+	h.step(e)
+}
 
 // Admit implements forward.Core.
 func (h *Host) Admit(e admission.Event) { h.step(e) }
--- a/internal/host/metrics.go
+++ b/internal/host/metrics.go
@@ -1,27 +1,45 @@
 package host
 
 import (
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"heatherlift.example/heatherlift/internal/node"
 	"heatherlift.example/heatherlift/internal/outcome"
 )
 
+// Buckets of attempt durations, each twice the one before.
+const (
+	shortestAttempt = 250 * time.Microsecond
+	attemptBuckets  = 18
+)
+
 // metrics holds the counters of a proxy. It implements peer.Observer.
 type metrics struct {
 	registry    *prometheus.Registry
-	peerBytes   *prometheus.CounterVec
+	bytesSent   prometheus.Counter
+	bytesRecvd  prometheus.Counter
+	attempts    prometheus.Histogram
 	peerRefused *prometheus.CounterVec
 	sourceCalls *prometheus.CounterVec
 	refusals    *prometheus.CounterVec
 }
 
 func newMetrics(h *Host) *metrics {
+	peerBytes := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "heatherlift_peer_bytes_total", Help: "Bytes exchanged with other proxies for control.",
+	}, []string{"direction"})
 	m := &metrics{
-		registry: prometheus.NewRegistry(),
-		peerBytes: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "heatherlift_peer_bytes_total", Help: "Bytes exchanged with other proxies for control.",
-		}, []string{"direction"}),
+		registry:   prometheus.NewRegistry(),
+		bytesSent:  peerBytes.WithLabelValues("sent"),
+		bytesRecvd: peerBytes.WithLabelValues("received"),
+		attempts: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "heatherlift_attempt_duration_seconds",
+			Help:    "Time from sending an attempt that was answered to the answer's header.",
+			Buckets: prometheus.ExponentialBuckets(shortestAttempt.Seconds(), 2, attemptBuckets),
+		}),
 		peerRefused: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "heatherlift_peer_messages_refused_total", Help: "Messages of other proxies that broke the protocol.",
 		}, []string{"cause"}),
@@ -33,7 +51,8 @@
 		}, []string{"outcome", "reason"}),
 	}
 	m.registry.MustRegister(newAdmissionMetrics(h))
-	m.registry.MustRegister(m.peerBytes, m.peerRefused, m.sourceCalls, m.refusals)
+	m.registry.MustRegister(peerBytes, m.attempts, m.peerRefused, m.sourceCalls, m.refusals)
+	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.registry.MustRegister(newLoadMetrics(h))
 	m.registry.MustRegister(newVersionMetrics(h))
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
@@ -48,8 +67,8 @@
 
 // Bytes implements peer.Observer.
 func (m *metrics) Bytes(sent, received int) {
-	m.peerBytes.WithLabelValues("sent").Add(float64(sent))
-	m.peerBytes.WithLabelValues("received").Add(float64(received))
+	m.bytesSent.Add(float64(sent))
+	m.bytesRecvd.Add(float64(received))
 }
 
 // Refused implements peer.Observer.
