Replay a recorded event stream

Cause: `proxy -record FILE` wrote a stream that nothing read; the test of replays kept its trace in memory.

Change: node.Replay reads the stream, `heatherlift replay FILE` prints the state in which it ends.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -58,6 +58,8 @@
 		{"proxy without settings", []string{"proxy"}, 2},
 		{"proxy with missing settings", []string{"proxy", "-settings", "nowhere.toml"}, 1},
 		{"unknown organisation", []string{"render", example, "-organisation", "nobody"}, 1},
+		{"replay without file", []string{"replay"}, 2},
+		{"replay of no trace", []string{"replay", "cli.go"}, 1},
 		{"explain without path", []string{"explain", "-address", "127.0.0.1:1", "-organisation", "a"}, 2},
 	}
 	for _, c := range cases {
