Log the decisions of a proxy

Cause: the log had lines for start and stop only; decisions stood in the dump. Instances in `explain` had the names of Go fields, and times in the log had no zone.

Names in JSON as elsewhere; RFC 3339 times.

Shown failing first: with the entries of former steps kept, TestDecisionsAreHandedToTheLogOnce reports "role reader" again at each step.

--- a/internal/cli/proxy.go
+++ b/internal/cli/proxy.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/google/subcommands"
@@ -93,5 +94,10 @@
 	if s.Format == "json" {
 		formatter = log.JSONFormatter
 	}
-	return log.NewWithOptions(w, log.Options{Level: level, Formatter: formatter, ReportTimestamp: true})
+	return log.NewWithOptions(w, log.Options{
+		Level:           level,
+		Formatter:       formatter,
+		ReportTimestamp: true,
+		TimeFormat:      time.RFC3339Nano,
+	})
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -108,6 +108,9 @@
 }
 
 func (h *Host) carryOut(effects node.Effects) {
+	for _, e := range effects.Journal {
+		h.log.Info(e.What, "cause", e.Cause)
+	}
 	for _, e := range effects.Routing {
 		h.carryOutRouting(e)
 	}
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -25,14 +25,15 @@
 type journal struct {
 	entries []Entry
 	next    int
-	total   uint64
+	// fresh holds the entries of the present step.
+	fresh []Entry
 	// violation is when a violation was last entered.
 	violation time.Time
 }
 
 func (j *journal) add(now time.Time, what, cause string) {
 	e := Entry{At: now, What: what, Cause: cause}
-	j.total++
+	j.fresh = append(j.fresh, e)
 	if len(j.entries) < journalLength {
 		j.entries = append(j.entries, e)
 		return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -47,6 +47,8 @@
 	Admission []admission.Effect
 	Dedupe    []dedupe.Effect
 	Limit     []limit.Effect
+	// Journal holds the decisions of the step, for the log.
+	Journal []Entry
 }
 
 // Node is the reducer. It is not safe for concurrent use.
@@ -96,6 +98,7 @@
 func (n *Node) Step(now time.Time, e Event) Effects {
 	var out Effects
 	n.now = now
+	n.journal.fresh = nil
 	switch e := e.(type) {
 	case Tick:
 		n.begin(now, &out)
@@ -127,6 +130,7 @@
 	case quarantine.Event:
 		n.stepQuarantine(now, e, &out)
 	}
+	out.Journal = n.journal.fresh
 	return out
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -8,6 +8,8 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"heatherlift.example/heatherlift/internal/dist"
+
 	_ "heatherlift.example/heatherlift/internal/fixedseed"
 )
 
@@ -154,3 +156,20 @@
 		}
 	})
 }
+
+func TestDecisionsAreHandedToTheLogOnce(t *testing.T) {
+	is := is.New(t)
+	w := newNetwork(5, 1, 1)
+	p := w.proxies["desk-0"]
+	var logged []string
+	for range 110 {
+		w.now = w.now.Add(testTick)
+		for _, e := range p.node.Step(w.now, Tick{}).Journal {
+			logged = append(logged, e.What)
+		}
+	}
+	is.Equal(logged, []string{"role reader"})
+	effects := p.node.Step(w.now, dist.SourceRead{Version: 1, Snapshot: snapshot(1, 10)})
+	is.Equal(len(effects.Journal), 2) // ready, version in force
+	is.Equal(effects.Journal[1].What, "version in force")
+}
--- a/internal/routing/events.go
+++ b/internal/routing/events.go
@@ -15,19 +15,19 @@
 
 // Instance is a backend server with its proxy, as seen from here.
 type Instance struct {
-	ID               string
-	Service          string
-	AvailabilityZone string
+	ID               string `json:"id"`
+	Service          string `json:"service"`
+	AvailabilityZone string `json:"availability_zone"`
 	// Address is the address at which the instance's proxy takes requests.
-	Address string
-	Slots   int
-	Leaving bool
-	Suspect bool
+	Address string `json:"address"`
+	Slots   int    `json:"slots"`
+	Leaving bool   `json:"leaving"`
+	Suspect bool   `json:"suspect"`
 	// Incarnation grows with each start of the instance's proxy.
-	Incarnation uint64
+	Incarnation uint64 `json:"incarnation"`
 	// Load is what the instance reports: requests running and waiting per
 	// slot, 0 if unknown.
-	Load float64
+	Load float64 `json:"load"`
 }
 
 // Event is an input of the state machine.
