Measure requests with TLS between proxies

Cause: bench/requests ran without TLS, and demo and bench started instances by code that stood twice.

Change: the flag -tls; the lab starts an instance and tells whether a fleet has joined.

--- a/bench/requests/latency.go
+++ b/bench/requests/latency.go
@@ -30,7 +30,7 @@
 
 // runLatency compares the ways at each rate, one after the other.
 func runLatency(o options) error {
-	f, err := startFleet(o.bin, shape{peers: 1, slots: manySlots, organisations: []string{"org"}})
+	f, err := startFleet(o, shape{peers: 1, slots: manySlots, organisations: []string{"org"}})
 	if err != nil {
 		return err
 	}
--- a/bench/requests/leaving.go
+++ b/bench/requests/leaving.go
@@ -45,7 +45,7 @@
 }
 
 func measureLeave(o options, name string, leave func(*fleet, *lab.Instance) error) ([]string, error) {
-	f, err := startFleet(o.bin, shape{peers: leavePeers, slots: workSlots, organisations: []string{"org"}})
+	f, err := startFleet(o, shape{peers: leavePeers, slots: workSlots, organisations: []string{"org"}})
 	if err != nil {
 		return nil, err
 	}
@@ -127,7 +127,7 @@
 // enters through all of them, with a second SIGTERM and a change of the
 // configuration during each stop.
 func runRestart(o options) error {
-	f, err := startFleet(o.bin, shape{peers: leavePeers, slots: workSlots, organisations: []string{"org"}})
+	f, err := startFleet(o, shape{peers: leavePeers, slots: workSlots, organisations: []string{"org"}})
 	if err != nil {
 		return err
 	}
@@ -188,7 +188,7 @@
 			return err
 		}
 		serving[n].Store(true)
-		if err := f.await("the fleet is whole", f.joined); err != nil {
+		if err := f.await("the fleet is whole", func() bool { return f.lab.Joined(f.all()) }); err != nil {
 			return err
 		}
 	}
--- a/bench/requests/main.go
+++ b/bench/requests/main.go
@@ -23,6 +23,7 @@
 	rates    []int
 	duration time.Duration
 	table    *table
+	tls      bool
 }
 
 // runs holds the measurements by name.
@@ -44,8 +45,9 @@
 	rates := flag.String("rates", "200,1000,2000,4000", "requests a second of the latency run")
 	duration := flag.Duration("duration", 5*time.Second, "`DURATION` of each step")
 	csv := flag.String("csv", "", "append the tables to `FILE`")
+	tls := flag.Bool("tls", false, "proxies authenticate each other")
 	flag.Parse()
-	o := options{bin: *bin, duration: *duration, table: newTable(*csv)}
+	o := options{bin: *bin, tls: *tls, duration: *duration, table: newTable(*csv)}
 	for text := range strings.SplitSeq(*rates, ",") {
 		rate, err := strconv.Atoi(text)
 		if err != nil || rate < 1 {
--- a/bench/requests/overload.go
+++ b/bench/requests/overload.go
@@ -37,7 +37,7 @@
 	for n := range quietCount {
 		organisations = append(organisations, fmt.Sprintf("quiet-%d", n))
 	}
-	f, err := startFleet(o.bin, shape{peers: 1, slots: workSlots, organisations: organisations})
+	f, err := startFleet(o, shape{peers: 1, slots: workSlots, organisations: organisations})
 	if err != nil {
 		return err
 	}
@@ -76,7 +76,7 @@
 
 // runGoodput offers multiples of what the backend server can run.
 func runGoodput(o options) error {
-	f, err := startFleet(o.bin, shape{peers: 1, slots: workSlots, organisations: []string{"org"}})
+	f, err := startFleet(o, shape{peers: 1, slots: workSlots, organisations: []string{"org"}})
 	if err != nil {
 		return err
 	}
--- a/bench/requests/topology.go
+++ b/bench/requests/topology.go
@@ -9,7 +9,6 @@
 
 	"heatherlift.example/heatherlift/internal/config"
 	"heatherlift.example/heatherlift/internal/lab"
-	"heatherlift.example/heatherlift/internal/source"
 )
 
 const (
@@ -70,11 +69,16 @@
 	organisations []string
 }
 
-func startFleet(bin string, s shape) (*fleet, error) {
-	l, err := lab.New(bin)
+func startFleet(o options, s shape) (*fleet, error) {
+	l, err := lab.New(o.bin)
 	if err != nil {
 		return nil, err
 	}
+	if o.tls {
+		if err := l.UseTLS(); err != nil {
+			return nil, err
+		}
+	}
 	f := &fleet{lab: l}
 	if err := f.start(s); err != nil {
 		l.Stop()
@@ -97,11 +101,11 @@
 		f.peers = append(f.peers, i)
 	}
 	for _, i := range f.all() {
-		if err := f.startInstance(i); err != nil {
+		if err := f.lab.StartInstance(i); err != nil {
 			return err
 		}
 	}
-	return f.await("every proxy knows the fleet", f.joined)
+	return f.await("every proxy knows the fleet", func() bool { return f.lab.Joined(f.all()) })
 }
 
 // publish gives every organisation the same configuration.
@@ -124,27 +128,6 @@
 	return append([]*lab.Instance{f.entry}, f.peers...)
 }
 
-func (f *fleet) startInstance(i *lab.Instance) error {
-	if err := f.lab.StartBackend(i); err != nil {
-		return err
-	}
-	if err := f.lab.List(i, source.InstanceLive); err != nil {
-		return err
-	}
-	return f.lab.StartProxy(i)
-}
-
-// joined reports whether every proxy knows every other and has a version.
-func (f *fleet) joined() bool {
-	for _, i := range f.all() {
-		s, err := f.lab.Status(i)
-		if err != nil || len(s.Fleet) != len(f.peers)+1 || s.InForce == 0 || s.InForce != s.Version {
-			return false
-		}
-	}
-	return true
-}
-
 func (f *fleet) await(what string, done func() bool) error {
 	for deadline := time.Now().Add(startTimeout); time.Now().Before(deadline); time.Sleep(pollInterval) {
 		if done() {
--- a/demo/main.go
+++ b/demo/main.go
@@ -14,7 +14,6 @@
 
 	"heatherlift.example/heatherlift/internal/config"
 	"heatherlift.example/heatherlift/internal/lab"
-	"heatherlift.example/heatherlift/internal/source"
 )
 
 const (
@@ -98,7 +97,7 @@
 		d.instances = append(d.instances, d.lab.NewInstance(service, []string{other}, zone))
 	}
 	for _, i := range d.instances {
-		if err := d.startInstance(i); err != nil {
+		if err := d.lab.StartInstance(i); err != nil {
 			return err
 		}
 	}
@@ -112,7 +111,7 @@
 		return err
 	}
 	d.say("6 proxies in 3 availability zones enforce version %d after %v", version, elapsed.Round(time.Millisecond))
-	if err := d.awaitFleet(); err != nil {
+	if err := d.poll("every proxy knows the fleet", func() bool { return d.lab.Joined(d.instances) }); err != nil {
 		return err
 	}
 	d.load = startLoad(d.instances)
@@ -120,29 +119,6 @@
 	return nil
 }
 
-func (d *demo) startInstance(i *lab.Instance) error {
-	if err := d.lab.StartBackend(i); err != nil {
-		return err
-	}
-	if err := d.lab.List(i, source.InstanceLive); err != nil {
-		return err
-	}
-	return d.lab.StartProxy(i)
-}
-
-// awaitFleet returns when every proxy knows every other.
-func (d *demo) awaitFleet() error {
-	return d.poll("every proxy knows the fleet", func() bool {
-		for _, i := range d.instances {
-			s, err := d.lab.Status(i)
-			if err != nil || len(s.Fleet) != len(d.instances) || s.InForce == 0 {
-				return false
-			}
-		}
-		return true
-	})
-}
-
 func (d *demo) poll(what string, done func() bool) error {
 	deadline := time.Now().Add(convergenceLimit)
 	for time.Now().Before(deadline) {
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -159,6 +159,30 @@
 	return err
 }
 
+// StartInstance starts the backend server, puts the instance on the platform's
+// list and starts the proxy.
+func (l *Lab) StartInstance(i *Instance) error {
+	if err := l.StartBackend(i); err != nil {
+		return err
+	}
+	if err := l.List(i, source.InstanceLive); err != nil {
+		return err
+	}
+	return l.StartProxy(i)
+}
+
+// Joined reports whether every proxy knows every other and all have one
+// version in force.
+func (l *Lab) Joined(instances []*Instance) bool {
+	for _, i := range instances {
+		s, err := l.Status(i)
+		if err != nil || len(s.Fleet) != len(instances) || s.InForce == 0 || s.InForce != s.Version {
+			return false
+		}
+	}
+	return true
+}
+
 // AwaitReady returns when the proxy takes requests.
 func (l *Lab) AwaitReady(i *Instance) error {
 	return l.await("http://" + i.Settings.Listen.Admin + "/readyz")
