Report every wrong type in the settings at once

Cause: the TOML decoder stops at the first value of a wrong type, so that a file with three mistakes took three tries.

Change: the parsed file is compared with the table of fields first; unknown keys and wrong types are reported and taken out, the rest is decoded and checked as before.

Shown failing first: with the former Parse, TestWrongTypesAreReportedAtOnce fails at its first line that is not there.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,6 +3,7 @@
 
 import (
 	"os"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -161,9 +162,11 @@
 // Parse validates the text of a settings file.
 func Parse(file string, text []byte) (Settings, error) {
 	s := Default()
-	var problems config.Problems
-	if config.DecodeStrict(text, &s, file, &problems) {
-		problems = check(s, file)
+	problems := decode(text, &s, file)
+	for _, p := range check(s, file) {
+		if !slices.ContainsFunc(problems, func(q config.Problem) bool { return q.Key == p.Key }) {
+			problems = append(problems, p)
+		}
 	}
 	if len(problems) > 0 {
 		return Settings{}, problems
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -79,6 +79,27 @@
 	}
 }
 
+func TestWrongTypesAreReportedAtOnce(t *testing.T) {
+	is := is.New(t)
+	text := strings.NewReplacer(`"desk-1"`, "7", `"desk"`, "true", "plaintext = true", "plaintext = \"yes\"\nreload_interval = 5").Replace(valid)
+	_, err := Parse("p.toml", []byte("calls = [1]\nlog = 3\nnope = 1\n"+text))
+	var problems config.Problems
+	is.True(errors.As(err, &problems))
+	lines := problems.Error()
+	for _, want := range []string{
+		"p.toml:id: want a string, got an integer (7)",
+		"p.toml:service: want a string, got a boolean (true)",
+		"p.toml:calls: want a list of strings",
+		"p.toml:log: want a section, got an integer",
+		"p.toml:nope: unknown key",
+		"p.toml:peers.plaintext: want a boolean, got a string (yes)",
+		"p.toml:peers.reload_interval: want a duration such as",
+	} {
+		is.True(strings.Contains(lines, want)) // a line for each key
+	}
+	is.Equal(strings.Count(lines, "p.toml:id:"), 1)
+}
+
 func TestExamplesAreValid(t *testing.T) {
 	files, err := filepath.Glob("../../examples/*/proxies/*.toml")
 	if err != nil || len(files) == 0 {
