Let the stand-in's list of instances go stale

Cause: the fault "stale" of the platform stand-in froze the values but not the list of instances.

Change: the list shows the time at which the fault began.

Shown failing first: with the former stand-in, TestStandInListCanBeStale reports "1 != 0".

--- a/internal/source/instances_test.go
+++ b/internal/source/instances_test.go
@@ -37,3 +37,22 @@
 	_, _, err := list.Read(context.Background())
 	is.True(errors.Is(err, source.ErrUnavailable))
 }
+
+func TestStandInListCanBeStale(t *testing.T) {
+	is := is.New(t)
+	p := platform.New(0, 0)
+	server := httptest.NewServer(p.Handler())
+	defer server.Close()
+	client := source.NewClient(server.URL, nil)
+	defer client.Close()
+	list := source.NewInstanceList(client)
+	p.SetFault(platform.FaultStale)
+	p.List(source.Instance{ID: "late", State: source.InstanceLive})
+	got, _, err := list.Read(context.Background())
+	is.NoErr(err)
+	is.Equal(len(got), 0)
+	p.SetFault(platform.FaultNone)
+	got, _, err = list.Read(context.Background())
+	is.NoErr(err)
+	is.Equal(len(got), 1)
+}
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -78,16 +78,19 @@
 	// limit bounds the calls in one second; 0 means none.
 	limit uint64
 
-	mu        sync.Mutex
-	revision  uint64
-	values    map[string]value
-	stale     map[string]value
-	instances map[string][]listed
-	fault     Fault
-	changed   chan struct{}
-	counters  Counters
-	window    time.Time
-	inWindow  uint64
+	mu       sync.Mutex
+	revision uint64
+	values   map[string]value
+	stale    map[string]value
+	// staleSince is when the list of instances ceased to change, zero while
+	// it does change.
+	staleSince time.Time
+	instances  map[string][]listed
+	fault      Fault
+	changed    chan struct{}
+	counters   Counters
+	window     time.Time
+	inWindow   uint64
 }
 
 // New returns an empty platform whose instance list shows changes after lag
@@ -141,7 +144,9 @@
 	defer p.mu.Unlock()
 	p.fault = f
 	p.stale = nil
+	p.staleSince = time.Time{}
 	if f == FaultStale {
+		p.staleSince = time.Now()
 		p.stale = maps.Clone(p.values)
 	}
 	p.wake()
@@ -274,7 +279,7 @@
 	defer p.mu.Unlock()
 	list := []source.Instance{}
 	for _, id := range slices.Sorted(maps.Keys(p.instances)) {
-		if entry, ok := visible(p.instances[id], time.Now().Add(-p.lag)); ok {
+		if entry, ok := visible(p.instances[id], p.listTime()); ok {
 			list = append(list, entry)
 		}
 	}
@@ -292,6 +297,14 @@
 	_, _ = w.Write(text)
 }
 
+// listTime is the time whose list readers see.
+func (p *Platform) listTime() time.Time {
+	if !p.staleSince.IsZero() {
+		return p.staleSince.Add(-p.lag)
+	}
+	return time.Now().Add(-p.lag)
+}
+
 func visible(history []listed, at time.Time) (source.Instance, bool) {
 	for _, entry := range slices.Backward(history) {
 		if !entry.since.After(at) {
