Dispatch and send peer messages in one way

Cause: a switch and a map of methods stood side by side, and each of six typed calls repeated the same body. Ruled out: one file for all methods; those about requests stay apart. Change: one switch, one generic call, one function for messages without an answer. Behaviour and tests stay as they are.

--- a/internal/peer/handle.go
+++ b/internal/peer/handle.go
@@ -5,8 +5,6 @@
 	"encoding/json"
 
 	"github.com/sourcegraph/jsonrpc2"
-
-	"heatherlift.example/heatherlift/internal/dist"
 )
 
 // handle answers one message of a peer.
@@ -18,15 +16,17 @@
 		return answer(ctx, t, req, t.handler.Pull)
 	case methodAllow:
 		return answer(ctx, t, req, t.handler.Allow)
+	case methodFence:
+		return answer(ctx, t, req, t.handler.Fence)
+	case methodClaim:
+		return answer(ctx, t, req, t.handler.Claim)
+	case methodGrants:
+		return answer(ctx, t, req, t.handler.Grants)
 	case methodAnnounce:
-		return answer(ctx, t, req, func(_ context.Context, a dist.Announcement) (any, error) {
-			t.handler.Announce(a)
-			return nil, nil
-		})
+		return take(ctx, t, req, t.handler.Announce)
+	case methodSettle:
+		return take(ctx, t, req, t.handler.Settle)
 	default:
-		if handle, ok := requestMethods[req.Method]; ok {
-			return handle(ctx, t, req)
-		}
 		t.observer.Refused("unknown method")
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method"}
 	}
@@ -46,6 +46,14 @@
 	return f(ctx, in)
 }
 
+// take decodes the parameters of a message that has no answer.
+func take[In any](ctx context.Context, t *Transport, req *jsonrpc2.Request, f func(In)) (any, error) {
+	return answer(ctx, t, req, func(_ context.Context, in In) (any, error) {
+		f(in)
+		return nil, nil
+	})
+}
+
 // boundedHandler answers up to maxConcurrent messages of one connection at
 // once; beyond that it stops reading from the connection.
 type boundedHandler struct {
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -17,23 +17,17 @@
 
 // Gossip sends a gossip message and returns the answer.
 func (t *Transport) Gossip(ctx context.Context, address string, g member.Gossip) (member.Gossip, error) {
-	var answer member.Gossip
-	err := t.call(ctx, address, methodGossip, g, &answer)
-	return answer, err
+	return call[member.Gossip](ctx, t, address, methodGossip, g)
 }
 
 // Pull sends a pull request and returns the answer.
 func (t *Transport) Pull(ctx context.Context, address string, r dist.PullRequest) (dist.PullReply, error) {
-	var answer dist.PullReply
-	err := t.call(ctx, address, methodPull, r, &answer)
-	return answer, err
+	return call[dist.PullReply](ctx, t, address, methodPull, r)
 }
 
 // Allow asks the owner of limits for credits.
 func (t *Transport) Allow(ctx context.Context, address string, r limit.Request) (limit.Reply, error) {
-	var answer limit.Reply
-	err := t.call(ctx, address, methodAllow, r, &answer)
-	return answer, err
+	return call[limit.Reply](ctx, t, address, methodAllow, r)
 }
 
 // Announce notifies a peer; no answer comes.
@@ -52,15 +46,16 @@
 	return t.outcome(address, method, l, l.rpc.Notify(ctx, method, in))
 }
 
-// call sends a message and waits for its answer.
-func (t *Transport) call(ctx context.Context, address, method string, in, out any) error {
+// call sends a message and returns its answer.
+func call[Out any](ctx context.Context, t *Transport, address, method string, in any) (out Out, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	l, err := t.dial(ctx, address)
 	if err != nil {
-		return err
+		return out, err
 	}
-	return t.outcome(address, method, l, l.rpc.Call(ctx, method, in, out))
+	err = t.outcome(address, method, l, l.rpc.Call(ctx, method, in, &out))
+	return out, err
 }
 
 // outcome turns an error of the library into one of this package. A peer that
--- a/internal/peer/requests.go
+++ b/internal/peer/requests.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 
-	"github.com/sourcegraph/jsonrpc2"
-
 	"heatherlift.example/heatherlift/internal/admission"
 	"heatherlift.example/heatherlift/internal/dedupe"
 )
@@ -25,44 +23,19 @@
 	Grants(ctx context.Context, r dedupe.SyncRequest) (dedupe.SyncReply, error)
 }
 
-// requestMethods holds the handlers by method.
-var requestMethods = map[string]func(context.Context, *Transport, *jsonrpc2.Request) (any, error){
-	methodFence: func(ctx context.Context, t *Transport, req *jsonrpc2.Request) (any, error) {
-		return answer(ctx, t, req, t.handler.Fence)
-	},
-	methodClaim: func(ctx context.Context, t *Transport, req *jsonrpc2.Request) (any, error) {
-		return answer(ctx, t, req, t.handler.Claim)
-	},
-	methodGrants: func(ctx context.Context, t *Transport, req *jsonrpc2.Request) (any, error) {
-		return answer(ctx, t, req, t.handler.Grants)
-	},
-	methodSettle: func(ctx context.Context, t *Transport, req *jsonrpc2.Request) (any, error) {
-		return answer(ctx, t, req, func(_ context.Context, s dedupe.Settlement) (any, error) {
-			t.handler.Settle(s)
-			return nil, nil
-		})
-	},
-}
-
 // Fence asks a peer what became of a request.
 func (t *Transport) Fence(ctx context.Context, address string, f admission.Fence) (admission.FenceReply, error) {
-	var reply admission.FenceReply
-	err := t.call(ctx, address, methodFence, f, &reply)
-	return reply, err
+	return call[admission.FenceReply](ctx, t, address, methodFence, f)
 }
 
 // Claim asks a peer for a grant.
 func (t *Transport) Claim(ctx context.Context, address string, r dedupe.ClaimRequest) (dedupe.ClaimReply, error) {
-	var reply dedupe.ClaimReply
-	err := t.call(ctx, address, methodClaim, r, &reply)
-	return reply, err
+	return call[dedupe.ClaimReply](ctx, t, address, methodClaim, r)
 }
 
 // Grants asks a peer for its grants.
 func (t *Transport) Grants(ctx context.Context, address string, r dedupe.SyncRequest) (dedupe.SyncReply, error) {
-	var reply dedupe.SyncReply
-	err := t.call(ctx, address, methodGrants, r, &reply)
-	return reply, err
+	return call[dedupe.SyncReply](ctx, t, address, methodGrants, r)
 }
 
 // Settle notifies a peer; no answer comes.
