--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -88,6 +88,8 @@
 		a.abandoned(now, e.ID)
 	case Leave:
 		a.leaving = true
+	case Assigned:
+		a.assigned(e)
 	case Draining:
 		a.monitor.draining = e.Draining
 	case Checked:
@@ -205,6 +207,17 @@
 	a.refuse(now, r, reason)
 }
 
+// assigned takes the capacity of the backend server beside the proxy.
+func (a *Admission) assigned(e Assigned) {
+	a.cfg.Slots = e.Slots
+	a.capacity.slots = e.Slots
+	if e.Restarted {
+		a.capacity.restart()
+		a.monitor = monitor{}
+	}
+	a.capacity.limit = min(a.capacity.limit, float64(e.Slots))
+}
+
 // dispatch runs waiting requests while slots are free. Those that would be cut
 // at their deadline give way.
 func (a *Admission) dispatch(now time.Time) {
--- a/internal/admission/events.go
+++ b/internal/admission/events.go
@@ -23,6 +23,12 @@
 		Fingerprint uint64
 		Repeatable  bool
 		Deadline    time.Time
+		// Instance is the instance that the sender means, empty for any.
+		Instance string
+		// Priority is the rank of the request, 0 the most urgent.
+		Priority int
+		// Target is when an answer loses its full value, zero if it does not.
+		Target time.Time
 	}
 	// Claimed answers the effect Claim.
 	Claimed struct {
@@ -41,6 +47,14 @@
 	Abandoned struct{ ID uint64 }
 	// Leave stops new work for good.
 	Leave struct{}
+	// Assigned tells which backend server is beside this proxy.
+	Assigned struct {
+		Instance string
+		// Slots is the number of requests that it runs at once.
+		Slots int
+		// Restarted reports another backend server or a new start of it.
+		Restarted bool
+	}
 	// Draining is the backend server's own explicit report.
 	Draining struct{ Draining bool }
 	// Checked is the result of one health check of the backend server.
@@ -65,6 +79,7 @@
 func (Ended) admissionEvent()         {}
 func (Abandoned) admissionEvent()     {}
 func (Leave) admissionEvent()         {}
+func (Assigned) admissionEvent()      {}
 func (Draining) admissionEvent()      {}
 func (Checked) admissionEvent()       {}
 func (Loaded) admissionEvent()        {}
--- a/internal/cli/proxy.go
+++ b/internal/cli/proxy.go
@@ -17,8 +17,21 @@
 	"heatherlift.example/heatherlift/internal/admin"
 	"heatherlift.example/heatherlift/internal/host"
 	"heatherlift.example/heatherlift/internal/settings"
+	"heatherlift.example/heatherlift/platform"
 )
 
+// settingsVariable names the settings file if the command line does not.
+const settingsVariable = "HEATHERLIFT_SETTINGS"
+
+// adapterFor returns the adapter of the platform's kind, nil for heatherlift's
+// own interfaces.
+func adapterFor(s settings.Settings) (*host.Adapter, error) {
+	if s.Platform.Kind != settings.PlatformStore {
+		return nil, nil
+	}
+	return platform.Adapter(s)
+}
+
 // proxyCommand runs a proxy.
 type proxyCommand struct {
 	output
@@ -34,7 +47,7 @@
 }
 
 func (c *proxyCommand) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&c.settings, "settings", "", "settings `FILE` in TOML")
+	f.StringVar(&c.settings, "settings", os.Getenv(settingsVariable), "settings `FILE` in TOML; by default the value of "+settingsVariable)
 	f.BoolVar(&c.check, "check", false, "validate the settings and exit")
 	f.StringVar(&c.record, "record", "", "write the event stream to `FILE`")
 }
@@ -59,7 +72,11 @@
 	limitMemory()
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	h, err := host.New(s, newLogger(c.stderr, s.Log), recorder)
+	adapter, err := adapterFor(s)
+	if err != nil {
+		return c.fail(err)
+	}
+	h, err := host.New(s, newLogger(c.stdout, s.Log), recorder, adapter)
 	if err != nil {
 		return c.fail(err)
 	}
--- a/internal/config/organisation.go
+++ b/internal/config/organisation.go
@@ -37,6 +37,29 @@
 	Deadline Duration `json:"deadline" toml:"deadline"`
 	// Repeatable marks idempotent requests, which may run more than once.
 	Repeatable bool `json:"repeatable,omitempty" toml:"repeatable"`
+	// Prefix makes Path a literal prefix that begins and ends with a slash.
+	// It matches the path as it was sent, under any method; the longest
+	// matching prefix wins, and patterns precede prefixes.
+	Prefix bool `json:"prefix,omitempty" toml:"-"`
+	// Parts divides the requests among groups by weight; empty means that all
+	// go to Group, which otherwise is the group of the first part.
+	Parts []Part `json:"parts,omitempty" toml:"-"`
+	// Target is the time within which an answer has its full value, 0 if it
+	// is not known.
+	Target Duration `json:"target,omitempty" toml:"-"`
+	// Priority is the rank of the route's requests, 0 the most urgent.
+	Priority int `json:"priority,omitempty" toml:"-"`
+	// MaxAttempts bounds the backend servers to which a request is sent, 0
+	// for the bound of the proxy's settings.
+	MaxAttempts int `json:"max_attempts,omitempty" toml:"-"`
+}
+
+// Part is one destination of a route that divides its requests.
+type Part struct {
+	// Group names a group of the same organisation.
+	Group string `json:"group"`
+	// Weight is the part's share of the requests, relative to the others.
+	Weight int `json:"weight"`
 }
 
 // Group is a set of backend servers that an organisation may reach.
--- a/internal/config/slice.go
+++ b/internal/config/slice.go
@@ -61,14 +61,19 @@
 	return &out
 }
 
-// consistent reports ErrDangling if a route names an absent group or a group
-// of another service.
+// consistent reports ErrDangling if a route names an absent group or its first
+// group is one of another service.
 func (s *Slice) consistent() error {
 	for _, r := range s.Routes {
 		g, ok := s.Groups[r.Group]
 		if !ok || g.Service != s.Service {
 			return ErrDangling
 		}
+		for _, part := range r.Parts {
+			if _, ok := s.Groups[part.Group]; !ok {
+				return ErrDangling
+			}
+		}
 	}
 	return nil
 }
@@ -91,6 +96,9 @@
 		}
 		s.Routes = append(s.Routes, r)
 		s.Groups[r.Group] = g
+		for _, part := range r.Parts {
+			s.Groups[part.Group] = org.Groups[part.Group]
+		}
 	}
 	out := make([]*Slice, 0, len(byService))
 	for _, service := range slices.Sorted(maps.Keys(byService)) {
--- a/internal/dist/dist.go
+++ b/internal/dist/dist.go
@@ -16,6 +16,9 @@
 	Services []string
 	// Naive makes every proxy read the source itself and ignore its peers.
 	Naive bool
+	// Followed tells that versions arrive as Published events; it implies
+	// Naive.
+	Followed bool
 	// WatchWait is how long a watch of the source waits.
 	WatchWait time.Duration
 	// PullTimeout bounds a pull.
@@ -67,9 +70,10 @@
 		rng:   rand.New(rand.NewPCG(cfg.Seed, 1)),
 		peers: make(map[string]peerHead),
 	}
+	d.cfg.Naive = cfg.Naive || cfg.Followed
 	d.source.retry = backoff{base: cfg.BackoffMin, limit: cfg.BackoffMax}
 	d.pull.retry = backoff{base: cfg.BackoffMin, limit: cfg.BackoffMax}
-	if cfg.Naive {
+	if d.cfg.Naive {
 		d.role.current = Reader
 	}
 	return d
@@ -93,6 +97,8 @@
 		d.pulled(now, e)
 	case SourceRead:
 		d.sourceRead(now, e)
+	case Published:
+		d.published(now, e.Configuration)
 	}
 	d.updateRole(now)
 	d.watchSource(now)
--- a/internal/dist/events.go
+++ b/internal/dist/events.go
@@ -40,6 +40,9 @@
 		// Err is empty if the call succeeded.
 		Err string
 	}
+	// Published is a version read by a follower of the source, which replaces
+	// WatchSource if Config.Followed is set.
+	Published struct{ Configuration source.Configuration }
 	// SourceRead is the outcome of the WatchSource effect. A zero Version
 	// without Err means that nothing changed.
 	SourceRead struct {
@@ -57,6 +60,7 @@
 func (PullReceived) distEvent() {}
 func (Pulled) distEvent()       {}
 func (SourceRead) distEvent()   {}
+func (Published) distEvent()    {}
 
 // Effect is an output of the state machine.
 type Effect interface{ distEffect() }
--- a/internal/dist/source.go
+++ b/internal/dist/source.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"heatherlift.example/heatherlift/internal/source"
 )
 
 const (
@@ -45,7 +47,7 @@
 
 func (d *Dist) watchSource(now time.Time) {
 	s := &d.source
-	if d.role.current != Reader || s.watching || !s.retry.due(now) {
+	if d.cfg.Followed || d.role.current != Reader || s.watching || !s.retry.due(now) {
 		return
 	}
 	s.watching = true
@@ -116,6 +118,17 @@
 	}
 }
 
+// published takes a version that a follower of the source read.
+func (d *Dist) published(now time.Time, c source.Configuration) {
+	d.source.answered = true
+	d.source.checked = now
+	if c.Snapshot == nil {
+		d.refuse(&Refusal{Version: c.Version, Problems: c.Refused})
+		return
+	}
+	d.accept("source", c.Snapshot)
+}
+
 // readSnapshot accepts what was read. A source behind the fleet is not asked
 // again at once.
 func (d *Dist) readSnapshot(now time.Time, e SourceRead) {
--- a/internal/forward/check.go
+++ b/internal/forward/check.go
@@ -25,11 +25,11 @@
 
 // check returns the time that the caller allows, 0 if it set none, or the
 // refusal of a request that cannot be passed on.
-func check(r *http.Request) (budget time.Duration, refusal outcome.Refusal, ok bool) {
+func (d *Dialect) check(r *http.Request) (budget time.Duration, refusal outcome.Refusal, ok bool) {
 	if r.Header["Upgrade"] != nil {
 		return 0, notRun(outcome.UpgradeUnsupported, http.StatusNotImplemented), false
 	}
-	ok = wellFormed(r)
+	ok = d.HostNames || wellFormed(r)
 	for _, name := range single {
 		ok = ok && len(r.Header[name]) <= 1
 	}
--- a/internal/forward/deadline_test.go
+++ b/internal/forward/deadline_test.go
@@ -115,7 +115,7 @@
 		g.core.AdmitDecisions(1000 + id)
 		g.core.Admit(admission.Arrived{ID: 1000 + id, Request: fmt.Sprint(id), Organisation: "a", Deadline: time.Now().Add(testTimeout)})
 	}
-	local := NewLocal(g.core, NewPool(DialTCP, 0), g.backend, true)
+	local := NewLocal(g.core, NewPool(DialTCP, 0), g.backend, true, OwnDialect())
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
 	answer := local.start(ctx, &message{}, admission.Arrived{
--- a/internal/forward/entry.go
+++ b/internal/forward/entry.go
@@ -23,13 +23,17 @@
 	// draining tells callers to move to another proxy.
 	draining atomic.Bool
 	conns    callerConns
+	dialect  *Dialect
+	// service is that of the backend server beside this proxy.
+	service string
 }
 
 // NewEntry returns the handler for callers. Origin is unique to this start of
 // the process and makes request identifiers unique in the fleet. Local serves
-// the address self.
-func NewEntry(core Core, pool *Pool, origin string, local *Local, self string) *Entry {
-	return &Entry{core: core, pool: pool, origin: origin, local: local, self: self}
+// the address self; its dialect is spoken. Service is that of the backend
+// server beside this proxy.
+func NewEntry(core Core, pool *Pool, origin string, local *Local, self, service string) *Entry {
+	return &Entry{core: core, pool: pool, origin: origin, local: local, self: self, dialect: local.dialect, service: service}
 }
 
 // entryCall is one request of a caller.
@@ -50,27 +54,27 @@
 // ServeHTTP implements http.Handler.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if !e.mayServe(w, r) {
-		writeRefusal(w, notRun(outcome.Malformed, http.StatusBadRequest), true)
+		e.dialect.writeRefusal(w, notRun(outcome.Malformed, http.StatusBadRequest), true)
 		return
 	}
-	budget, refusal, ok := check(r)
+	budget, refusal, ok := e.dialect.check(r)
 	if !ok {
-		writeRefusal(w, refusal, false)
+		e.dialect.writeRefusal(w, refusal, false)
 		return
 	}
-	c := &entryCall{Entry: e, w: w, r: r, message: &message{in: r, expect: true}}
+	c := &entryCall{Entry: e, w: w, r: r, message: &message{in: r, dialect: e.dialect, atEntry: true, caller: e.service, expect: true}}
 	if !c.readBody() {
 		return
 	}
 	defer c.message.upload.finish()
 	c.id = e.core.NextID()
-	c.organisation = r.Header.Get(OrganisationHeader)
+	c.organisation = e.dialect.organisation(r)
 	c.hash = fingerprint(c.organisation, r, c.message.body)
 	c.serve(routing.Arrived{
 		ID:           c.id,
 		Organisation: c.organisation,
 		Method:       r.Method,
-		Path:         r.URL.Path,
+		Path:         e.dialect.path(r),
 		Budget:       budget,
 		Fingerprint:  c.hash,
 		Retry:        r.Header.Get(RetryHeader) != "",
@@ -85,7 +89,7 @@
 	}
 	body, err := readSmallBody(c.w, c.r)
 	if err != nil {
-		writeRefusal(c.w, notRun(outcome.Malformed, http.StatusRequestTimeout), true)
+		c.dialect.writeRefusal(c.w, notRun(outcome.Malformed, http.StatusRequestTimeout), true)
 		return false
 	}
 	c.message.body = body
@@ -155,10 +159,13 @@
 	a := c.local.start(c.r.Context(), c.message, admission.Arrived{
 		Request:      c.request(),
 		Organisation: c.organisation,
-		Key:          c.r.Header.Get(IdempotencyHeader),
+		Key:          c.dialect.key(c.r),
 		Fingerprint:  c.hash,
 		Repeatable:   d.Repeatable,
 		Deadline:     d.Deadline,
+		Instance:     d.Instance,
+		Priority:     d.Priority,
+		Target:       d.Target,
 	})
 	c.message.expect = true
 	if a.exchange == nil {
@@ -199,7 +206,7 @@
 			r.Status = http.StatusBadGateway
 		}
 	}
-	refuse(c.w, c.message.upload, r)
+	c.dialect.refuse(c.w, c.message.upload, r)
 }
 
 // answered notes the time until the answer's header and returns the function
@@ -233,8 +240,18 @@
 		field{DeadlineHeader, formatDeadline(time.Until(d.Deadline))},
 		field{VersionHeader, strconv.FormatUint(d.Version, 10)},
 		field{fingerprintHeader, strconv.FormatUint(c.hash, 16)},
+		field{instanceHeader, d.Instance},
 	)
-	if key := c.r.Header.Get(IdempotencyHeader); key != "" {
+	if c.dialect.Caller != "" {
+		fields = append(fields, field{c.dialect.Caller, c.service})
+	}
+	if d.Priority != 0 {
+		fields = append(fields, field{priorityHeader, strconv.Itoa(d.Priority)})
+	}
+	if !d.Target.IsZero() {
+		fields = append(fields, field{targetHeader, strconv.FormatInt(time.Until(d.Target).Milliseconds(), 10)})
+	}
+	if key := c.dialect.key(c.r); key != "" {
 		fields = append(fields, field{IdempotencyHeader, key})
 	}
 	if d.Retry {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -16,7 +16,14 @@
 type Exchange struct {
 	Response *http.Response
 
-	pool   *Pool
+	dialect *Dialect
+	// id is what the answer's request identifier must be, "" for any.
+	id   string
+	pool *Pool
+	// framed tells that the answer's end does not depend on the connection's.
+	framed bool
+	// whole tells that the body is held in memory.
+	whole  bool
 	conn   *connection
 	stop   func() bool
 	upload *upload
@@ -38,7 +45,7 @@
 		return nil, markExpired(err, deadline)
 	}
 	c.begin()
-	x := &Exchange{pool: p, conn: c, upload: m.upload}
+	x := &Exchange{pool: p, conn: c, upload: m.upload, dialect: m.dialect, id: m.dialect.id(m.in)}
 	_ = c.SetDeadline(deadline)
 	x.stop = context.AfterFunc(ctx, func() { _ = c.SetDeadline(past) })
 	if err := x.run(ctx, deadline, m); err != nil {
@@ -136,8 +143,8 @@
 
 // accept takes the answer if its end can be told from a lost connection.
 func (x *Exchange) accept(resp *http.Response) error {
-	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	if !framed && resp.Body != http.NoBody {
+	x.framed = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody
+	if !x.framed && x.dialect.Signature == "" {
 		return errors.Wrap(ErrBadAnswer, "answer without length")
 	}
 	x.Response = resp
@@ -156,7 +163,7 @@
 // The connection is kept if the request was sent whole and nothing is left on
 // it.
 func (x *Exchange) Close(complete bool) {
-	if !complete || x.Response.Close || !x.Sent() || x.conn.reader.Buffered() > 0 || !x.stop() {
+	if !complete || !x.framed || x.Response.Close || !x.Sent() || x.conn.reader.Buffered() > 0 || !x.stop() {
 		x.abort()
 		return
 	}
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -46,20 +46,15 @@
 	repeatableHeader  = "Heatherlift-Repeatable"
 	fingerprintHeader = "Heatherlift-Fingerprint"
 	loadHeader        = "Heatherlift-Load"
+	// instanceHeader names the instance that the request is for.
+	instanceHeader = "Heatherlift-Instance"
+	// priorityHeader is the rank of the request's route.
+	priorityHeader = "Heatherlift-Priority"
+	// targetHeader is the time left in which an answer has its full value, in
+	// milliseconds; negative once it has passed.
+	targetHeader = "Heatherlift-Target-Ms"
 )
 
-// passes reports whether a header is end to end: it concerns neither one
-// connection only nor the exchange between proxies.
-func passes(name string) bool {
-	switch name {
-	case "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
-		"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-		"Expect", "Host", "Content-Length":
-		return false
-	}
-	return !internal(name)
-}
-
 // internal reports whether a name is one of this package or one that some
 // backend servers do not tell from it.
 func internal(name string) bool {
@@ -82,18 +77,23 @@
 
 // copyEndToEnd copies the end-to-end headers of an answer. Its length is one
 // of them: it is valid for every hop.
-func copyEndToEnd(out, in http.Header) {
+func (d *Dialect) copyEndToEnd(out, in http.Header) {
 	for name, values := range in {
-		if (passes(name) || name == "Content-Length") && !listed(in, name) {
+		if (d.passes(name) || name == "Content-Length") && !listed(in, name) {
 			out[name] = values
 		}
 	}
 }
 
 // writeEndToEnd writes the end-to-end headers of a request.
-func writeEndToEnd(w *bufio.Writer, in http.Header) {
+func (m *message) writeEndToEnd(w *bufio.Writer) {
+	in := m.in.Header
+	pass := m.dialect.passes
+	if m.atEntry {
+		pass = m.dialect.fromCaller
+	}
 	for name, values := range in {
-		if !passes(name) || name == IdempotencyHeader || listed(in, name) {
+		if !pass(name) || (name == IdempotencyHeader && !m.dialect.HostNames) || listed(in, name) {
 			continue
 		}
 		for _, value := range values {
@@ -116,6 +116,24 @@
 	return time.Duration(ms * float64(time.Millisecond)), true
 }
 
+// priority returns the rank in a header, 0 if there is none.
+func priority(h http.Header) int {
+	n, err := strconv.Atoi(h.Get(priorityHeader))
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+// targetTime returns when the target in a header passes, zero if there is none.
+func targetTime(now time.Time, h http.Header) time.Time {
+	ms, err := strconv.ParseInt(h.Get(targetHeader), 10, 32)
+	if err != nil {
+		return time.Time{}
+	}
+	return now.Add(time.Duration(ms) * time.Millisecond)
+}
+
 // formatDeadline returns the text of a deadline header.
 func formatDeadline(d time.Duration) string {
 	d = max(d, time.Microsecond)
@@ -124,7 +142,7 @@
 
 // writeRefusal answers a request with a refusal, which ends the connection if
 // closing is set or a header says so already.
-func writeRefusal(w http.ResponseWriter, r outcome.Refusal, closing bool) {
+func (d *Dialect) writeRefusal(w http.ResponseWriter, r outcome.Refusal, closing bool) {
 	h := w.Header()
 	if closing {
 		h["Connection"] = []string{"close"}
@@ -133,10 +151,9 @@
 	h.Set(ReasonHeader, string(r.Reason))
 	h.Set("Content-Type", "application/json")
 	if r.RetryAfter > 0 {
-		seconds := int64(math.Ceil(r.RetryAfter.Seconds()))
-		h.Set("Retry-After", strconv.FormatInt(seconds, 10))
+		h.Set("Retry-After", d.retryAfter(r.RetryAfter))
 	}
-	w.WriteHeader(r.Status)
+	w.WriteHeader(d.status(r))
 	_ = json.NewEncoder(w).Encode(struct {
 		Outcome      outcome.Outcome `json:"outcome"`
 		Reason       outcome.Reason  `json:"reason"`
@@ -164,18 +181,18 @@
 
 // retryAfter returns the time in a Retry-After header, 0 if there is none.
 func retryAfter(h http.Header) time.Duration {
-	seconds, err := strconv.Atoi(h.Get("Retry-After"))
-	if err != nil || seconds < 0 || seconds > maxRetryAfterSeconds {
+	seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
+	if err != nil || !(seconds >= 0) || seconds > maxRetryAfterSeconds {
 		return 0
 	}
-	return time.Duration(seconds) * time.Second
+	return time.Duration(seconds * float64(time.Second))
 }
 
 // fingerprint identifies requests that are equal in organisation, method,
 // target and body.
 func fingerprint(org string, r *http.Request, body []byte) uint64 {
 	var d hash.Hash64 = xxhash.New()
-	for _, part := range []string{org, r.Method, r.URL.RequestURI()} {
+	for _, part := range []string{org, r.Method, target(r)} {
 		_, _ = d.Write([]byte(part))
 		_, _ = d.Write([]byte{0})
 	}
--- a/internal/forward/local.go
+++ b/internal/forward/local.go
@@ -18,11 +18,12 @@
 	address string
 	// shedNotRun declares that an answer 503 with Retry-After means not run.
 	shedNotRun bool
+	dialect    *Dialect
 }
 
 // NewLocal returns the handler for other proxies.
-func NewLocal(core Core, pool *Pool, backendServer string, shedNotRun bool) *Local {
-	return &Local{core: core, pool: pool, address: backendServer, shedNotRun: shedNotRun}
+func NewLocal(core Core, pool *Pool, backendServer string, shedNotRun bool, dialect Dialect) *Local {
+	return &Local{core: core, pool: pool, address: backendServer, shedNotRun: shedNotRun, dialect: &dialect}
 }
 
 // maxExpirySlack bounds the time before a deadline at which a waiting request
@@ -51,10 +52,10 @@
 	budget, ok := remaining(r.Header)
 	request := r.Header.Get(requestHeader)
 	if !ok || budget == 0 || request == "" {
-		writeRefusal(w, notRun(outcome.Malformed, http.StatusBadRequest), false)
+		l.dialect.writeRefusal(w, notRun(outcome.Malformed, http.StatusBadRequest), false)
 		return
 	}
-	m := &message{in: r, retry: r.Header.Get(RetryHeader) != ""}
+	m := &message{in: r, dialect: l.dialect, retry: r.Header.Get(RetryHeader) != ""}
 	if !isSmall(r) {
 		m.upload = newUpload(w, r)
 		defer m.upload.finish()
@@ -73,10 +74,13 @@
 		Fingerprint:  hash,
 		Repeatable:   r.Header.Get(repeatableHeader) != "",
 		Deadline:     time.Now().Add(budget),
+		Instance:     r.Header.Get(instanceHeader),
+		Priority:     priority(r.Header),
+		Target:       targetTime(time.Now(), r.Header),
 	})
 	if a.exchange == nil {
 		l.load().set(w.Header())
-		refuse(w, m.upload, a.refusal)
+		l.dialect.refuse(w, m.upload, a.refusal)
 		return
 	}
 	a.relay(w, r, l.load())
@@ -142,15 +146,15 @@
 // run passes the request to the backend server.
 func (c *localCall) run() localAnswer {
 	c.setFields()
-	x, err := c.pool.Do(c.ctx, c.deadline, c.address, c.message)
+	x, err := c.exchange()
 	if err != nil {
 		refusal := lostRefusal(err)
 		refusal.Reason = c.crashReason(c.ctx, refusal.Reason)
 		c.end(refusal.Outcome, refusal.Reason)
 		return c.refused(refusal)
 	}
-	if c.shed(x.Response) {
-		refusal := notRun(outcome.Shed, http.StatusServiceUnavailable)
+	if reason, ok := c.declined(x.Response); ok {
+		refusal := notRun(reason, http.StatusServiceUnavailable)
 		refusal.RetryAfter = retryAfter(x.Response.Header)
 		x.Close(false)
 		c.end(refusal.Outcome, refusal.Reason)
@@ -159,17 +163,50 @@
 	return localAnswer{call: c, exchange: x}
 }
 
-func (c *localCall) shed(resp *http.Response) bool {
-	return c.shedNotRun && resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") != ""
+// declined reports whether the backend server says that it did not run the
+// request, and why.
+func (c *localCall) declined(resp *http.Response) (outcome.Reason, bool) {
+	switch {
+	case c.dialect.Expect != "" && resp.StatusCode == http.StatusMisdirectedRequest:
+		return outcome.OtherInstance, true
+	case c.dialect.NotRun != "" && resp.Header.Get(c.dialect.NotRun) != "":
+		return outcome.Shed, true
+	case c.shedNotRun && resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") != "":
+		return outcome.Shed, true
+	}
+	return "", false
+}
+
+// exchange passes the request to the backend server and reads the answer. An
+// answer of a dialect with signatures is read whole and verified first.
+func (c *localCall) exchange() (*Exchange, error) {
+	x, err := c.pool.Do(c.ctx, c.deadline, c.address, c.message)
+	if err != nil || c.dialect.Signature == "" {
+		return x, err
+	}
+	if err := x.verify(); err != nil {
+		x.abort()
+		return nil, markExpired(err, c.deadline)
+	}
+	return x, nil
 }
 
 // setFields sets the headers for the backend server.
 func (c *localCall) setFields() {
 	c.message.expect = false
 	c.message.fields = append(c.message.fields[:0],
-		field{OrganisationHeader, c.arrived.Organisation},
-		field{DeadlineHeader, formatDeadline(time.Until(c.deadline))},
+		field{DeadlineHeader, c.dialect.deadline(time.Until(c.deadline))},
 	)
+	if c.dialect.Expect != "" {
+		c.message.fields = append(c.message.fields, field{c.dialect.Expect, c.arrived.Instance})
+	}
+	if c.dialect.Caller != "" && c.message.atEntry {
+		c.message.fields = append(c.message.fields, field{c.dialect.Caller, c.message.caller})
+	}
+	if c.dialect.HostNames {
+		return
+	}
+	c.message.fields = append(c.message.fields, field{OrganisationHeader, c.arrived.Organisation})
 	if c.message.retry {
 		c.message.fields = append(c.message.fields, field{RetryHeader, "1"})
 	}
@@ -192,6 +229,6 @@
 
 // refuse answers with a refusal. What is left of a body in transit is not
 // taken for a request.
-func refuse(w http.ResponseWriter, u *upload, refusal outcome.Refusal) {
-	writeRefusal(w, refusal, u.spent())
+func (d *Dialect) refuse(w http.ResponseWriter, u *upload, refusal outcome.Refusal) {
+	d.writeRefusal(w, refusal, u.spent())
 }
--- a/internal/forward/message.go
+++ b/internal/forward/message.go
@@ -16,7 +16,10 @@
 
 // message is a request on its way to the next hop.
 type message struct {
-	in *http.Request
+	in      *http.Request
+	dialect *Dialect
+	// atEntry tells that in came from a caller.
+	atEntry bool
 	// fields are the headers that this hop adds to the end-to-end ones.
 	fields []field
 	// upload is the body if it is too large to be held, otherwise nil.
@@ -27,6 +30,8 @@
 	expect bool
 	// retry tells that the request is a retry.
 	retry bool
+	// caller is the service beside whose instance the request began.
+	caller string
 }
 
 // lingerTime is how long the sender of a body may take to read an answer that
@@ -95,10 +100,10 @@
 func (m *message) writeHead(w *bufio.Writer) error {
 	_, _ = w.WriteString(m.in.Method)
 	_ = w.WriteByte(' ')
-	_, _ = w.WriteString(m.in.URL.RequestURI())
+	_, _ = w.WriteString(target(m.in))
 	_, _ = w.WriteString(" HTTP/1.1\r\n")
 	writeField(w, "Host", m.in.Host)
-	writeEndToEnd(w, m.in.Header)
+	m.writeEndToEnd(w)
 	for _, f := range m.fields {
 		writeField(w, f.name, f.value)
 	}
@@ -113,7 +118,7 @@
 	case m.upload != nil && m.in.ContentLength < 0:
 		writeField(w, "Transfer-Encoding", "chunked")
 		for name := range m.in.Trailer {
-			if passes(name) {
+			if m.dialect.passes(name) {
 				writeField(w, "Trailer", name)
 			}
 		}
@@ -174,7 +179,7 @@
 func (m *message) writeLastChunk(w *bufio.Writer) error {
 	_, _ = w.WriteString("0\r\n")
 	for name, values := range m.in.Trailer {
-		if !passes(name) {
+		if !m.dialect.passes(name) {
 			continue
 		}
 		for _, value := range values {
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -50,7 +50,8 @@
 func (a *answer) setHeader(extra field) {
 	h := a.w.Header()
 	resp := a.x.Response
-	copyEndToEnd(h, resp.Header)
+	dialect := a.x.dialect
+	dialect.copyEndToEnd(h, resp.Header)
 	if _, ok := h["Content-Type"]; !ok {
 		h["Content-Type"] = nil // keeps the library from guessing one
 	}
@@ -59,7 +60,7 @@
 		h["Connection"] = []string{"close"} // what is left of the body is no request
 	}
 	for name := range resp.Trailer {
-		if passes(name) {
+		if dialect.passes(name) {
 			h.Add("Trailer", name)
 		}
 	}
@@ -76,7 +77,7 @@
 		return err
 	}
 	for name, values := range resp.Trailer {
-		if passes(name) {
+		if a.x.dialect.passes(name) {
 			a.w.Header()[name] = values
 		}
 	}
--- a/internal/forward/rig_test.go
+++ b/internal/forward/rig_test.go
@@ -187,10 +187,10 @@
 	g.core = newFakeCore()
 	pool := NewPool(DialTCP, 0)
 	t.Cleanup(pool.Close)
-	local := NewLocal(g.core, pool, backend, true)
+	local := NewLocal(g.core, pool, backend, true, OwnDialect())
 	g.forward = serveHTTP(t, local, nil)
 	g.core.targets = []string{g.forward}
-	g.entry = NewEntry(g.core, pool, "entry", local, "")
+	g.entry = NewEntry(g.core, pool, "entry", local, "", "")
 	g.callers = serveHTTP(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		defer g.served.Add(1)
 		g.entry.ServeHTTP(w, r)
--- a/internal/forward/speed_test.go
+++ b/internal/forward/speed_test.go
@@ -87,9 +87,9 @@
 	core := &straightCore{}
 	pool := NewPool(DialTCP, 0)
 	b.Cleanup(pool.Close)
-	local := NewLocal(core, pool, benchServer(b, http.HandlerFunc(benchBackend)), true)
+	local := NewLocal(core, pool, benchServer(b, http.HandlerFunc(benchBackend)), true, OwnDialect())
 	core.address = benchServer(b, local)
-	benchLoad(b, benchServer(b, NewEntry(core, pool, "entry", local, "")))
+	benchLoad(b, benchServer(b, NewEntry(core, pool, "entry", local, "", "")))
 }
 
 func BenchmarkPlainTwoHops(b *testing.B) {
--- a/internal/host/build.go
+++ b/internal/host/build.go
@@ -25,7 +25,18 @@
 
 // nodeConfig derives the reducer's configuration from the settings. The start
 // time makes a restarted process a new incarnation.
-func nodeConfig(s settings.Settings, start time.Time) node.Config {
+func nodeConfig(s settings.Settings, start time.Time, adapter *Adapter) node.Config {
+	c := ownConfig(s, start)
+	if adapter != nil {
+		c.Listed = true
+		c.BackendAddress = s.BackendServer.Address
+		c.Dist.Followed = true
+		c.Routing.Retries = adapter.Retries
+	}
+	return c
+}
+
+func ownConfig(s settings.Settings, start time.Time) node.Config {
 	seed := xxhash.Sum64String(origin(s.ID, start))
 	services := append([]string{s.Service}, s.Calls...)
 	return node.Config{
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -48,6 +48,9 @@
 	listClient *source.Client
 	instances  *source.InstanceList
 	fetcher    *source.Fetcher
+	// feed replaces source, listClient, instances and fetcher if it is set.
+	feed    source.Feed
+	dialect forward.Dialect
 	// peerPool connects to other proxies, backendPool to the backend server.
 	peerPool    *forward.Pool
 	backendPool *forward.Pool
@@ -62,9 +65,20 @@
 	fetchMu sync.Mutex
 }
 
-// New returns a host that is not running yet. The recorder may be nil. It
+// Adapter ties a proxy to a platform with its own store and its own headers.
+type Adapter struct {
+	// Feed returns the store's client, which reports each call to observe.
+	Feed func(observe func(kind string, err error)) source.Feed
+	// Dialect is spoken with callers and backend servers.
+	Dialect forward.Dialect
+	// Retries bounds the retries of the fleet.
+	Retries routing.RetryBudget
+}
+
+// New returns a host that is not running yet. The recorder may be nil, and so
+// may the adapter: the proxy then speaks heatherlift's own interfaces. It
 // returns identity.ErrMaterial if the TLS files are not usable.
-func New(s settings.Settings, logger *log.Logger, recorder *Recorder) (*Host, error) {
+func New(s settings.Settings, logger *log.Logger, recorder *Recorder, adapter *Adapter) (*Host, error) {
 	id, err := loadIdentity(s.Peers)
 	if err != nil {
 		return nil, err
@@ -73,7 +87,8 @@
 	h := &Host{
 		settings:    s,
 		log:         logger,
-		node:        node.New(nodeConfig(s, now)),
+		node:        node.New(nodeConfig(s, now, adapter)),
+		dialect:     forward.OwnDialect(),
 		recorder:    recorder,
 		identity:    id,
 		backendPool: forward.NewPool(forward.DialTCP, s.BackendServer.Connections),
@@ -86,7 +101,11 @@
 	h.listClient = source.NewClient(s.Platform.Instances, h.metrics.sourceCall)
 	h.instances = source.NewInstanceList(h.listClient)
 	h.fetcher = source.NewFetcher(h.source)
-	recorder.start(nodeConfig(s, now))
+	if adapter != nil {
+		h.feed = adapter.Feed(h.metrics.sourceCall)
+		h.dialect = adapter.Dialect
+	}
+	recorder.start(nodeConfig(s, now, adapter))
 	return h, nil
 }
 
@@ -129,6 +148,9 @@
 	for _, e := range effects.Dedupe {
 		h.carryOutDedupe(e)
 	}
+	if call := effects.Store; call != nil {
+		h.goDo(func() { h.callStore(*call) })
+	}
 }
 
 func (h *Host) carryOutRouting(e routing.Effect) {
--- a/internal/host/metrics_test.go
+++ b/internal/host/metrics_test.go
@@ -22,7 +22,7 @@
 	is.NoErr(err)
 	s := settings.Default()
 	s.Peers.Plaintext = true
-	h, err := New(s, log.New(io.Discard), nil)
+	h, err := New(s, log.New(io.Discard), nil, nil)
 	is.NoErr(err)
 	descs := make(chan *prometheus.Desc, 1000)
 	h.metrics.registry.Describe(descs)
--- a/internal/host/recorder_test.go
+++ b/internal/host/recorder_test.go
@@ -28,7 +28,7 @@
 	s.ID, s.AvailabilityZone, s.Service = "desk-1", "zone-1", "desk"
 	s.Distribution.Mode = settings.ModeNaive
 	s.Peers.Plaintext = true
-	h, err := New(s, log.New(io.Discard), r)
+	h, err := New(s, log.New(io.Discard), r, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -72,8 +72,12 @@
 	h.group.Go(func() error { return serve(control, l.admin) })
 	h.group.Go(func() error { _ = h.transport.Serve(l.peers); return nil })
 	h.group.Go(func() error { h.tick(); return nil })
-	h.group.Go(func() error { h.readInstances(); return nil })
-	h.group.Go(func() error { h.checkHealth(); return nil })
+	if h.feed == nil {
+		h.group.Go(func() error { h.readInstances(); return nil })
+	}
+	if h.settings.BackendServer.HealthInterval > 0 {
+		h.group.Go(func() error { h.checkHealth(); return nil })
+	}
 	h.group.Go(func() error { h.watchIdentity(); return nil })
 	h.log.Info("proxy started", "id", h.settings.ID, "callers", h.settings.Listen.Callers)
 	<-ctx.Done()
@@ -86,6 +90,9 @@
 	h.peerPool.Close()
 	h.backendPool.Close()
 	h.source.Close()
+	if h.feed != nil {
+		h.feed.Close()
+	}
 	h.listClient.Close()
 	h.log.Info("proxy stopped", "id", h.settings.ID)
 	return err
--- a/internal/host/shutdown.go
+++ b/internal/host/shutdown.go
@@ -27,9 +27,9 @@
 
 func (h *Host) newServers(l listeners) *servers {
 	backend := h.settings.BackendServer
-	local := forward.NewLocal(h, h.backendPool, backend.Address, backend.ShedNotRun)
+	local := forward.NewLocal(h, h.backendPool, backend.Address, backend.ShedNotRun, h.dialect)
 	s := &servers{
-		entry: forward.NewEntry(h, h.peerPool, h.origin, local, h.settings.Listen.Forward),
+		entry: forward.NewEntry(h, h.peerPool, h.origin, local, h.settings.Listen.Forward, h.settings.Service),
 	}
 	s.callers = newServer(s.entry)
 	s.accept = s.entry.Attach(s.callers, l.callers)
--- a/internal/host/shutdown_test.go
+++ b/internal/host/shutdown_test.go
@@ -43,7 +43,7 @@
 	s.Platform.Instances = s.Platform.Source
 	s.Peers.Plaintext = true
 	s.Shutdown = settings.Shutdown{Notice: config.Duration(testNotice), Limit: config.Duration(time.Second)}
-	h, err := New(s, log.New(io.Discard), nil)
+	h, err := New(s, log.New(io.Discard), nil, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/node/listed.go
@@ -0,0 +1,46 @@
+package node
+
+import (
+	"strconv"
+	"time"
+
+	"heatherlift.example/heatherlift/internal/admission"
+	"heatherlift.example/heatherlift/internal/routing"
+	"heatherlift.example/heatherlift/internal/source"
+)
+
+// listed takes the platform's list as the whole truth about the instances.
+func (n *Node) listed(now time.Time, list []source.Instance, out *Effects) {
+	instances := make([]routing.Instance, 0, len(list))
+	for _, i := range list {
+		if i.BackendAddress == n.cfg.BackendAddress && i.Service == n.cfg.Member.Self.Service {
+			n.beside(now, i, out)
+		}
+		instances = append(instances, routing.Instance{
+			ID:               i.ID,
+			Service:          i.Service,
+			AvailabilityZone: i.AvailabilityZone,
+			Address:          i.Address,
+			Slots:            i.Slots,
+			Leaving:          i.State == source.InstanceLeaving,
+			Incarnation:      i.Incarnation,
+		})
+	}
+	n.stepRouting(now, routing.InstancesChanged{Instances: instances}, out)
+}
+
+// beside tells admission what the list says of the backend server beside this
+// proxy.
+func (n *Node) beside(now time.Time, i source.Instance, out *Effects) {
+	if n.backend.ID != i.ID || n.backend.Incarnation != i.Incarnation || n.backend.State != i.State {
+		n.journal.add(now, "backend server "+string(i.State), i.ID+" with "+strconv.Itoa(i.Slots)+" slots")
+	}
+	restarted := n.backend.ID != i.ID || n.backend.Incarnation != i.Incarnation
+	n.backend = i
+	n.stepAdmission(now, admission.Assigned{
+		Instance:  i.ID,
+		Slots:     i.Slots,
+		Restarted: restarted,
+	}, out)
+	n.stepAdmission(now, admission.Draining{Draining: i.State == source.InstanceLeaving}, out)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"heatherlift.example/heatherlift/internal/member"
 	"heatherlift.example/heatherlift/internal/quarantine"
 	"heatherlift.example/heatherlift/internal/routing"
+	"heatherlift.example/heatherlift/internal/source"
 )
 
 // Config configures the state machines of one proxy.
@@ -24,6 +25,11 @@
 	Routing   routing.Config
 	Admission admission.Config
 	Limit     limit.Config
+	// Listed takes instances and versions from one store, without membership
+	// among the proxies.
+	Listed bool
+	// BackendAddress tells which listed instance is the one beside the proxy.
+	BackendAddress string
 }
 
 // Event is a member.Event, dist.Event, routing.Event, admission.Event,
@@ -47,6 +53,8 @@
 	Admission []admission.Effect
 	Dedupe    []dedupe.Effect
 	Limit     []limit.Effect
+	// Store is the next call of the store, nil if none follows.
+	Store *source.Call
 	// Journal holds the decisions of the step, for the log.
 	Journal []Entry
 }
@@ -61,13 +69,17 @@
 	dedupe     *dedupe.Dedupe
 	quarantine *quarantine.Quarantine
 	limiter    *limit.Limiter
+	// follower is nil unless instances and versions come from one store.
+	follower *source.Follower
 	// lives holds the instances of the view by identifier.
 	lives   map[string]Life
 	now     time.Time
 	journal journal
 	// marks holds the keys of the marks spread for the present list.
-	marks   map[string]bool
-	begun   bool
+	marks map[string]bool
+	begun bool
+	// backend is the listed instance beside this proxy.
+	backend source.Instance
 	leaving bool
 	// inForceSince is when the version in force was accepted.
 	inForceSince   time.Time
@@ -91,6 +103,9 @@
 		limiter:    limit.New(cfg.Limit),
 	}
 	n.router.UseLimiter(n.limiter)
+	if cfg.Listed {
+		n.follower = source.NewFollower(cfg.Dist.Seed)
+	}
 	return n
 }
 
@@ -102,6 +117,9 @@
 	switch e := e.(type) {
 	case Tick:
 		n.begin(now, &out)
+		if n.follower != nil {
+			n.learn(now, n.follower.Tick(now), &out)
+		}
 		n.stepMember(now, member.Tick{}, &out)
 		n.stepDist(now, dist.Tick{}, &out)
 		n.stepRouting(now, routing.Tick{}, &out)
@@ -111,6 +129,8 @@
 		n.stepQuarantine(now, quarantine.Tick{}, &out)
 	case Leave:
 		n.leave(now, e.Cause, &out)
+	case StoreListed, StoreChanged, StoreFailed:
+		n.stepFollower(now, e, &out)
 	case member.Listed:
 		n.stepDist(now, dist.Listed{Instances: e.Instances}, &out)
 		n.stepMember(now, e, &out)
@@ -141,6 +161,10 @@
 		return
 	}
 	n.begun = true
+	if n.follower != nil {
+		out.Store = &source.Call{List: true}
+		return
+	}
 	n.viewChanged(now, out)
 }
 
--- a/internal/node/trace.go
+++ b/internal/node/trace.go
@@ -29,11 +29,11 @@
 // recordable lists every event type of the reducer. Routing.Enforced and
 // routing.InstancesChanged are made inside and need no line.
 var recordable = eventTypes(
-	Tick{}, Leave{},
+	Tick{}, Leave{}, StoreListed{}, StoreChanged{}, StoreFailed{},
 	member.Listed{}, member.Received{}, member.Answered{}, member.Failed{}, member.Publish{},
-	dist.Announced{}, dist.PullReceived{}, dist.Pulled{}, dist.SourceRead{},
+	dist.Announced{}, dist.PullReceived{}, dist.Pulled{}, dist.SourceRead{}, dist.Published{},
 	routing.Arrived{}, routing.AttemptEnded{}, routing.Abandoned{},
-	admission.Arrived{}, admission.Ended{}, admission.Abandoned{}, admission.Draining{},
+	admission.Arrived{}, admission.Ended{}, admission.Abandoned{}, admission.Draining{}, admission.Assigned{},
 	limit.Received{}, limit.Answered{}, limit.Failed{},
 	admission.Checked{}, admission.Loaded{}, admission.FenceReceived{},
 	dedupe.ClaimReceived{}, dedupe.ClaimAnswered{}, dedupe.Settled{}, dedupe.SyncReceived{}, dedupe.SyncAnswered{},
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -48,6 +48,8 @@
 	// Crashed tells that the backend server died while it ran the request.
 	Crashed   Reason = "backend-server-crashed"
 	BadAnswer Reason = "malformed-answer"
+	// OtherInstance means that the address serves another instance now.
+	OtherInstance Reason = "other-instance"
 	// UpgradeUnsupported means that the caller asked for another protocol.
 	UpgradeUnsupported Reason = "upgrade-unsupported"
 )
--- a/internal/routing/balance.go
+++ b/internal/routing/balance.go
@@ -65,13 +65,13 @@
 // collect sorts the instances that were not tried yet.
 func (r *Router) collect(now time.Time, c *call) {
 	r.scratch.reset()
-	p, ok := r.pools[c.match.Group.Service]
+	p, ok := r.pools[c.group.Service]
 	if !ok {
 		return
 	}
 	for _, i := range p.instances {
 		if !c.hasTried(i) {
-			r.scratch.add(i, i.state(now, &c.match.Group), r.cfg.AvailabilityZone)
+			r.scratch.add(i, i.state(now, c.group), r.cfg.AvailabilityZone)
 		}
 	}
 }
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"heatherlift.example/heatherlift/internal/config"
 	"heatherlift.example/heatherlift/internal/outcome"
 )
 
@@ -20,7 +21,9 @@
 	id       uint64
 	org      *organisationState
 	match    *Match
+	group    *config.Group
 	version  uint64
+	arrived  time.Time
 	deadline time.Time
 	attempts int
 	// retry reports that the request is a retry, here or at a level above.
@@ -30,12 +33,20 @@
 	inDoubt bool
 	// avoid is the availability zone in which the last attempt failed.
 	avoid  string
-	target *instance
+	at     *instance
 	sentAt time.Time
 	tried  []*instance
 	first  [3]*instance
 }
 
+// target is when an answer loses its full value, zero if it does not.
+func (c *call) target() time.Time {
+	if c.match.Route.Target == 0 {
+		return time.Time{}
+	}
+	return c.arrived.Add(time.Duration(c.match.Route.Target))
+}
+
 func (c *call) hasTried(i *instance) bool {
 	for _, t := range c.tried {
 		if t.ID == i.ID {
@@ -97,7 +108,7 @@
 	}
 	r.stats.Attempts++
 	c.attempts++
-	c.target = target
+	c.at = target
 	c.sentAt = now
 	if c.tried == nil {
 		c.tried = c.first[:0]
@@ -112,6 +123,8 @@
 		Version:    c.version,
 		Repeatable: c.match.Route.Repeatable,
 		Deadline:   c.deadline,
+		Target:     c.target(),
+		Priority:   c.match.Route.Priority,
 		Attempt:    c.attempts,
 		Retry:      c.retry,
 	})
@@ -119,7 +132,7 @@
 
 func (r *Router) attemptEnded(now time.Time, e AttemptEnded) {
 	c, ok := r.calls[e.ID]
-	if !ok || c.target == nil {
+	if !ok || c.at == nil {
 		return
 	}
 	r.learn(now, c, e)
@@ -143,7 +156,7 @@
 
 // learn takes what an attempt tells about its instance.
 func (r *Router) learn(now time.Time, c *call, e AttemptEnded) {
-	i := c.target
+	i := c.at
 	refused := e.Outcome == outcome.NotRun && isOverload(e.Reason)
 	i.report(now, e.Load)
 	i.hold(now, e)
@@ -185,8 +198,8 @@
 	if !ok {
 		return
 	}
-	if c.target != nil {
-		c.target.observeSlow(now, now.Sub(c.sentAt))
+	if c.at != nil {
+		c.at.observeSlow(now, now.Sub(c.sentAt))
 	}
 	c.release()
 	r.finish(c)
@@ -194,9 +207,9 @@
 
 // release returns the place that the attempt took at its instance.
 func (c *call) release() {
-	if c.target != nil {
-		c.target.inFlight--
-		c.target = nil
+	if c.at != nil {
+		c.at.inFlight--
+		c.at = nil
 	}
 }
 
--- a/internal/routing/events.go
+++ b/internal/routing/events.go
@@ -94,6 +94,10 @@
 		Version    uint64
 		Repeatable bool
 		Deadline   time.Time
+		// Target is when an answer loses its full value, zero if it does not.
+		Target time.Time
+		// Priority is the rank of the request, 0 the most urgent.
+		Priority int
 		// Attempt counts the attempts made at this proxy, from 1.
 		Attempt int
 		// Retry tells deeper levels that they may not retry either.
--- a/internal/routing/retry.go
+++ b/internal/routing/retry.go
@@ -101,13 +101,17 @@
 // pay takes a charged retry from both budgets.
 func (r *Router) pay(now time.Time, c *call) bool {
 	own, all := c.org.budget.has(now), r.budget.has(now)
-	if !own || !all {
+	service := r.serviceBudget(now, c.group.Service)
+	if !own || !all || service != nil && !service.allows(r.cfg.Retries, len(r.known)) {
 		r.stats.RetryBudgetExhausted++
 		c.org.RetryBudgetExhausted++
 		return false
 	}
 	c.org.budget.tokens--
 	r.budget.tokens--
+	if service != nil {
+		service.retries[service.slot()]++
+	}
 	r.stats.Retries++
 	c.org.Retries++
 	return true
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -14,6 +14,8 @@
 	AvailabilityZone string
 	// MaxAttempts bounds the attempts of one request.
 	MaxAttempts int
+	// Retries bounds the retries of the fleet.
+	Retries RetryBudget
 	// Seed seeds the choice among instances.
 	Seed uint64
 }
@@ -60,7 +62,10 @@
 	orgs    map[string]*organisationState
 	calls   map[uint64]*call
 	budget  budget
+	// budgets holds the retry budgets by service.
+	budgets map[string]*serviceBudget
 	stats   Stats
+	weights weights
 	scratch candidates
 	effects []Effect
 }
@@ -68,13 +73,15 @@
 // New returns a router without a version.
 func New(cfg Config) *Router {
 	return &Router{
-		cfg:    cfg,
-		rng:    rand.New(rand.NewPCG(cfg.Seed, 2)),
-		pools:  make(map[string]*pool),
-		known:  make(map[string]*instance),
-		orgs:   make(map[string]*organisationState),
-		calls:  make(map[uint64]*call),
-		budget: newBudget(proxyRetries, proxyRefill),
+		cfg:     cfg,
+		rng:     rand.New(rand.NewPCG(cfg.Seed, 2)),
+		pools:   make(map[string]*pool),
+		known:   make(map[string]*instance),
+		orgs:    make(map[string]*organisationState),
+		calls:   make(map[uint64]*call),
+		weights: newWeights(),
+		budget:  newBudget(proxyRetries, proxyRefill),
+		budgets: make(map[string]*serviceBudget),
 	}
 }
 
@@ -119,6 +126,7 @@
 // enforce takes a new version and forgets organisations that it lacks.
 func (r *Router) enforce(s *config.Snapshot) {
 	r.table = NewTable(s, r.table)
+	r.weights = newWeights()
 	for name, org := range r.orgs {
 		if _, ok := r.table.organisations[name]; !ok && org.InFlight == 0 {
 			delete(r.orgs, name)
@@ -159,9 +167,10 @@
 	if e.Budget > 0 {
 		budget = min(budget, e.Budget)
 	}
-	c := &call{id: e.ID, org: org, match: match, version: r.table.Version, deadline: now.Add(budget), retry: e.Retry}
+	c := &call{id: e.ID, org: org, match: match, group: r.weights.group(match), version: r.table.Version, arrived: now, deadline: now.Add(budget), retry: e.Retry}
 	r.calls[e.ID] = c
 	org.InFlight++
+	r.countRequest(now, c.group.Service)
 	r.attempt(now, c, free, notRun(outcome.NoBackendServer, http.StatusServiceUnavailable, time.Second))
 }
 
--- a/internal/settings/field.go
+++ b/internal/settings/field.go
@@ -33,10 +33,13 @@
 	{"backend_server.queue_length", numberRule{1, 100_000}, "requests that wait for a slot"},
 	{"backend_server.health_path", pathRule{}, "answers 200 while the backend server takes work"},
 	{"backend_server.load_path", pathRule{optional: true}, "answers with slots and whether the backend server drains"},
-	{"backend_server.health_interval", durationRule{10 * time.Millisecond, time.Minute}, "time between two health checks"},
+	{"backend_server.health_interval", durationRule{0, time.Minute}, "time between two health checks; 0 for none"},
 	{"backend_server.shed_not_run", switchRule{}, "an answer 503 with Retry-After means that the backend server did not run the request"},
-	{"platform.source", addressRule{"http://"}, "configuration service of the platform"},
-	{"platform.instances", addressRule{"http://"}, "list of instances of the platform"},
+	{"platform.kind", choiceRule{PlatformServices, PlatformStore}, "what the platform offers: heatherlift's own interfaces, or one store for configuration and instances"},
+	{"platform.store", addressRule{optional: true}, "the store, if platform.kind is store"},
+	{"platform.bounds", boundsRule{}, "bounds that the platform sets, each as NAME=VALUE"},
+	{"platform.source", addressRule{prefix: "http://", optional: true}, "configuration service of the platform"},
+	{"platform.instances", addressRule{prefix: "http://", optional: true}, "list of instances of the platform"},
 	{"platform.instances_interval", durationRule{100 * time.Millisecond, time.Hour}, "mean time between two readings of the list; readers read it more often, and a long list is read less often"},
 	{"platform.fleet_size", numberRule{1, 1_000_000}, "number of instances that the fleet may have; a starting proxy paces its calls by it"},
 	{"distribution.mode", choiceRule{ModePeers, ModeNaive}, "how versions spread; naive reads everything from the source"},
@@ -63,9 +66,25 @@
 			problems = append(problems, config.Problem{File: file, Key: f.key, Message: message})
 		}
 	}
+	problems = append(problems, checkPlatform(s.Platform, file)...)
 	return append(problems, checkPeers(s.Peers, file)...)
 }
 
+// checkPlatform requires the endpoints of the platform's kind.
+func checkPlatform(p Platform, file string) config.Problems {
+	needed := []struct{ key, value string }{{"platform.source", p.Source}, {"platform.instances", p.Instances}}
+	if p.Kind == PlatformStore {
+		needed = []struct{ key, value string }{{"platform.store", p.Store}}
+	}
+	var problems config.Problems
+	for _, n := range needed {
+		if n.value == "" {
+			problems = append(problems, config.Problem{File: file, Key: n.key, Message: "missing: platform.kind is " + p.Kind})
+		}
+	}
+	return problems
+}
+
 // checkPeers requires either plaintext or a full set of files.
 func checkPeers(p Peers, file string) config.Problems {
 	var problems config.Problems
--- a/internal/settings/rule.go
+++ b/internal/settings/rule.go
@@ -53,13 +53,38 @@
 	return ""
 }
 
+// boundsRule allows a list of NAME=VALUE.
+type boundsRule struct{}
+
+func (boundsRule) bounds() string { return "a list of NAME=VALUE" }
+
+func (r boundsRule) check(v any) string {
+	for _, text := range v.([]string) {
+		if name, _, ok := strings.Cut(text, "="); !ok || name == "" {
+			return fmt.Sprintf("%q: want %s", text, r.bounds())
+		}
+	}
+	return ""
+}
+
 // addressRule allows an IP address with a port, after a prefix.
-type addressRule struct{ prefix string }
+type addressRule struct {
+	prefix   string
+	optional bool
+}
 
-func (r addressRule) bounds() string { return r.prefix + "IP:PORT" }
+func (r addressRule) bounds() string {
+	if r.optional {
+		return r.prefix + "IP:PORT, or empty"
+	}
+	return r.prefix + "IP:PORT"
+}
 
 func (r addressRule) check(v any) string {
 	text := v.(string)
+	if text == "" && r.optional {
+		return ""
+	}
 	rest, ok := strings.CutPrefix(text, r.prefix)
 	if !ok {
 		return fmt.Sprintf("%q: want %s", text, r.bounds())
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -64,6 +64,13 @@
 
 // Platform holds the endpoints of the platform.
 type Platform struct {
+	// Kind is "services" for heatherlift's own interfaces, or "store" for the
+	// platform that package platform translates.
+	Kind string `toml:"kind"`
+	// Store is the address of the platform's store.
+	Store string `toml:"store"`
+	// Bounds are the platform's bounds, each as NAME=VALUE.
+	Bounds []string `toml:"bounds"`
 	// Source is the base URL of the configuration service.
 	Source string `toml:"source"`
 	// Instances is the base URL of the list of instances.
@@ -125,6 +132,12 @@
 	ModeNaive = "naive"
 )
 
+// Values of Platform.Kind.
+const (
+	PlatformServices = "services"
+	PlatformStore    = "store"
+)
+
 // Default returns the settings that a file may leave out.
 func Default() Settings {
 	return Settings{
@@ -136,7 +149,7 @@
 			LoadPath:       "/load",
 			HealthInterval: config.Duration(time.Second),
 		},
-		Platform: Platform{InstancesInterval: config.Duration(time.Minute), FleetSize: 1000},
+		Platform: Platform{Kind: PlatformServices, InstancesInterval: config.Duration(time.Minute), FleetSize: 1000},
 		Distribution: Distribution{
 			Mode:      ModePeers,
 			WatchWait: config.Duration(30 * time.Second),
--- /dev/null
+++ b/internal/source/follow.go
@@ -0,0 +1,229 @@
+package source
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// watchWait bounds a watch, so that a connection that fell silent delays
+	// a change by no more than this and a call time-out.
+	watchWait = 4 * time.Second
+	// gatherTime is the pause after changes, in which further ones gather
+	// for the next call. It is a tenth of the time in which a change must be
+	// in force.
+	gatherTime = 200 * time.Millisecond
+	// retryMin and retryMax bound the jittered wait after a failed call. The
+	// longest leaves time to learn of a removal before it binds, contactMs
+	// after the store is back.
+	retryMin = 50 * time.Millisecond
+	retryMax = time.Second
+	// returnGrace is the time after the store's return within which entries
+	// that lapsed meanwhile are written again (the platform's bound).
+	returnGrace = 2 * time.Second
+)
+
+// Call is what the follower wants to ask the store next.
+type Call struct {
+	// At is the earliest time of the call.
+	At time.Time
+	// List asks for everything; otherwise for changes after After.
+	List  bool
+	After uint64
+	Wait  time.Duration
+}
+
+// View is what the follower learnt in one step. Nil and zero fields tell of no
+// change.
+type View struct {
+	// Instances is the new list of instances, sorted by identifier.
+	Instances []Instance
+	// Configuration is a newer version.
+	Configuration *Configuration
+	// Notes describe what changed in the follower's belief, for the log.
+	Notes []Note
+}
+
+// Note is one change of belief.
+type Note struct{ What, Cause string }
+
+// Follower decides how the content of a store is followed and what is
+// believed while the store is away. It is a pure state machine: it does no I/O
+// and reads no clock.
+type Follower struct {
+	rng      *rand.Rand
+	known    map[string]Entry
+	revision uint64
+	version  uint64
+	listed   bool
+	failures int
+	lostAt   time.Time
+	// graceUntil ends the time in which missing entries are kept.
+	graceUntil time.Time
+	// missing holds the entries that are kept though they were removed.
+	missing map[string]bool
+}
+
+// NewFollower returns a follower that knows nothing.
+func NewFollower(seed uint64) *Follower {
+	return &Follower{
+		rng:     rand.New(rand.NewPCG(seed, 3)),
+		known:   make(map[string]Entry),
+		missing: make(map[string]bool),
+	}
+}
+
+// Reachable reports whether the last call succeeded.
+func (f *Follower) Reachable() bool { return f.listed && f.failures == 0 }
+
+// Listed takes the result of a complete reading and returns the next call.
+func (f *Follower) Listed(now time.Time, l Listing) (View, Call) {
+	var v View
+	away := f.failures > 0
+	f.regained(now, &v)
+	f.revision = l.Revision
+	present := make(map[string]bool, len(l.Instances))
+	for _, e := range l.Instances {
+		if e.Instance != nil {
+			present[e.ID] = true
+			f.put(e)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(f.known)) {
+		if !present[id] {
+			f.remove(now, id, away, &v)
+		}
+	}
+	f.listed = true
+	v.Instances = f.list()
+	f.configure(l.Configuration, &v)
+	return v, f.watch(now)
+}
+
+// Watched takes the result of a watch and returns the next call.
+func (f *Follower) Watched(now time.Time, c Changes) (View, Call) {
+	var v View
+	f.regained(now, &v)
+	f.revision = max(f.revision, c.Revision)
+	for _, e := range c.Instances {
+		if e.Revision < f.known[e.ID].Revision {
+			continue
+		}
+		if e.Instance == nil {
+			f.remove(now, e.ID, now.Before(f.graceUntil), &v)
+			continue
+		}
+		f.put(e)
+	}
+	if len(c.Instances) > 0 {
+		v.Instances = f.list()
+	}
+	f.configure(c.Configuration, &v)
+	next := f.watch(now)
+	if len(c.Instances) > 0 || c.Configuration != nil {
+		next.At = now.Add(gatherTime)
+	}
+	return v, next
+}
+
+// Failed takes the failure of a call and returns the next call. Compacted
+// tells that the store has discarded the history after the revision known.
+func (f *Follower) Failed(now time.Time, compacted bool, cause string) (View, Call) {
+	var v View
+	if compacted {
+		v.note("store history discarded", fmt.Sprintf("after revision %d", f.revision))
+		f.listed = false
+		return v, Call{At: now, List: true}
+	}
+	if f.failures == 0 {
+		f.lostAt = now
+		v.note("store lost", cause)
+	}
+	wait := min(retryMin<<min(f.failures, 8), retryMax)
+	f.failures++
+	next := f.watch(now)
+	if !f.listed {
+		next = Call{List: true}
+	}
+	// Half of the wait is drawn, so that proxies that failed together do not
+	// return together.
+	next.At = now.Add(wait/2 + time.Duration(f.rng.Int64N(int64(wait/2)+1)))
+	next.Wait = 0
+	return v, next
+}
+
+// Tick drops the kept entries whose time has passed.
+func (f *Follower) Tick(now time.Time) View {
+	var v View
+	if len(f.missing) == 0 || f.failures > 0 || now.Before(f.graceUntil) {
+		return v
+	}
+	for _, id := range slices.Sorted(maps.Keys(f.missing)) {
+		f.drop(id, "not registered again after the store's return", &v)
+	}
+	v.Instances = f.list()
+	return v
+}
+
+func (f *Follower) watch(now time.Time) Call {
+	return Call{At: now, After: f.revision, Wait: watchWait}
+}
+
+// regained notes the first success after failures.
+func (f *Follower) regained(now time.Time, v *View) {
+	if f.failures == 0 {
+		return
+	}
+	v.note("store regained", fmt.Sprintf("after %v and %d failed calls", now.Sub(f.lostAt).Round(time.Millisecond), f.failures))
+	f.failures = 0
+	f.graceUntil = now.Add(returnGrace)
+}
+
+func (f *Follower) put(e Entry) {
+	delete(f.missing, e.ID)
+	f.known[e.ID] = e
+}
+
+// remove drops an instance whose entry is gone. One that was not leaving may
+// have lapsed with the store away; it is kept until the grace has passed.
+func (f *Follower) remove(now time.Time, id string, lapsed bool, v *View) {
+	e, ok := f.known[id]
+	if !ok {
+		return
+	}
+	if lapsed && e.Instance.State != InstanceLeaving && now.Before(f.graceUntil) {
+		f.missing[id] = true
+		return
+	}
+	f.drop(id, "entry removed", v)
+}
+
+func (f *Follower) drop(id, cause string, v *View) {
+	delete(f.known, id)
+	delete(f.missing, id)
+	v.note("instance gone", id+": "+cause)
+}
+
+func (f *Follower) configure(c *Configuration, v *View) {
+	if c != nil && c.Version > f.version {
+		f.version = c.Version
+		v.Configuration = c
+	}
+}
+
+func (f *Follower) list() []Instance {
+	out := make([]Instance, 0, len(f.known))
+	for _, e := range f.known {
+		out = append(out, *e.Instance)
+	}
+	slices.SortFunc(out, func(a, b Instance) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+func (v *View) note(what, cause string) {
+	v.Notes = append(v.Notes, Note{What: what, Cause: cause})
+}
--- a/internal/source/instances.go
+++ b/internal/source/instances.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -30,6 +31,18 @@
 	// Address is the IP address and port at which the proxy beside the
 	// instance listens for other proxies.
 	Address string `json:"address"`
+	// BackendAddress is the address of the backend server itself, empty if
+	// the list does not tell it.
+	BackendAddress string `json:"backend_address,omitempty"`
+	// Slots is the number of requests that the backend server runs at once, 0
+	// if the list does not tell it.
+	Slots int `json:"slots,omitempty"`
+	// Incarnation changes with each start of the backend server, 0 if the
+	// list does not tell it.
+	Incarnation uint64 `json:"incarnation,omitempty"`
+	// WarmUp is how long, from the reading of the list, the backend server
+	// is slow after its start.
+	WarmUp time.Duration `json:"warm_up_ns,omitempty"`
 }
 
 // InstanceList reads the platform's list of instances. It remembers the last
