Log decisions about requests and let the store alone tell of instances

Cause: the membership's view, which holds only this proxy, replaced the store's list at each change of version or state, so requests were sent to the proxy's own name and refused by 421.

--- a/internal/forward/entry.go
+++ b/internal/forward/entry.go
@@ -45,6 +45,9 @@
 	w            http.ResponseWriter
 	r            *http.Request
 	message      *message
+	began        time.Time
+	// detail is the error of the last attempt.
+	detail string
 	// last is the outcome of the attempt before.
 	last outcome.Refusal
 	// doubtful tells that an attempt may have run.
@@ -62,7 +65,7 @@
 		e.dialect.writeRefusal(w, refusal, false)
 		return
 	}
-	c := &entryCall{Entry: e, w: w, r: r, message: &message{in: r, dialect: e.dialect, atEntry: true, caller: e.service, expect: true}}
+	c := &entryCall{Entry: e, w: w, r: r, began: time.Now(), message: &message{in: r, dialect: e.dialect, atEntry: true, caller: e.service, expect: true}}
 	if !c.readBody() {
 		return
 	}
@@ -141,14 +144,15 @@
 	fencing := c.fencing(d)
 	x, err := c.pool.Do(c.r.Context(), d.Deadline, d.Address, c.message)
 	if err != nil {
-		return c.failed(fencing.resolve(c.r.Context(), d.Deadline, lostRefusal(err)), 0)
+		c.detail = err.Error()
+		return c.failed(d, start, fencing.resolve(c.r.Context(), d.Deadline, lostRefusal(err)), 0)
 	}
 	if refusal, refused := refusalOf(x.Response); refused {
 		load := reportedLoad(x.Response.Header)
 		x.Close(false)
-		return c.failed(refusal, load)
+		return c.failed(d, start, refusal, load)
 	}
-	defer c.answered(x.Response, start)()
+	defer c.answered(d, x.Response, start)()
 	relay(c.w, c.r, x, d.Deadline, versionField(d))
 	return true
 }
@@ -169,16 +173,18 @@
 	})
 	c.message.expect = true
 	if a.exchange == nil {
-		return c.failed(a.refusal, 0)
+		return c.failed(d, start, a.refusal, 0)
 	}
-	defer c.answered(a.exchange.Response, start)()
+	defer c.answered(d, a.exchange.Response, start)()
 	a.relay(c.w, c.r, versionField(d))
 	return true
 }
 
 // failed reports an attempt without an answer to the reducer, which decides
 // what follows, unless the caller has left.
-func (c *entryCall) failed(r outcome.Refusal, load float64) bool {
+func (c *entryCall) failed(d routing.Send, start time.Time, r outcome.Refusal, load float64) bool {
+	c.noteAttempt(d, start, true, "outcome", r.Outcome, "reason", r.Reason, "detail", c.detail)
+	c.detail = ""
 	if c.r.Context().Err() != nil {
 		c.core.Route(routing.Abandoned{ID: c.id})
 		panic(http.ErrAbortHandler)
@@ -206,12 +212,15 @@
 			r.Status = http.StatusBadGateway
 		}
 	}
+	c.noteRefusal(r)
 	c.dialect.refuse(c.w, c.message.upload, r)
 }
 
 // answered notes the time until the answer's header and returns the function
 // that ends the attempt.
-func (c *entryCall) answered(resp *http.Response, start time.Time) func() {
+func (c *entryCall) answered(d routing.Send, resp *http.Response, start time.Time) func() {
+	c.noteAttempt(d, start, resp.StatusCode >= http.StatusInternalServerError || d.Attempt > 1,
+		"outcome", outcome.Answered, "status", resp.StatusCode)
 	e := routing.AttemptEnded{
 		ID:      c.id,
 		Outcome: outcome.Answered,
--- a/internal/forward/local.go
+++ b/internal/forward/local.go
@@ -37,6 +37,9 @@
 	deadline time.Time
 	message  *message
 	arrived  admission.Arrived
+	began    time.Time
+	// detail is the error of an exchange that failed.
+	detail string
 }
 
 // localAnswer is what became of a localCall: an exchange whose answer is to be
@@ -90,7 +93,7 @@
 // and reads the answer's header.
 func (l *Local) start(ctx context.Context, m *message, arrived admission.Arrived) localAnswer {
 	arrived.ID = l.core.NextID()
-	c := &localCall{Local: l, ctx: ctx, deadline: arrived.Deadline, message: m, arrived: arrived}
+	c := &localCall{Local: l, ctx: ctx, deadline: arrived.Deadline, message: m, arrived: arrived, began: time.Now()}
 	decisions, release := l.core.AdmitDecisions(arrived.ID)
 	defer release()
 	l.core.Admit(arrived)
@@ -130,6 +133,7 @@
 }
 
 func (c *localCall) refused(r outcome.Refusal) localAnswer {
+	c.noteRun(r)
 	return localAnswer{call: c, refusal: r}
 }
 
@@ -149,6 +153,7 @@
 	x, err := c.exchange()
 	if err != nil {
 		refusal := lostRefusal(err)
+		c.detail = err.Error()
 		refusal.Reason = c.crashReason(c.ctx, refusal.Reason)
 		c.end(refusal.Outcome, refusal.Reason)
 		return c.refused(refusal)
--- a/internal/host/core.go
+++ b/internal/host/core.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"heatherlift.example/heatherlift/internal/admission"
+	"heatherlift.example/heatherlift/internal/decisionlog"
 	"heatherlift.example/heatherlift/internal/dist"
 	"heatherlift.example/heatherlift/internal/member"
 	"heatherlift.example/heatherlift/internal/node"
@@ -19,6 +20,15 @@
 	h.step(e)
 }
 
+// Note implements forward.Noter.
+func (h *Host) Note(notable bool, what string, fields ...any) {
+	class := decisionlog.Ordinary
+	if notable {
+		class = decisionlog.Notable
+	}
+	h.decisions.Add(class, what, fields...)
+}
+
 // Admit implements forward.Core.
 func (h *Host) Admit(e admission.Event) { h.step(e) }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"heatherlift.example/heatherlift/internal/admission"
+	"heatherlift.example/heatherlift/internal/decisionlog"
 	"heatherlift.example/heatherlift/internal/dist"
 	"heatherlift.example/heatherlift/internal/forward"
 	"heatherlift.example/heatherlift/internal/identity"
@@ -30,6 +31,8 @@
 	settings settings.Settings
 	log      *log.Logger
 	metrics  *metrics
+	// decisions is the log of decisions about requests.
+	decisions *decisionlog.Log
 
 	mu       sync.Mutex
 	node     *node.Node
@@ -87,6 +90,7 @@
 	h := &Host{
 		settings:    s,
 		log:         logger,
+		decisions:   decisionlog.New(logger),
 		node:        node.New(nodeConfig(s, now, adapter)),
 		dialect:     forward.OwnDialect(),
 		recorder:    recorder,
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -72,6 +72,7 @@
 	h.group.Go(func() error { return serve(control, l.admin) })
 	h.group.Go(func() error { _ = h.transport.Serve(l.peers); return nil })
 	h.group.Go(func() error { h.tick(); return nil })
+	h.group.Go(func() error { h.decisions.Run(h.ctx.Done()); return nil })
 	if h.feed == nil {
 		h.group.Go(func() error { h.readInstances(); return nil })
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -198,6 +198,9 @@
 
 // viewChanged passes the new view on to the other state machines.
 func (n *Node) viewChanged(now time.Time, out *Effects) {
+	if n.follower != nil {
+		return // the store alone tells of the instances
+	}
 	view := n.members.View()
 	if n.members.Self().State == member.Leaving {
 		n.leave(now, "marked by the platform", out)
--- a/internal/routing/balance.go
+++ b/internal/routing/balance.go
@@ -44,6 +44,9 @@
 	c.held = time.Time{}
 }
 
+// usable returns the number of instances that are not avoided.
+func (c *candidates) usable() int { return len(c.near) + len(c.far) }
+
 // state returns the state of an instance for requests of a group.
 func (i *instance) state(now time.Time, g *config.Group) State {
 	switch {
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -114,6 +114,7 @@
 		c.tried = c.first[:0]
 	}
 	c.tried = append(c.tried, target)
+	why := Choice{Candidates: r.scratch.usable(), InFlight: target.inFlight, Load: target.Load, LoadAge: now.Sub(target.loadAt)}
 	target.inFlight++
 	r.emit(Send{
 		ID:         c.id,
@@ -127,6 +128,7 @@
 		Priority:   c.match.Route.Priority,
 		Attempt:    c.attempts,
 		Retry:      c.retry,
+		Why:        why,
 	})
 }
 
--- a/internal/routing/events.go
+++ b/internal/routing/events.go
@@ -80,6 +80,17 @@
 func (InstancesChanged) routingEvent() {}
 func (Tick) routingEvent()             {}
 
+// Choice is what this proxy knew of an instance when it chose it.
+type Choice struct {
+	// Candidates is the number of usable instances.
+	Candidates int
+	// InFlight counts the requests sent there before this one.
+	InFlight int
+	// Load is what the instance reported, LoadAge how long ago.
+	Load    float64
+	LoadAge time.Duration
+}
+
 // Effect is an output of the state machine.
 type Effect interface{ routingEffect() }
 
@@ -102,6 +113,8 @@
 		Attempt int
 		// Retry tells deeper levels that they may not retry either.
 		Retry bool
+		// Why is what the choice of the instance rests on.
+		Why Choice
 	}
 	// Refuse gives the caller its final answer.
 	Refuse struct {
