Work on pipelined requests side by side

Also, a caller's leaving was not seen while a further request lay in the buffer. Ruled out: queueing at the backend servers, whose slots were free.

--- a/internal/forward/callers_test.go
+++ b/internal/forward/callers_test.go
@@ -16,7 +16,7 @@
 	resp, _, err := c.exchange(t, get11)
 	is.NoErr(err)
 	is.True(!resp.Close)
-	g.entry.Drain()
+	g.server.Drain()
 	resp, body, err := c.exchange(t, get11) // still served
 	is.NoErr(err)
 	is.Equal(body, "ok")
@@ -32,16 +32,16 @@
 	_, _, err := c.exchange(t, get11)
 	is.NoErr(err)
 	await(t, "connection idle", func() bool {
-		g.entry.conns.mu.Lock()
-		defer g.entry.conns.mu.Unlock()
-		return len(g.entry.conns.idle) == 1
+		conns := g.server.all()
+		return len(conns) == 1 && conns[0].inProgressNow() == 0
 	})
-	g.entry.Drain()
-	g.entry.CloseIdle()
+	g.server.Drain()
+	g.server.CloseIdle()
 	c.send(t, get11) // crosses the end
 	_, err = c.reader.ReadByte()
 	is.Equal(err, io.EOF)
-	await(t, "second request dealt with", func() bool { return g.served.Load() == 2 })
+	await(t, "connection ended", func() bool { return len(g.server.all()) == 0 })
+	is.Equal(g.served.Load(), int32(1))
 	is.Equal(g.ledger.of("/a"), 1) // it was not run
 }
 
@@ -55,8 +55,8 @@
 	c := dialRaw(t, g.callers)
 	c.send(t, get11)
 	await(t, "request runs", func() bool { return g.ledger.of("/a") == 1 })
-	g.entry.Drain()
-	g.entry.CloseIdle()
+	g.server.Drain()
+	g.server.CloseIdle()
 	close(proceed)
 	_, body, err := c.read(get11)
 	is.NoErr(err)
--- a/internal/forward/deadline_test.go
+++ b/internal/forward/deadline_test.go
@@ -21,7 +21,7 @@
 )
 
 func getMessage() *message {
-	return &message{in: &http.Request{Method: http.MethodGet, URL: &url.URL{Path: "/a"}, Host: "a"}}
+	return &message{dialect: &Dialect{}, in: &http.Request{Method: http.MethodGet, URL: &url.URL{Path: "/a"}, Host: "a"}}
 }
 
 func TestRemainingTimeTravels(t *testing.T) {
@@ -118,7 +118,7 @@
 	local := NewLocal(g.core, NewPool(DialTCP, 0), g.backend, true, OwnDialect())
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
-	answer := local.start(ctx, &message{}, admission.Arrived{
+	answer := local.start(ctx, &message{dialect: &Dialect{}, in: getMessage().in}, admission.Arrived{
 		Request: "waiting", Organisation: "b", Deadline: time.Now().Add(50 * time.Millisecond),
 	})
 	is.Equal(answer.refusal.Outcome, outcome.NotRun)
--- a/internal/forward/entry.go
+++ b/internal/forward/entry.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"heatherlift.example/heatherlift/internal/admission"
@@ -18,12 +17,9 @@
 	pool   *Pool
 	origin string
 	// local takes the requests for the address self without a hop.
-	local *Local
-	self  string
-	// draining tells callers to move to another proxy.
-	draining atomic.Bool
-	conns    callerConns
-	dialect  *Dialect
+	local   *Local
+	self    string
+	dialect *Dialect
 	// service is that of the backend server beside this proxy.
 	service string
 }
@@ -56,10 +52,6 @@
 
 // ServeHTTP implements http.Handler.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if !e.mayServe(w, r) {
-		e.dialect.writeRefusal(w, notRun(outcome.Malformed, http.StatusBadRequest), true)
-		return
-	}
 	budget, refusal, ok := e.dialect.check(r)
 	if !ok {
 		e.dialect.writeRefusal(w, refusal, false)
--- a/internal/forward/errors.go
+++ b/internal/forward/errors.go
@@ -14,6 +14,8 @@
 	// ErrBadAnswer marks an answer whose end cannot be verified or whose
 	// header is malformed.
 	ErrBadAnswer = errors.New("malformed answer")
+	// errHeadTooLarge marks a caller's head beyond maxHeaderBytes.
+	errHeadTooLarge = errors.New("request header too large")
 	// errBody marks a request body that could not be read from its sender.
 	errBody = errors.New("request body not read")
 )
--- /dev/null
+++ b/internal/forward/pipeline_test.go
@@ -0,0 +1,137 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// warm makes admission trust the backend server with all its slots.
+func (g *rig) warm(t *testing.T) {
+	t.Helper()
+	c := dialRaw(t, g.callers)
+	for range 4 {
+		if _, _, err := c.exchange(t, get("/warm")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	_ = c.Close()
+}
+
+// afterWarming runs the handler for all paths but that of warm.
+func afterWarming(handler http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/warm" {
+			ok(w, r)
+			return
+		}
+		handler(w, r)
+	}
+}
+
+func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n" }
+
+// Replays callers that send requests before the first is answered: a slow
+// request must not hold back the work on those behind it.
+func TestPipelinedRequestsRunSideBySideAndAreAnsweredInOrder(t *testing.T) {
+	is := is.New(t)
+	second := make(chan struct{})
+	var once sync.Once
+	g := newRig(t, afterWarming(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/1" {
+			<-second
+		} else {
+			once.Do(func() { close(second) })
+		}
+		_, _ = io.WriteString(w, r.URL.Path)
+	}))
+	g.warm(t)
+	g.core.repeatable = true
+	c := dialRaw(t, g.callers)
+	c.send(t, get("/1")+get("/2")+get("/3"))
+	for _, path := range []string{"/1", "/2", "/3"} {
+		_, body, err := c.read("GET")
+		is.NoErr(err)
+		is.Equal(body, path)
+	}
+}
+
+func TestCallerThatLeavesCancelsPipelinedRequests(t *testing.T) {
+	is := is.New(t)
+	var ended sync.WaitGroup
+	ended.Add(2)
+	g := newRig(t, afterWarming(func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		ended.Done()
+	}))
+	g.warm(t)
+	c := dialRaw(t, g.callers)
+	c.send(t, get("/1")+get("/2"))
+	await(t, "requests run", func() bool { return g.ledger.of("/1")+g.ledger.of("/2") == 2 })
+	is.NoErr(c.Close())
+	ended.Wait()
+	g.core.awaitSlots(t)
+}
+
+// A caller that announces the end of its connection may leave as well.
+func TestCallerThatLeavesCancelsItsLastRequest(t *testing.T) {
+	is := is.New(t)
+	ended := make(chan struct{})
+	g := newRig(t, afterWarming(func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		close(ended)
+	}))
+	g.warm(t)
+	c := dialRaw(t, g.callers)
+	c.send(t, "GET /1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+	await(t, "request runs", func() bool { return g.ledger.of("/1") == 1 })
+	is.NoErr(c.Close())
+	<-ended
+	g.core.awaitSlots(t)
+}
+
+// Requests that were read before a drain are answered; the last answer ends
+// the connection.
+func TestDrainAnswersAllPipelinedRequests(t *testing.T) {
+	is := is.New(t)
+	proceed := make(chan struct{})
+	g := newRig(t, afterWarming(func(w http.ResponseWriter, r *http.Request) {
+		<-proceed
+		_, _ = io.WriteString(w, r.URL.Path)
+	}))
+	g.warm(t)
+	g.core.repeatable = true
+	c := dialRaw(t, g.callers)
+	c.send(t, get("/1")+get("/2"))
+	await(t, "requests run", func() bool { return g.ledger.of("/1")+g.ledger.of("/2") == 2 })
+	g.server.Drain()
+	close(proceed)
+	first, _, err := c.read("GET")
+	is.NoErr(err)
+	second, body, err := c.read("GET")
+	is.NoErr(err)
+	is.Equal(body, "/2")
+	is.True(!first.Close)
+	is.True(second.Close)
+	_, err = c.reader.ReadByte()
+	is.Equal(err, io.EOF)
+	is.NoErr(g.server.Shutdown(context.Background()))
+}
+
+func TestBytesBehindTheLastRequestDoNotResetItsAnswer(t *testing.T) {
+	is := is.New(t)
+	g := newRig(t, ok)
+	c := dialRaw(t, g.callers)
+	c.send(t, "GET /1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"+strings.Repeat(get("/2"), 100))
+	_, body, err := c.read("GET")
+	is.NoErr(err)
+	is.Equal(body, "ok")
+	_, err = c.reader.ReadByte()
+	is.Equal(err, io.EOF)
+	is.Equal(g.ledger.of("/2"), 0)
+}
--- a/internal/forward/pool_test.go
+++ b/internal/forward/pool_test.go
@@ -100,7 +100,7 @@
 
 func TestPoolClosesConnectionsIdleTooLong(t *testing.T) {
 	is := is.New(t)
-	address := serveHTTP(t, http.HandlerFunc(ok), nil)
+	address := serveHTTP(t, http.HandlerFunc(ok))
 	pool := NewPool(DialTCP, 0)
 	defer pool.Close()
 	is.NoErr(exchangeOnce(t, pool, address))
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -110,8 +110,8 @@
 		a.x.upload.interrupt()
 	}
 	if a.unframed {
-		if c, _, err := controller.Hijack(); err == nil {
-			reset(c)
+		if r, ok := a.w.(interface{ Reset() }); ok {
+			r.Reset()
 		}
 	}
 	panic(http.ErrAbortHandler)
--- a/internal/forward/rig_test.go
+++ b/internal/forward/rig_test.go
@@ -148,12 +148,9 @@
 }
 
 // serveHTTP starts a server and returns its address.
-func serveHTTP(t *testing.T, handler http.Handler, attach func(*http.Server, net.Listener) net.Listener) string {
+func serveHTTP(t *testing.T, handler http.Handler) string {
 	t.Helper()
 	s := httptest.NewUnstartedServer(handler)
-	if attach != nil {
-		s.Listener = attach(s.Config, s.Listener)
-	}
 	s.Start()
 	t.Cleanup(func() {
 		s.CloseClientConnections()
@@ -162,10 +159,32 @@
 	return s.Listener.Addr().String()
 }
 
+// serveCallers starts a server and returns its address.
+func serveCallers(t testing.TB, s *CallerServer) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = s.Serve(l)
+	}()
+	t.Cleanup(func() {
+		_ = l.Close()
+		<-done
+		s.Close()
+	})
+	return l.Addr().String()
+}
+
 // rig is an entry proxy and a proxy beside a backend server.
 type rig struct {
 	core  *fakeCore
 	entry *Entry
+	// server serves the callers.
+	server *CallerServer
 	// callers, forward and backend are the addresses of the three hops.
 	callers, forward, backend string
 	ledger                    *ledger
@@ -177,7 +196,7 @@
 func newRig(t *testing.T, backend http.HandlerFunc) *rig {
 	t.Helper()
 	g := &rig{ledger: &ledger{}}
-	g.start(t, serveHTTP(t, g.ledger.count(backend), nil))
+	g.start(t, serveHTTP(t, g.ledger.count(backend)))
 	return g
 }
 
@@ -188,13 +207,14 @@
 	pool := NewPool(DialTCP, 0)
 	t.Cleanup(pool.Close)
 	local := NewLocal(g.core, pool, backend, true, OwnDialect())
-	g.forward = serveHTTP(t, local, nil)
+	g.forward = serveHTTP(t, local)
 	g.core.targets = []string{g.forward}
 	g.entry = NewEntry(g.core, pool, "entry", local, "", "")
-	g.callers = serveHTTP(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	g.server = NewCallerServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		defer g.served.Add(1)
 		g.entry.ServeHTTP(w, r)
-	}), g.entry.Attach)
+	}), testTimeout, testTimeout)
+	g.callers = serveCallers(t, g.server)
 }
 
 // ledger counts the runs of each path at the backend server.
--- a/internal/forward/speed_test.go
+++ b/internal/forward/speed_test.go
@@ -68,7 +68,7 @@
 	b.ReportAllocs()
 	b.RunParallel(func(pb *testing.PB) {
 		for pb.Next() {
-			x, err := pool.Do(b.Context(), time.Now().Add(testTimeout), address, &message{in: in})
+			x, err := pool.Do(b.Context(), time.Now().Add(testTimeout), address, &message{dialect: &Dialect{}, in: in})
 			if err != nil {
 				b.Error(err)
 				return
@@ -89,7 +89,7 @@
 	b.Cleanup(pool.Close)
 	local := NewLocal(core, pool, benchServer(b, http.HandlerFunc(benchBackend)), true, OwnDialect())
 	core.address = benchServer(b, local)
-	benchLoad(b, benchServer(b, NewEntry(core, pool, "entry", local, "", "")))
+	benchLoad(b, serveCallers(b, NewCallerServer(NewEntry(core, pool, "entry", local, "", ""), testTimeout, testTimeout)))
 }
 
 func BenchmarkPlainTwoHops(b *testing.B) {
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -67,9 +67,9 @@
 	h.group = &errgroup.Group{}
 	servers := h.newServers(l)
 	control := newServer(admin)
-	h.group.Go(func() error { return serve(servers.callers, servers.accept) })
-	h.group.Go(func() error { return serve(servers.local, h.acceptPeers(l.forward)) })
-	h.group.Go(func() error { return serve(control, l.admin) })
+	h.group.Go(func() error { return serve(servers.callers.Serve, servers.accept) })
+	h.group.Go(func() error { return serve(servers.local.Serve, h.acceptPeers(l.forward)) })
+	h.group.Go(func() error { return serve(control.Serve, l.admin) })
 	h.group.Go(func() error { _ = h.transport.Serve(l.peers); return nil })
 	h.group.Go(func() error { h.tick(); return nil })
 	h.group.Go(func() error { h.decisions.Run(h.ctx.Done()); return nil })
@@ -109,8 +109,8 @@
 }
 
 // serve returns nil if the server or its listener was closed.
-func serve(s *http.Server, l net.Listener) error {
-	err := s.Serve(l)
+func serve(accept func(net.Listener) error, l net.Listener) error {
+	err := accept(l)
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
--- a/internal/host/shutdown.go
+++ b/internal/host/shutdown.go
@@ -19,8 +19,7 @@
 
 // servers holds what serves requests.
 type servers struct {
-	entry   *forward.Entry
-	callers *http.Server
+	callers *forward.CallerServer
 	local   *http.Server
 	accept  net.Listener
 }
@@ -28,13 +27,12 @@
 func (h *Host) newServers(l listeners) *servers {
 	backend := h.settings.BackendServer
 	local := forward.NewLocal(h, h.backendPool, backend.Address, backend.ShedNotRun, h.dialect)
-	s := &servers{
-		entry: forward.NewEntry(h, h.peerPool, h.origin, local, h.settings.Listen.Forward, h.settings.Service),
+	entry := forward.NewEntry(h, h.peerPool, h.origin, local, h.settings.Listen.Forward, h.settings.Service)
+	return &servers{
+		callers: forward.NewCallerServer(entry, readHeaderTimeout, idleTimeout),
+		local:   newServer(local),
+		accept:  l.callers,
 	}
-	s.callers = newServer(s.entry)
-	s.accept = s.entry.Attach(s.callers, l.callers)
-	s.local = newServer(local)
-	return s
 }
 
 // shutDown refuses new work of other proxies, waits until they know, takes
@@ -48,18 +46,18 @@
 	ctx, cancel := context.WithDeadline(context.Background(), limit)
 	defer cancel()
 	h.log.Info("graceful shutdown began", "until", limit)
-	s.entry.Drain()
+	s.callers.Drain()
 	h.step(node.Leave{Cause: "signal"})
 	h.sleep(time.Duration(h.settings.Shutdown.Notice))
 	_ = s.accept.Close()
 	if h.awaitIdle(ctx) {
-		s.entry.CloseIdle()
+		s.callers.CloseIdle()
 		h.sleep(lingerTime)
 	}
 	if s.callers.Shutdown(ctx) != nil || s.local.Shutdown(ctx) != nil {
 		h.log.Warn("requests in flight were cut at the limit of the shutdown")
 	}
-	_ = s.callers.Close()
+	s.callers.Close()
 	_ = s.local.Close()
 }
 
