Reload settings at SIGHUP

The level of the log takes effect at once, other keys are named as due at the next start, and a file that is not valid changes nothing.

--- a/internal/cli/proxy.go
+++ b/internal/cli/proxy.go
@@ -80,12 +80,34 @@
 	if err != nil {
 		return c.fail(err)
 	}
+	defer reloadOnHangup(h, c.settings)()
 	if err := h.Run(ctx, admin.Handler(h)); err != nil {
 		return c.fail(err)
 	}
 	return subcommands.ExitSuccess
 }
 
+// reloadOnHangup reloads the settings at each SIGHUP until stop is called.
+func reloadOnHangup(h *host.Host, file string) (stop func()) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	done := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-hangups:
+				h.Reload(file)
+			case <-done:
+				return
+			}
+		}
+	}()
+	return func() {
+		signal.Stop(hangups)
+		close(done)
+	}
+}
+
 func (c *proxyCommand) recorder() (r *host.Recorder, flush func(), err error) {
 	if c.record == "" {
 		return nil, func() {}, nil
--- a/internal/settings/field.go
+++ b/internal/settings/field.go
@@ -58,6 +58,17 @@
 	{"log.format", choiceRule{"logfmt", "json"}, "format of the log"},
 }
 
+// Changed returns the keys whose values differ, in the order of the reference.
+func Changed(a, b Settings) []string {
+	var keys []string
+	for _, f := range fields {
+		if !reflect.DeepEqual(value(a, f.key), value(b, f.key)) {
+			keys = append(keys, f.key)
+		}
+	}
+	return keys
+}
+
 // check returns every impossible value.
 func check(s Settings, file string) config.Problems {
 	var problems config.Problems
