Place requests by their target and let instances turn them away

Cause: an entry chose by reports that were old or missing, sent to other zones as soon as its own seemed full, and queued without regard to rank or target. Ruled out: the backend servers' own queues, which stayed empty.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -27,6 +27,9 @@
 	RequestLimit int
 	// ClaimKeys makes requests with a key wait for a claim.
 	ClaimKeys bool
+	// MinRetryAfter is the shortest time that a refusal asks for, by default
+	// a second.
+	MinRetryAfter time.Duration
 }
 
 const (
@@ -60,6 +63,9 @@
 	if cfg.OrganisationQueueLength == 0 {
 		cfg.OrganisationQueueLength = max(1, cfg.QueueLength/2)
 	}
+	if cfg.MinRetryAfter == 0 {
+		cfg.MinRetryAfter = minRetryAfter
+	}
 	if cfg.RequestLimit == 0 {
 		cfg.RequestLimit = defaultRequestLimit
 	}
@@ -153,6 +159,8 @@
 		a.refuse(now, r, outcome.InstanceLeaving)
 	case !now.Before(e.Deadline):
 		a.refuse(now, r, outcome.DeadlineExpired)
+	case a.busy(now, r):
+		a.refuse(now, r, outcome.Busy)
 	case a.tooLate(now, r):
 		a.refuse(now, r, outcome.Overload)
 	case a.cfg.ClaimKeys && e.Key != "" && !e.Repeatable:
@@ -223,7 +231,11 @@
 func (a *Admission) dispatch(now time.Time) {
 	limit := a.limit(now)
 	for a.queue.len() > 0 && len(a.running) < limit {
-		if r := a.queue.next(); a.hopeless(now, r, 0) {
+		r := a.queue.next()
+		if a.markLate(now, r) {
+			continue
+		}
+		if a.hopeless(now, r, 0) {
 			a.drop(now, r, outcome.Overload)
 			continue
 		}
--- a/internal/admission/events.go
+++ b/internal/admission/events.go
@@ -29,6 +29,12 @@
 		Priority int
 		// Target is when an answer loses its full value, zero if it does not.
 		Target time.Time
+		// Route names the route, whose requests take alike long.
+		Route string
+		// Patience is the share of the spare time before Target that the
+		// request may wait here before its sender turns to another instance,
+		// 0 if the sender has no other.
+		Patience float64
 	}
 	// Claimed answers the effect Claim.
 	Claimed struct {
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -19,6 +19,8 @@
 	Arrived
 	share   *share
 	claimed bool
+	// late tells that the target can no longer be met.
+	late    bool
 	arrived time.Time
 	started time.Time
 	// charged is the slot time charged to the share at the start.
@@ -28,6 +30,31 @@
 
 func (r *request) position(slot int) *int { return &r.positions[slot] }
 
+// sooner orders the requests of one share: the more urgent rank first, then
+// those that can still be in time for their target, then by that time. It
+// answers overload: a request that is late already has lost most of its value,
+// and must not make the next one late as well.
+func sooner(a, b *request) bool {
+	if a.Priority != b.Priority {
+		return a.Priority < b.Priority
+	}
+	if a.late != b.late {
+		return b.late
+	}
+	if !a.due().Equal(b.due()) {
+		return a.due().Before(b.due())
+	}
+	return a.ID < b.ID
+}
+
+// due is the time by which a request wants its answer.
+func (r *request) due() time.Time {
+	if r.late || r.Target.IsZero() {
+		return r.Deadline
+	}
+	return r.Target
+}
+
 func earlier(a, b *request) bool {
 	if !a.Deadline.Equal(b.Deadline) {
 		return a.Deadline.Before(b.Deadline)
@@ -91,7 +118,7 @@
 	s, ok := q.shares[organisation]
 	if !ok {
 		s = &share{organisation: organisation}
-		s.waiting = indexedHeap[*request]{slot: byOwnDeadline, less: earlier}
+		s.waiting = indexedHeap[*request]{slot: byOwnDeadline, less: sooner}
 		q.shares[organisation] = s
 	}
 	return s
@@ -123,6 +150,23 @@
 	q.longest.moved(s)
 }
 
+// postpone marks a waiting request as late.
+func (q *fairQueue) postpone(r *request) {
+	r.late = true
+	r.share.waiting.moved(r)
+}
+
+// before returns how many requests of the same share run before r would.
+func (q *fairQueue) before(s *share, r *request) int {
+	n := 0
+	for _, w := range s.waiting.items {
+		if sooner(w, r) {
+			n++
+		}
+	}
+	return n
+}
+
 // next returns the request that is to run next.
 func (q *fairQueue) next() *request {
 	return q.active.first().waiting.first()
--- a/internal/admission/refuse.go
+++ b/internal/admission/refuse.go
@@ -32,7 +32,7 @@
 func (a *Admission) refuseKnown(r *request, state FenceState) {
 	refusal := outcome.Refusal{Outcome: outcome.Unknown, Reason: outcome.Duplicate}
 	if state == FenceFenced {
-		refusal = outcome.Refusal{Outcome: outcome.NotRun, Reason: outcome.Fenced, RetryAfter: minRetryAfter}
+		refusal = outcome.Refusal{Outcome: outcome.NotRun, Reason: outcome.Fenced, RetryAfter: a.cfg.MinRetryAfter}
 	}
 	refusal.Status = refusalStatus(refusal.Reason)
 	a.counters.refused(refusal.Reason)
@@ -79,13 +79,57 @@
 // renews the estimate.
 func (a *Admission) hopeless(now time.Time, r *request, wait time.Duration) bool {
 	left := r.Deadline.Sub(now) - wait
-	return len(a.running) > 0 && left < a.service.needed(r.Deadline.Sub(r.arrived))
+	needed := a.service.needed(r.Deadline.Sub(r.arrived))
+	if !r.Target.IsZero() {
+		needed = max(needed, min(a.service.of(r.Route), r.Deadline.Sub(r.arrived)/2))
+	}
+	return len(a.running) > 0 && left < needed
 }
 
 // tooLate reports whether a new request would miss its deadline behind those
 // that wait.
 func (a *Admission) tooLate(now time.Time, r *request) bool {
-	return a.hopeless(now, r, a.expectedWait(now, a.ahead(r.Organisation)))
+	return a.hopeless(now, r, a.waitOf(now, r))
+}
+
+// waitOf estimates how long a new request would wait for a slot. A request
+// with a target overtakes those of lower rank, and those that are late.
+func (a *Admission) waitOf(now time.Time, r *request) time.Duration {
+	if r.Target.IsZero() {
+		return a.expectedWait(now, a.ahead(r.Organisation))
+	}
+	limit := a.limit(now)
+	if len(a.running)+a.queue.len() < limit {
+		return 0
+	}
+	ahead := 0
+	if s, ok := a.queue.shares[r.Organisation]; ok {
+		ahead = a.queue.before(s, r)
+	}
+	// The next slot is free after the mean time of a run, divided by the
+	// number of runs.
+	return a.expectedWait(now, ahead+1)
+}
+
+// busy reports whether the sender of a request should turn to another
+// instance. It answers load that is uneven among instances: the sender has
+// only old reports of the queue, this proxy knows it.
+func (a *Admission) busy(now time.Time, r *request) bool {
+	if r.Patience <= 0 || r.Target.IsZero() {
+		return false
+	}
+	wait := a.waitOf(now, r)
+	spare := r.Target.Sub(now) - a.service.of(r.Route)
+	return wait > 0 && float64(wait) > r.Patience*float64(max(0, spare))
+}
+
+// markLate puts requests whose target can no longer be met behind the others.
+func (a *Admission) markLate(now time.Time, r *request) bool {
+	if r.late || r.Target.IsZero() || !now.Add(a.service.of(r.Route)).After(r.Target) {
+		return false
+	}
+	a.queue.postpone(r)
+	return true
 }
 
 // ahead estimates how many requests run before a new one of the organisation.
@@ -104,5 +148,5 @@
 
 // retryAfter returns the time in which the queue is expected to empty.
 func (a *Admission) retryAfter(now time.Time) time.Duration {
-	return min(max(minRetryAfter, a.expectedWait(now, a.queue.len())), maxRetryAfter)
+	return min(max(a.cfg.MinRetryAfter, a.expectedWait(now, a.queue.len())), maxRetryAfter)
 }
--- a/internal/admission/run.go
+++ b/internal/admission/run.go
@@ -36,6 +36,7 @@
 	case e.Outcome == outcome.Answered:
 		a.counters.Answered++
 		a.service.answered(took)
+		a.service.observeRoute(r.Route, took)
 		a.capacity.answered()
 		a.monitor.runAnswered(now)
 		a.crashes.answered(r)
--- a/internal/admission/service.go
+++ b/internal/admission/service.go
@@ -19,6 +19,34 @@
 type serviceTime struct {
 	mean   time.Duration
 	margin time.Duration
+	// routes holds the means by route.
+	routes map[string]time.Duration
+}
+
+// maxRoutes bounds the routes whose means are kept.
+const maxRoutes = 1024
+
+// of returns the expected time of a request of the route.
+func (s *serviceTime) of(route string) time.Duration {
+	if mean, ok := s.routes[route]; ok {
+		return mean
+	}
+	return s.mean
+}
+
+// observeRoute adds a complete run of a route.
+func (s *serviceTime) observeRoute(route string, d time.Duration) {
+	mean, ok := s.routes[route]
+	switch {
+	case ok:
+		s.routes[route] = mean + (d-mean)/meanWeight
+	case route == "":
+	default:
+		if s.routes == nil || len(s.routes) >= maxRoutes {
+			s.routes = make(map[string]time.Duration)
+		}
+		s.routes[route] = d
+	}
 }
 
 // answered adds a complete run.
--- a/internal/forward/dialect.go
+++ b/internal/forward/dialect.go
@@ -50,6 +50,8 @@
 	instanceHeader:     true,
 	priorityHeader:     true,
 	targetHeader:       true,
+	routeHeader:        true,
+	patienceHeader:     true,
 }
 
 // passes reports whether a header is end to end: it concerns neither one
--- a/internal/forward/entry.go
+++ b/internal/forward/entry.go
@@ -154,7 +154,7 @@
 	c.message.retry = d.Retry
 	a := c.local.start(c.r.Context(), c.message, admission.Arrived{
 		Request:      c.request(),
-		Organisation: c.organisation,
+		Organisation: c.share(),
 		Key:          c.dialect.key(c.r),
 		Fingerprint:  c.hash,
 		Repeatable:   d.Repeatable,
@@ -162,6 +162,8 @@
 		Instance:     d.Instance,
 		Priority:     d.Priority,
 		Target:       d.Target,
+		Route:        d.Route,
+		Patience:     d.Patience,
 	})
 	c.message.expect = true
 	if a.exchange == nil {
@@ -219,10 +221,20 @@
 		Latency: time.Since(start),
 		Status:  resp.StatusCode,
 		Load:    reportedLoad(resp.Header),
+		Bytes:   resp.ContentLength,
 	}
 	return func() { c.core.Route(e) }
 }
 
+// share names whose slots a request uses beside the backend server. Host
+// names are no organisations that slots are divided among.
+func (c *entryCall) share() string {
+	if c.dialect.HostNames {
+		return ""
+	}
+	return c.organisation
+}
+
 // request names the request in the whole fleet.
 func (c *entryCall) request() string {
 	return c.origin + "-" + strconv.FormatUint(c.id, 36)
@@ -236,7 +248,7 @@
 // setFields sets the headers for the proxy beside the backend server.
 func (c *entryCall) setFields(d routing.Send) {
 	fields := append(c.message.fields[:0],
-		field{OrganisationHeader, c.organisation},
+		field{OrganisationHeader, c.share()},
 		field{requestHeader, c.request()},
 		field{DeadlineHeader, formatDeadline(time.Until(d.Deadline))},
 		field{VersionHeader, strconv.FormatUint(d.Version, 10)},
@@ -250,7 +262,12 @@
 		fields = append(fields, field{priorityHeader, strconv.Itoa(d.Priority)})
 	}
 	if !d.Target.IsZero() {
-		fields = append(fields, field{targetHeader, strconv.FormatInt(time.Until(d.Target).Milliseconds(), 10)})
+		fields = append(fields,
+			field{targetHeader, strconv.FormatInt(time.Until(d.Target).Milliseconds(), 10)},
+			field{routeHeader, d.Route})
+	}
+	if d.Patience > 0 {
+		fields = append(fields, field{patienceHeader, strconv.FormatFloat(d.Patience, 'f', 2, 64)})
 	}
 	if key := c.dialect.key(c.r); key != "" {
 		fields = append(fields, field{IdempotencyHeader, key})
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -53,6 +53,10 @@
 	// targetHeader is the time left in which an answer has its full value, in
 	// milliseconds; negative once it has passed.
 	targetHeader = "Heatherlift-Target-Ms"
+	// routeHeader names the route.
+	routeHeader = "Heatherlift-Route"
+	// patienceHeader is the share of the spare time that the request may wait.
+	patienceHeader = "Heatherlift-Patience"
 )
 
 // internal reports whether a name is one of this package or one that some
@@ -125,6 +129,15 @@
 	return n
 }
 
+// patience returns the share in a header, 0 if there is none.
+func patience(h http.Header) float64 {
+	share, err := strconv.ParseFloat(h.Get(patienceHeader), 64)
+	if err != nil || !(share > 0) {
+		return 0
+	}
+	return share
+}
+
 // targetTime returns when the target in a header passes, zero if there is none.
 func targetTime(now time.Time, h http.Header) time.Time {
 	ms, err := strconv.ParseInt(h.Get(targetHeader), 10, 32)
--- a/internal/forward/local.go
+++ b/internal/forward/local.go
@@ -80,6 +80,8 @@
 		Instance:     r.Header.Get(instanceHeader),
 		Priority:     priority(r.Header),
 		Target:       targetTime(time.Now(), r.Header),
+		Route:        r.Header.Get(routeHeader),
+		Patience:     patience(r.Header),
 	})
 	if a.exchange == nil {
 		l.load().set(w.Header())
--- a/internal/host/build.go
+++ b/internal/host/build.go
@@ -32,6 +32,7 @@
 		c.BackendAddress = s.BackendServer.Address
 		c.Dist.Followed = true
 		c.Routing.Retries = adapter.Retries
+		c.Admission.MinRetryAfter = adapter.MinRetryAfter
 	}
 	return c
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -76,6 +76,9 @@
 	Dialect forward.Dialect
 	// Retries bounds the retries of the fleet.
 	Retries routing.RetryBudget
+	// MinRetryAfter is the shortest time that a refusal asks for; callers
+	// that understand fractions of a second need not wait for a whole one.
+	MinRetryAfter time.Duration
 }
 
 // New returns a host that is not running yet. The recorder may be nil, and so
--- a/internal/node/pressure.go
+++ b/internal/node/pressure.go
@@ -3,6 +3,10 @@
 // Pressure returns the requests that run and wait at the backend server, per
 // slot.
 func (n *Node) Pressure() float64 {
+	slots := n.cfg.Admission.Slots
+	if n.backend.Slots > 0 {
+		slots = n.backend.Slots
+	}
 	running, waiting := n.admission.InFlight()
-	return float64(running+waiting) / float64(max(1, n.cfg.Admission.Slots))
+	return float64(running+waiting) / float64(max(1, slots))
 }
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -31,6 +31,9 @@
 	RateLimit       Reason = "rate-limit"
 	Concurrency     Reason = "concurrency-limit"
 	Overload        Reason = "overload"
+	// Busy means that the wait at an instance is longer than the sender
+	// accepts while it has other instances to turn to.
+	Busy            Reason = "instance-busy"
 	DeadlineExpired Reason = "deadline-expired"
 	InstanceLeaving Reason = "instance-leaving"
 	ConnectFailed   Reason = "connect-failed"
--- a/internal/routing/balance.go
+++ b/internal/routing/balance.go
@@ -21,6 +21,8 @@
 	Ejected State = "ejected"
 	// Suspect instances are used only for repeatable requests, and last.
 	Suspect State = "suspect"
+	// Down instances could not be reached a moment ago.
+	Down State = "down"
 	// Held instances asked to be left alone for a time.
 	Held State = "held-by-retry-after"
 	// Leaving instances get nothing new.
@@ -32,6 +34,8 @@
 // candidates sorts the instances of one choice; its memory is reused.
 type candidates struct {
 	near, far, ejected, suspect []*instance
+	// busy holds those that told of a long wait, to this request or lately.
+	busy []*instance
 	// held is the earliest time at which a held instance is free.
 	held time.Time
 }
@@ -41,6 +45,7 @@
 	c.far = c.far[:0]
 	c.ejected = c.ejected[:0]
 	c.suspect = c.suspect[:0]
+	c.busy = c.busy[:0]
 	c.held = time.Time{}
 }
 
@@ -54,6 +59,8 @@
 		return OutsideGroup
 	case i.Leaving:
 		return Leaving
+	case now.Before(i.downUntil):
+		return Down
 	case now.Before(i.heldUntil):
 		return Held
 	case i.Suspect:
@@ -73,8 +80,12 @@
 		return
 	}
 	for _, i := range p.instances {
-		if !c.hasTried(i) {
-			r.scratch.add(i, i.state(now, c.group), r.cfg.AvailabilityZone)
+		s := i.state(now, c.group)
+		switch {
+		case s == Usable && now.Before(i.busyUntil):
+			r.scratch.busy = append(r.scratch.busy, i)
+		case !c.hasTried(i):
+			r.scratch.add(i, s, r.cfg.AvailabilityZone)
 		}
 	}
 }
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -25,7 +25,9 @@
 	version  uint64
 	arrived  time.Time
 	deadline time.Time
-	attempts int
+	// attempts counts the sends but those that a proxy turned away, sends all
+	// of them, farTries those to other zones.
+	attempts, sends, farTries int
 	// retry reports that the request is a retry, here or at a level above.
 	retry bool
 	// inDoubt reports that an attempt may have run. It never turns false, so
@@ -62,11 +64,17 @@
 		r.end(c, notRun(outcome.DeadlineExpired, http.StatusGatewayTimeout, time.Second))
 		return
 	}
-	if c.attempts >= r.cfg.MaxAttempts {
+	if c.attempts >= r.maxAttempts(c) || c.sends >= maxSends {
 		r.end(c, last)
 		return
 	}
-	target := r.choose(now, c)
+	var target *instance
+	var patience float64
+	if c.placed() {
+		target, patience = r.place(now, c)
+	} else {
+		target = r.choose(now, c)
+	}
 	if target == nil {
 		r.end(c, r.noTarget(now, c, last))
 		return
@@ -75,12 +83,20 @@
 		r.end(c, last)
 		return
 	}
-	r.send(now, c, target)
+	r.send(now, c, target, patience)
+}
+
+// maxAttempts bounds the sends that a backend server may have seen.
+func (r *Router) maxAttempts(c *call) int {
+	if n := c.match.Route.MaxAttempts; n > 0 {
+		return n
+	}
+	return r.cfg.MaxAttempts
 }
 
 // noTarget returns the refusal when no instance is left to choose.
 func (r *Router) noTarget(now time.Time, c *call, last outcome.Refusal) outcome.Refusal {
-	if c.attempts > 0 || r.scratch.held.IsZero() {
+	if c.sends > 0 || r.scratch.held.IsZero() {
 		return last
 	}
 	return notRun(outcome.Overload, http.StatusServiceUnavailable, r.scratch.held.Sub(now))
@@ -102,12 +118,13 @@
 	return true
 }
 
-func (r *Router) send(now time.Time, c *call, target *instance) {
-	if c.attempts > 0 && !c.retry {
+func (r *Router) send(now time.Time, c *call, target *instance, patience float64) {
+	if c.sends > 0 && !c.retry {
 		r.stats.Redirects++
 	}
 	r.stats.Attempts++
 	c.attempts++
+	c.sends++
 	c.at = target
 	c.sentAt = now
 	if c.tried == nil {
@@ -126,7 +143,8 @@
 		Deadline:   c.deadline,
 		Target:     c.target(),
 		Priority:   c.match.Route.Priority,
-		Attempt:    c.attempts,
+		Patience:   patience,
+		Attempt:    c.sends,
 		Retry:      c.retry,
 		Why:        why,
 	})
@@ -140,6 +158,7 @@
 	r.learn(now, c, e)
 	c.release()
 	if e.Outcome == outcome.Answered {
+		r.observeBytes(c.match.Route.Name, e.Bytes)
 		r.earn(c)
 		r.finish(c)
 		return
@@ -162,6 +181,12 @@
 	refused := e.Outcome == outcome.NotRun && isOverload(e.Reason)
 	i.report(now, e.Load)
 	i.hold(now, e)
+	if c.placed() {
+		i.placedOutcome(now, e)
+		if e.Outcome == outcome.NotRun && e.Reason != outcome.Shed && e.Reason != outcome.OtherInstance {
+			c.attempts-- // no backend server has seen it
+		}
+	}
 	switch {
 	case e.Outcome == outcome.Answered && !failed(e):
 		i.observeLatency(now, e.Latency)
--- a/internal/routing/events.go
+++ b/internal/routing/events.go
@@ -62,6 +62,8 @@
 		// Load is what the instance reports with its answer: requests running
 		// and waiting per slot, 0 if unknown.
 		Load float64
+		// Bytes is the length of the answer's body, -1 if it is not known.
+		Bytes int64
 	}
 	// Abandoned reports that the caller left.
 	Abandoned struct{ ID uint64 }
@@ -111,6 +113,9 @@
 		Priority int
 		// Attempt counts the attempts made at this proxy, from 1.
 		Attempt int
+		// Patience is the share of the spare time before Target that the
+		// request may wait at the instance, 0 for no bound.
+		Patience float64
 		// Retry tells deeper levels that they may not retry either.
 		Retry bool
 		// Why is what the choice of the instance rests on.
--- a/internal/routing/instance.go
+++ b/internal/routing/instance.go
@@ -45,6 +45,13 @@
 	readySince time.Time
 	heldUntil  time.Time
 
+	// busyWait is the wait that the instance told at busyAt; it is not asked
+	// again before busyUntil.
+	busyAt, busyUntil time.Time
+	busyWait          time.Duration
+	// downUntil ends the time in which the instance's proxy is not tried.
+	downUntil time.Time
+
 	ejectedUntil time.Time
 	ejections    int
 }
--- a/internal/routing/retry.go
+++ b/internal/routing/retry.go
@@ -70,6 +70,11 @@
 		}
 		return charged
 	}
+	if e.Reason == outcome.Overload && c.placed() {
+		// A queue is full beside its backend server, which the request never
+		// reached; elsewhere it was asked already.
+		return final
+	}
 	if !isOverload(e.Reason) && e.Reason != outcome.ClaimFailed {
 		return free
 	}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -66,22 +66,25 @@
 	budgets map[string]*serviceBudget
 	stats   Stats
 	weights weights
-	scratch candidates
-	effects []Effect
+	// answerBytes is the mean length of the answers of each route.
+	answerBytes map[string]float64
+	scratch     candidates
+	effects     []Effect
 }
 
 // New returns a router without a version.
 func New(cfg Config) *Router {
 	return &Router{
-		cfg:     cfg,
-		rng:     rand.New(rand.NewPCG(cfg.Seed, 2)),
-		pools:   make(map[string]*pool),
-		known:   make(map[string]*instance),
-		orgs:    make(map[string]*organisationState),
-		calls:   make(map[uint64]*call),
-		weights: newWeights(),
-		budget:  newBudget(proxyRetries, proxyRefill),
-		budgets: make(map[string]*serviceBudget),
+		cfg:         cfg,
+		rng:         rand.New(rand.NewPCG(cfg.Seed, 2)),
+		pools:       make(map[string]*pool),
+		known:       make(map[string]*instance),
+		orgs:        make(map[string]*organisationState),
+		calls:       make(map[uint64]*call),
+		weights:     newWeights(),
+		answerBytes: make(map[string]float64),
+		budget:      newBudget(proxyRetries, proxyRefill),
+		budgets:     make(map[string]*serviceBudget),
 	}
 }
 
@@ -127,6 +130,7 @@
 func (r *Router) enforce(s *config.Snapshot) {
 	r.table = NewTable(s, r.table)
 	r.weights = newWeights()
+	clear(r.answerBytes)
 	for name, org := range r.orgs {
 		if _, ok := r.table.organisations[name]; !ok && org.InFlight == 0 {
 			delete(r.orgs, name)
