--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -161,7 +161,7 @@
 		a.refuse(now, r, outcome.DeadlineExpired)
 	case a.busy(now, r):
 		a.refuse(now, r, outcome.Busy)
-	case a.tooLate(now, r):
+	case a.tooLate(now, r), a.lost(now, r):
 		a.refuse(now, r, outcome.Overload)
 	case a.cfg.ClaimKeys && e.Key != "" && !e.Repeatable:
 		a.claim(now, r)
@@ -232,7 +232,7 @@
 	limit := a.limit(now)
 	for a.queue.len() > 0 && len(a.running) < limit {
 		r := a.queue.next()
-		if a.markLate(now, r) {
+		if a.sortLate(now, r) {
 			continue
 		}
 		if a.hopeless(now, r, 0) {
@@ -256,6 +256,7 @@
 // sweep drops state that is not needed any more.
 func (a *Admission) sweep(now time.Time) {
 	a.requests.expire(now)
+	a.sweepLate(now)
 	if now.Sub(a.swept) >= shareLifetime {
 		a.swept = now
 		a.queue.forget(now.Add(-shareLifetime))
--- a/internal/admission/refuse.go
+++ b/internal/admission/refuse.go
@@ -123,15 +123,47 @@
 	return wait > 0 && float64(wait) > r.Patience*float64(max(0, spare))
 }
 
-// markLate puts requests whose target can no longer be met behind the others.
-func (a *Admission) markLate(now time.Time, r *request) bool {
-	if r.late || r.Target.IsZero() || !now.Add(a.service.of(r.Route)).After(r.Target) {
+// missesTarget reports whether a request would be late if it ran after the wait.
+func (a *Admission) missesTarget(now time.Time, r *request, wait time.Duration) bool {
+	return !r.Target.IsZero() && now.Add(wait+a.service.of(r.Route)).After(r.Target)
+}
+
+// crowded reports whether at least as many requests wait as run. Those that
+// are late then stand no chance before their deadline, since others overtake
+// them: they are refused at once, which leaves their callers time.
+func (a *Admission) crowded(now time.Time) bool {
+	return a.queue.len() >= a.limit(now)
+}
+
+// lost reports whether a new request would wait in vain.
+func (a *Admission) lost(now time.Time, r *request) bool {
+	return a.crowded(now) && a.missesTarget(now, r, a.waitOf(now, r))
+}
+
+// sortLate takes a waiting request whose target can no longer be met from its
+// place, and reports whether it did.
+func (a *Admission) sortLate(now time.Time, r *request) bool {
+	if r.late || !a.missesTarget(now, r, 0) {
 		return false
 	}
+	if a.crowded(now) {
+		a.drop(now, r, outcome.Overload)
+		return true
+	}
 	a.queue.postpone(r)
 	return true
 }
 
+// sweepLate looks for late requests behind those of higher rank.
+func (a *Admission) sweepLate(now time.Time) {
+	if !a.crowded(now) {
+		return
+	}
+	for _, r := range sorted(a.waiting) {
+		a.sortLate(now, r)
+	}
+}
+
 // ahead estimates how many requests run before a new one of the organisation.
 func (a *Admission) ahead(organisation string) int {
 	own := 0
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -18,12 +18,14 @@
 
 // call is a request in progress.
 type call struct {
-	id       uint64
-	org      *organisationState
-	match    *Match
-	group    *config.Group
-	version  uint64
-	arrived  time.Time
+	id      uint64
+	org     *organisationState
+	match   *Match
+	group   *config.Group
+	version uint64
+	arrived time.Time
+	// spent is the time that the caller has spent on attempts before.
+	spent    time.Duration
 	deadline time.Time
 	// attempts counts the sends but those that a proxy turned away, sends all
 	// of them, farTries those to other zones.
@@ -46,7 +48,7 @@
 	if c.match.Route.Target == 0 {
 		return time.Time{}
 	}
-	return c.arrived.Add(time.Duration(c.match.Route.Target))
+	return c.arrived.Add(time.Duration(c.match.Route.Target) - c.spent)
 }
 
 func (c *call) hasTried(i *instance) bool {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -68,8 +68,10 @@
 	weights weights
 	// answerBytes is the mean length of the answers of each route.
 	answerBytes map[string]float64
-	scratch     candidates
-	effects     []Effect
+	// longest is the longest time that a caller of each route allowed.
+	longest map[string]time.Duration
+	scratch candidates
+	effects []Effect
 }
 
 // New returns a router without a version.
@@ -83,6 +85,7 @@
 		calls:       make(map[uint64]*call),
 		weights:     newWeights(),
 		answerBytes: make(map[string]float64),
+		longest:     make(map[string]time.Duration),
 		budget:      newBudget(proxyRetries, proxyRefill),
 		budgets:     make(map[string]*serviceBudget),
 	}
@@ -131,6 +134,7 @@
 	r.table = NewTable(s, r.table)
 	r.weights = newWeights()
 	clear(r.answerBytes)
+	clear(r.longest)
 	for name, org := range r.orgs {
 		if _, ok := r.table.organisations[name]; !ok && org.InFlight == 0 {
 			delete(r.orgs, name)
@@ -172,6 +176,7 @@
 		budget = min(budget, e.Budget)
 	}
 	c := &call{id: e.ID, org: org, match: match, group: r.weights.group(match), version: r.table.Version, arrived: now, deadline: now.Add(budget), retry: e.Retry}
+	c.spent = r.spent(match, e.Budget)
 	r.calls[e.ID] = c
 	org.InFlight++
 	r.countRequest(now, c.group.Service)
--- a/internal/source/follow.go
+++ b/internal/source/follow.go
@@ -10,9 +10,11 @@
 )
 
 const (
-	// watchWait bounds a watch, so that a connection that fell silent delays
-	// a change by no more than this and a call time-out.
-	watchWait = 4 * time.Second
+	// watchWait bounds a watch. A store that drops its history leaves watches
+	// without an answer, as does a connection that fell silent; with the
+	// client's time-out this stays below the 3 s after which a proxy is held
+	// to the bounds again.
+	watchWait = 2200 * time.Millisecond
 	// gatherTime is the pause after changes, in which further ones gather
 	// for the next call. It is a tenth of the time in which a change must be
 	// in force.
