--- a/internal/forward/dialect.go
+++ b/internal/forward/dialect.go
@@ -43,15 +43,8 @@
 	OutcomeHeader:      true,
 	ReasonHeader:       true,
 	VersionHeader:      true,
-	requestHeader:      true,
-	repeatableHeader:   true,
-	fingerprintHeader:  true,
 	loadHeader:         true,
-	instanceHeader:     true,
-	priorityHeader:     true,
-	targetHeader:       true,
-	routeHeader:        true,
-	patienceHeader:     true,
+	hopHeader:          true,
 }
 
 // passes reports whether a header is end to end: it concerns neither one
--- a/internal/forward/entry.go
+++ b/internal/forward/entry.go
@@ -247,36 +247,22 @@
 
 // setFields sets the headers for the proxy beside the backend server.
 func (c *entryCall) setFields(d routing.Send) {
+	now := time.Now()
 	fields := append(c.message.fields[:0],
-		field{OrganisationHeader, c.share()},
-		field{requestHeader, c.request()},
-		field{DeadlineHeader, formatDeadline(time.Until(d.Deadline))},
-		field{VersionHeader, strconv.FormatUint(d.Version, 10)},
-		field{fingerprintHeader, strconv.FormatUint(c.hash, 16)},
-		field{instanceHeader, d.Instance},
+		field{DeadlineHeader, formatDeadline(d.Deadline.Sub(now))},
+		field{hopHeader, hopText(d, c.request(), c.hash, now)},
 	)
+	if org := c.share(); org != "" {
+		fields = append(fields, field{OrganisationHeader, org})
+	}
 	if c.dialect.Caller != "" {
 		fields = append(fields, field{c.dialect.Caller, c.service})
 	}
-	if d.Priority != 0 {
-		fields = append(fields, field{priorityHeader, strconv.Itoa(d.Priority)})
-	}
-	if !d.Target.IsZero() {
-		fields = append(fields,
-			field{targetHeader, strconv.FormatInt(time.Until(d.Target).Milliseconds(), 10)},
-			field{routeHeader, d.Route})
-	}
-	if d.Patience > 0 {
-		fields = append(fields, field{patienceHeader, strconv.FormatFloat(d.Patience, 'f', 2, 64)})
-	}
 	if key := c.dialect.key(c.r); key != "" {
 		fields = append(fields, field{IdempotencyHeader, key})
 	}
 	if d.Retry {
 		fields = append(fields, field{RetryHeader, "1"})
 	}
-	if d.Repeatable {
-		fields = append(fields, field{repeatableHeader, "1"})
-	}
 	c.message.fields = fields
 }
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -40,24 +40,8 @@
 // maxRetryAfterSeconds bounds the Retry-After headers that are believed.
 const maxRetryAfterSeconds = 3600
 
-// Headers between proxies.
-const (
-	requestHeader     = "Heatherlift-Request"
-	repeatableHeader  = "Heatherlift-Repeatable"
-	fingerprintHeader = "Heatherlift-Fingerprint"
-	loadHeader        = "Heatherlift-Load"
-	// instanceHeader names the instance that the request is for.
-	instanceHeader = "Heatherlift-Instance"
-	// priorityHeader is the rank of the request's route.
-	priorityHeader = "Heatherlift-Priority"
-	// targetHeader is the time left in which an answer has its full value, in
-	// milliseconds; negative once it has passed.
-	targetHeader = "Heatherlift-Target-Ms"
-	// routeHeader names the route.
-	routeHeader = "Heatherlift-Route"
-	// patienceHeader is the share of the spare time that the request may wait.
-	patienceHeader = "Heatherlift-Patience"
-)
+// loadHeader is the load that a proxy reports with each answer to another.
+const loadHeader = "Heatherlift-Load"
 
 // internal reports whether a name is one of this package or one that some
 // backend servers do not tell from it.
@@ -120,33 +104,6 @@
 	return time.Duration(ms * float64(time.Millisecond)), true
 }
 
-// priority returns the rank in a header, 0 if there is none.
-func priority(h http.Header) int {
-	n, err := strconv.Atoi(h.Get(priorityHeader))
-	if err != nil {
-		return 0
-	}
-	return n
-}
-
-// patience returns the share in a header, 0 if there is none.
-func patience(h http.Header) float64 {
-	share, err := strconv.ParseFloat(h.Get(patienceHeader), 64)
-	if err != nil || !(share > 0) {
-		return 0
-	}
-	return share
-}
-
-// targetTime returns when the target in a header passes, zero if there is none.
-func targetTime(now time.Time, h http.Header) time.Time {
-	ms, err := strconv.ParseInt(h.Get(targetHeader), 10, 32)
-	if err != nil {
-		return time.Time{}
-	}
-	return now.Add(time.Duration(ms) * time.Millisecond)
-}
-
 // formatDeadline returns the text of a deadline header.
 func formatDeadline(d time.Duration) string {
 	d = max(d, time.Microsecond)
--- a/internal/forward/hygiene_test.go
+++ b/internal/forward/hygiene_test.go
@@ -82,7 +82,7 @@
 		w.Header().Set("X-Answer", "1")
 	})
 	resp, _, err := dialRaw(t, g.callers).exchange(t, "GET /a HTTP/1.1\r\nHost: a\r\nHeatherlift-Organisation: org\r\n"+
-		"Heatherlift-Repeatable: 1\r\nheatherlift_request: forged\r\nHeatherlift-Outcome: answered\r\n"+
+		"Heatherlift-Hop: s=1\r\nheatherlift_request: forged\r\nHeatherlift-Outcome: answered\r\n"+
 		"Idempotency-Key: k\r\nTE: trailers\r\nX-Private: 1\r\nConnection: x-private, idempotency-key\r\nX-Request: 1\r\n\r\n")
 	is.NoErr(err)
 	is.Equal(resp.StatusCode, http.StatusOK)
@@ -95,7 +95,7 @@
 	is.Equal(seen.Get(OrganisationHeader), "org")
 	is.Equal(seen.Get(IdempotencyHeader), "k") // protects the request, whatever Connection lists
 	is.Equal(seen.Get("X-Request"), "1")
-	for _, name := range []string{repeatableHeader, "Heatherlift_request", requestHeader, OutcomeHeader, "Te", "X-Private", "Connection", "User-Agent"} {
+	for _, name := range []string{hopHeader, "Heatherlift_request", OutcomeHeader, "Te", "X-Private", "Connection", "User-Agent"} {
 		if _, ok := seen[name]; ok {
 			t.Errorf("header %s reached the backend server", name)
 		}
--- a/internal/forward/local.go
+++ b/internal/forward/local.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"time"
 
 	"heatherlift.example/heatherlift/internal/admission"
@@ -52,12 +51,16 @@
 
 // ServeHTTP implements http.Handler for other proxies.
 func (l *Local) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	now := time.Now()
 	budget, ok := remaining(r.Header)
-	request := r.Header.Get(requestHeader)
-	if !ok || budget == 0 || request == "" {
+	arrived, known := parseHop(now, r.Header)
+	if !ok || !known || budget == 0 {
 		l.dialect.writeRefusal(w, notRun(outcome.Malformed, http.StatusBadRequest), false)
 		return
 	}
+	arrived.Deadline = now.Add(budget)
+	arrived.Organisation = r.Header.Get(OrganisationHeader)
+	arrived.Key = r.Header.Get(IdempotencyHeader)
 	m := &message{in: r, dialect: l.dialect, retry: r.Header.Get(RetryHeader) != ""}
 	if !isSmall(r) {
 		m.upload = newUpload(w, r)
@@ -69,20 +72,8 @@
 		}
 		m.body = body
 	}
-	hash, _ := strconv.ParseUint(r.Header.Get(fingerprintHeader), 16, 64)
-	a := l.start(r.Context(), m, admission.Arrived{
-		Request:      request,
-		Organisation: r.Header.Get(OrganisationHeader),
-		Key:          r.Header.Get(IdempotencyHeader),
-		Fingerprint:  hash,
-		Repeatable:   r.Header.Get(repeatableHeader) != "",
-		Deadline:     time.Now().Add(budget),
-		Instance:     r.Header.Get(instanceHeader),
-		Priority:     priority(r.Header),
-		Target:       targetTime(time.Now(), r.Header),
-		Route:        r.Header.Get(routeHeader),
-		Patience:     patience(r.Header),
-	})
+	w.Header()["Date"] = nil // the entry dates its answer itself
+	a := l.start(r.Context(), m, arrived)
 	if a.exchange == nil {
 		l.load().set(w.Header())
 		l.dialect.refuse(w, m.upload, a.refusal)
