--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -184,7 +184,7 @@
 	i.report(now, e.Load)
 	i.hold(now, e)
 	if c.placed() {
-		i.placedOutcome(now, e)
+		r.placedOutcome(now, i, e)
 		if e.Outcome == outcome.NotRun && e.Reason != outcome.Shed && e.Reason != outcome.OtherInstance {
 			c.attempts-- // no backend server has seen it
 		}
--- a/internal/routing/place.go
+++ b/internal/routing/place.go
@@ -25,6 +25,9 @@
 	// busyMemory bounds the time for which a refusal for a long wait keeps
 	// further requests away: a few of them are needed to see the queue shrink.
 	busyMemory = 100 * time.Millisecond
+	// farBusyMemory is the same for instances of other availability zones,
+	// where each question that is in vain costs bytes between zones.
+	farBusyMemory = time.Second
 	// downTime is how long an instance is left alone after its proxy could
 	// not be reached or said that it stops. A try costs a fraction of a
 	// millisecond, so it may be repeated often.
@@ -92,9 +95,13 @@
 }
 
 // busy notes the wait at an instance that turned a request away.
-func (i *instance) busy(now time.Time, wait time.Duration) {
+func (r *Router) busy(now time.Time, i *instance, wait time.Duration) {
 	i.busyAt, i.busyWait = now, wait
-	i.busyUntil = now.Add(min(wait/2, busyMemory))
+	memory := min(wait/2, busyMemory)
+	if i.AvailabilityZone != r.cfg.AvailabilityZone {
+		memory = farBusyMemory
+	}
+	i.busyUntil = now.Add(memory)
 }
 
 // transferCost is the share of a request's worth that its answer costs on the
@@ -116,13 +123,13 @@
 }
 
 // placedOutcome takes what a send tells of an instance besides its load.
-func (i *instance) placedOutcome(now time.Time, e AttemptEnded) {
+func (r *Router) placedOutcome(now time.Time, i *instance, e AttemptEnded) {
 	if e.Outcome != outcome.NotRun {
 		return
 	}
 	switch e.Reason {
 	case outcome.Busy, outcome.Overload:
-		i.busy(now, e.RetryAfter)
+		r.busy(now, i, e.RetryAfter)
 	case outcome.ConnectFailed, outcome.InstanceLeaving, outcome.OtherInstance:
 		i.downUntil = now.Add(downTime)
 	}
