Keep requests that may not be repeated off idle connections; serve metrics

A receiver that closes a connection while a request is on its way leaves the outcome unknown, so such requests go on connections used within the last second or on new ones; an announced idle time is kept with a margin. Silent connections end after 2 s. The platform fetches metrics at a fixed port.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -3,6 +3,9 @@
 import (
 	"bufio"
 	"net"
+	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -37,6 +40,8 @@
 	reader  *bufio.Reader
 	writer  *bufio.Writer
 	since   time.Time
+	// idleLimit is how long the connection may be idle before it is used.
+	idleLimit time.Duration
 	// written counts the bytes of the current exchange that the kernel took.
 	written int64
 	// readLimit is the number of bytes that may still be read, or
@@ -45,7 +50,7 @@
 }
 
 func newConnection(c net.Conn, address string) *connection {
-	conn := &connection{Conn: c, raw: rawConn(c), address: address, readLimit: unlimitedBytes}
+	conn := &connection{Conn: c, raw: rawConn(c), address: address, readLimit: unlimitedBytes, idleLimit: maxIdleTime}
 	conn.peek = conn.peekSocket
 	return conn
 }
@@ -84,6 +89,19 @@
 	c.reader, c.writer = nil, nil
 }
 
+// announce takes the idle time that the receiver states in a Keep-Alive
+// header, in whole seconds.
+func (c *connection) announce(h http.Header) {
+	_, text, ok := strings.Cut(h.Get("Keep-Alive"), "timeout=")
+	if !ok {
+		return
+	}
+	text, _, _ = strings.Cut(text, ",")
+	if seconds, err := strconv.Atoi(strings.TrimSpace(text)); err == nil && seconds >= 0 {
+		c.idleLimit = max(0, min(maxIdleTime, time.Duration(seconds)*time.Second-closeMargin))
+	}
+}
+
 // Write implements io.Writer.
 func (c *connection) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -40,7 +40,7 @@
 	if !time.Now().Before(deadline) {
 		return nil, errors.Mark(errors.Wrap(ErrNotSent, "deadline"), ErrExpired)
 	}
-	c, err := p.acquire(ctx, deadline, address)
+	c, err := p.acquire(ctx, deadline, address, m.once)
 	if err != nil {
 		return nil, markExpired(err, deadline)
 	}
@@ -148,6 +148,7 @@
 		return errors.Wrap(ErrBadAnswer, "answer without length")
 	}
 	x.Response = resp
+	x.conn.announce(resp.Header)
 	return nil
 }
 
--- a/internal/forward/local.go
+++ b/internal/forward/local.go
@@ -73,6 +73,7 @@
 		m.body = body
 	}
 	w.Header()["Date"] = nil // the entry dates its answer itself
+	m.once = !arrived.Repeatable
 	a := l.start(r.Context(), m, arrived)
 	if a.exchange == nil {
 		l.load().set(w.Header())
--- a/internal/forward/message.go
+++ b/internal/forward/message.go
@@ -28,6 +28,8 @@
 	body []byte
 	// expect makes the receiver decide before the body is sent.
 	expect bool
+	// once tells that the request must not be repeated.
+	once bool
 	// retry tells that the request is a retry.
 	retry bool
 	// caller is the service beside whose instance the request began.
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -4,23 +4,51 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 )
 
 const (
-	dialTimeout    = time.Second
+	// dialTimeout bounds a connection attempt: a machine that is off answers
+	// nothing, while one that is there answers within milliseconds.
+	dialTimeout    = 400 * time.Millisecond
 	maxIdlePerHost = 130
 	maxIdleTime    = 30 * time.Second
+	// freshTime is the longest idle time after which a connection may carry a
+	// request that must not be repeated: the receiver may be closing an older
+	// one, and the outcome would be unknown.
+	freshTime = time.Second
+	// closeMargin is taken off the idle time that a receiver announces.
+	closeMargin = time.Second
+	// userTimeout ends a connection whose bytes are not acknowledged;
+	// keepAliveIdle, keepAliveInterval and keepAliveCount one that is idle and
+	// silent. Both are below the 3 s after which a machine counts as in touch.
+	userTimeout       = 2 * time.Second
+	keepAliveIdle     = time.Second
+	keepAliveInterval = 500 * time.Millisecond
+	keepAliveCount    = 2
 )
 
+var dialer = net.Dialer{
+	KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
+	Control: func(_, _ string, raw syscall.RawConn) error {
+		var err error
+		controlled := raw.Control(func(fd uintptr) {
+			err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		})
+		return errors.CombineErrors(controlled, err)
+	},
+}
+
 // Dial opens a connection to an address. It is the place for authentication.
 type Dial func(ctx context.Context, address string) (net.Conn, error)
 
 // DialTCP opens a plain TCP connection.
 func DialTCP(ctx context.Context, address string) (net.Conn, error) {
-	return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	return dialer.DialContext(ctx, "tcp", address)
 }
 
 // Pool keeps HTTP/1.1 connections. Unlike http.Transport it never sends a
@@ -61,8 +89,9 @@
 	p.closeIdle(time.Now().Add(maxIdleTime))
 }
 
-// acquire returns an open connection to the address.
-func (p *Pool) acquire(ctx context.Context, deadline time.Time, address string) (*connection, error) {
+// acquire returns an open connection to the address. Fresh asks for one that
+// was used a moment ago, or a new one.
+func (p *Pool) acquire(ctx context.Context, deadline time.Time, address string, fresh bool) (*connection, error) {
 	for {
 		c, err := p.pop(address)
 		if err != nil {
@@ -71,7 +100,11 @@
 		if c == nil {
 			break
 		}
-		if time.Since(c.since) < maxIdleTime && c.alive() {
+		limit := c.idleLimit
+		if fresh {
+			limit = min(limit, freshTime)
+		}
+		if time.Since(c.since) < limit && c.alive() {
 			return c, nil
 		}
 		p.discard(c)
--- a/internal/forward/pool_test.go
+++ b/internal/forward/pool_test.go
@@ -110,3 +110,42 @@
 	is.True(!pool.closeIdle(time.Now().Add(time.Second)))
 	is.Equal(len(pool.hosts), 0)
 }
+
+// Replays a receiver that closes connections soon: a request that must not be
+// repeated is not risked on one that was idle, and the announced idle time is
+// kept with a margin.
+func TestIdleConnectionsCarryNothingThatMustNotBeRepeated(t *testing.T) {
+	is := is.New(t)
+	pool := NewPool(DialTCP, 0)
+	defer pool.Close()
+	address := serveHTTP(t, http.HandlerFunc(ok))
+	deadline := time.Now().Add(testTimeout)
+	first, err := pool.acquire(t.Context(), deadline, address, false)
+	is.NoErr(err)
+	pool.put(first)
+	again, err := pool.acquire(t.Context(), deadline, address, true)
+	is.NoErr(err)
+	is.True(again == first) // used a moment ago
+	pool.put(again)
+	first.since = time.Now().Add(-freshTime)
+	fresh, err := pool.acquire(t.Context(), deadline, address, true)
+	is.NoErr(err)
+	is.True(fresh != first)
+	pool.discard(fresh)
+}
+
+func TestAnnouncedIdleTimeIsKept(t *testing.T) {
+	is := is.New(t)
+	for text, want := range map[string]time.Duration{
+		"":                  maxIdleTime,
+		"timeout=10":        9 * time.Second,
+		"timeout=5, max=10": 4 * time.Second,
+		"timeout=1":         0,
+		"timeout=600":       maxIdleTime,
+		"max=3":             maxIdleTime,
+	} {
+		c := newConnection(nil, "")
+		c.announce(http.Header{"Keep-Alive": {text}})
+		is.Equal(c.idleLimit, want)
+	}
+}
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -24,6 +24,8 @@
 // listeners holds the sockets of a proxy.
 type listeners struct {
 	callers, forward, peers, admin net.Listener
+	// metrics is nil unless its address is set.
+	metrics net.Listener
 }
 
 func (h *Host) listen() (listeners, error) {
@@ -36,8 +38,12 @@
 		{h.settings.Listen.Forward, &l.forward},
 		{h.settings.Listen.Peers, &l.peers},
 		{h.settings.Listen.Admin, &l.admin},
+		{h.settings.Listen.Metrics, &l.metrics},
 	}
 	for _, t := range targets {
+		if t.address == "" {
+			continue
+		}
 		listener, err := net.Listen("tcp", t.address)
 		if err != nil {
 			l.close()
@@ -49,7 +55,7 @@
 }
 
 func (l listeners) close() {
-	for _, listener := range []net.Listener{l.callers, l.forward, l.peers, l.admin} {
+	for _, listener := range []net.Listener{l.callers, l.forward, l.peers, l.admin, l.metrics} {
 		if listener != nil {
 			_ = listener.Close()
 		}
@@ -70,6 +76,9 @@
 	h.group.Go(func() error { return serve(servers.callers.Serve, servers.accept) })
 	h.group.Go(func() error { return serve(servers.local.Serve, h.acceptPeers(l.forward)) })
 	h.group.Go(func() error { return serve(control.Serve, l.admin) })
+	if l.metrics != nil {
+		h.group.Go(func() error { return serve(control.Serve, l.metrics) })
+	}
 	h.group.Go(func() error { _ = h.transport.Serve(l.peers); return nil })
 	h.group.Go(func() error { h.tick(); return nil })
 	h.group.Go(func() error { h.decisions.Run(h.ctx.Done()); return nil })
--- a/internal/settings/field.go
+++ b/internal/settings/field.go
@@ -27,6 +27,7 @@
 	{"listen.forward", addressRule{}, "address for requests of other proxies"},
 	{"listen.peers", addressRule{}, "address for messages of other proxies"},
 	{"listen.admin", addressRule{}, "address for operators"},
+	{"listen.metrics", addressRule{optional: true}, "second address for operators, such as one that is the same on all machines"},
 	{"backend_server.address", addressRule{}, "address of the backend server"},
 	{"backend_server.slots", numberRule{1, 100_000}, "requests that the backend server runs at once"},
 	{"backend_server.connections", numberRule{1, 100_000}, "connections to the backend server"},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,6 +39,8 @@
 	Forward string `toml:"forward"`
 	Peers   string `toml:"peers"`
 	Admin   string `toml:"admin"`
+	// Metrics serves what Admin serves at a second address, if it is set.
+	Metrics string `toml:"metrics"`
 }
 
 // BackendServer describes the backend server beside the proxy.
