--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -160,7 +160,7 @@
 	case !now.Before(e.Deadline):
 		a.refuse(now, r, outcome.DeadlineExpired)
 	case a.busy(now, r):
-		a.refuse(now, r, outcome.Busy)
+		a.turnAway(now, r)
 	case a.tooLate(now, r), a.lost(now, r):
 		a.refuse(now, r, outcome.Overload)
 	case a.cfg.ClaimKeys && e.Key != "" && !e.Repeatable:
--- a/internal/admission/refuse.go
+++ b/internal/admission/refuse.go
@@ -8,6 +8,10 @@
 	"heatherlift.example/heatherlift/internal/outcome"
 )
 
+// stallFactor is the multiple of the mean time of a route that few runs exceed
+// on a sound backend server: one in a hundred has a tail of three to five times.
+const stallFactor = 3
+
 // refuse gives a request that was not run its final answer.
 func (a *Admission) refuse(now time.Time, r *request, reason outcome.Reason) {
 	a.refuseWith(now, r, outcome.Refusal{
@@ -115,12 +119,38 @@
 // instance. It answers load that is uneven among instances: the sender has
 // only old reports of the queue, this proxy knows it.
 func (a *Admission) busy(now time.Time, r *request) bool {
-	if r.Patience <= 0 || r.Target.IsZero() {
+	if r.Patience <= 0 || !r.Target.After(now) {
 		return false
 	}
+	if a.stalled(now) || a.missesTarget(now, r, 0) {
+		return true
+	}
 	wait := a.waitOf(now, r)
 	spare := r.Target.Sub(now) - a.service.of(r.Route)
-	return wait > 0 && float64(wait) > r.Patience*float64(max(0, spare))
+	return float64(wait) > r.Patience*float64(spare)
+}
+
+// stalled reports whether most runs have taken far longer than their routes
+// do: the backend server turned slow, which its answers will tell only later.
+func (a *Admission) stalled(now time.Time) bool {
+	slow := 0
+	for _, r := range a.running {
+		if mean := a.service.of(r.Route); mean > 0 && now.Sub(r.started) > stallFactor*mean {
+			slow++
+		}
+	}
+	return slow > len(a.running)/2
+}
+
+// turnAway refuses a request whose sender has other instances to turn to, and
+// tells how long it would have taken here.
+func (a *Admission) turnAway(now time.Time, r *request) {
+	a.refuseWith(now, r, outcome.Refusal{
+		Outcome:    outcome.NotRun,
+		Reason:     outcome.Busy,
+		Status:     refusalStatus(outcome.Busy),
+		RetryAfter: max(a.cfg.MinRetryAfter, a.waitOf(now, r)+a.service.of(r.Route)),
+	})
 }
 
 // missesTarget reports whether a request would be late if it ran after the wait.
--- a/internal/admission/service.go
+++ b/internal/admission/service.go
@@ -5,6 +5,8 @@
 const (
 	// meanWeight is the inverse weight of a new observation in the mean.
 	meanWeight = 16
+	// meanRise is the inverse weight of a longer run in the mean of a route.
+	meanRise = 8
 	// marginStep is the part of the mean by which a run that was cut at its
 	// deadline raises the margin.
 	marginStep = 8
@@ -39,7 +41,12 @@
 	mean, ok := s.routes[route]
 	switch {
 	case ok:
-		s.routes[route] = mean + (d-mean)/meanWeight
+		// A rise is bounded, so that one long run does not count for many,
+		// and yet a few of them show a backend server that turned slow.
+		s.routes[route] = mean + min((d-mean)/meanRise, mean/meanRise)
+		if d < mean {
+			s.routes[route] = mean + (d-mean)/meanWeight
+		}
 	case route == "":
 	default:
 		if s.routes == nil || len(s.routes) >= maxRoutes {
--- a/internal/source/follow.go
+++ b/internal/source/follow.go
@@ -16,9 +16,9 @@
 	// to the bounds again.
 	watchWait = 2200 * time.Millisecond
 	// gatherTime is the pause after changes, in which further ones gather
-	// for the next call. It is a tenth of the time in which a change must be
+	// for the next call. It is a quarter of the time in which a change must be
 	// in force.
-	gatherTime = 200 * time.Millisecond
+	gatherTime = 500 * time.Millisecond
 	// retryMin and retryMax bound the jittered wait after a failed call. The
 	// longest leaves time to learn of a removal before it binds, contactMs
 	// after the store is back.
