Give an assigned backend server all its slots at once

Cause: the slow start of admission, three of twelve slots at first, refused callers after the whole fleet had restarted.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -215,15 +215,18 @@
 	a.refuse(now, r, reason)
 }
 
-// assigned takes the capacity of the backend server beside the proxy.
+// assigned takes the capacity of the backend server beside the proxy. What it
+// says of itself counts at once: one that is cold is slow, but has its slots.
 func (a *Admission) assigned(e Assigned) {
+	if e.Slots != a.cfg.Slots || e.Restarted {
+		a.capacity = newCapacity(e.Slots)
+		a.capacity.limit = float64(e.Slots)
+	}
 	a.cfg.Slots = e.Slots
-	a.capacity.slots = e.Slots
 	if e.Restarted {
-		a.capacity.restart()
 		a.monitor = monitor{}
+		a.service = serviceTime{}
 	}
-	a.capacity.limit = min(a.capacity.limit, float64(e.Slots))
 }
 
 // dispatch runs waiting requests while slots are free. Those that would be cut
--- a/internal/admission/target_test.go
+++ b/internal/admission/target_test.go
@@ -161,3 +161,15 @@
 	_, waiting = a.InFlight()
 	is.True(waiting < targetSlots)
 }
+
+// Replays the start of a whole fleet: callers are there at once, and the
+// backend server has all its slots.
+func TestAssignedBackendServerHasAllItsSlotsAtOnce(t *testing.T) {
+	is := is.New(t)
+	a := &targeted{Admission: New(Config{Slots: 10, QueueLength: 100}), now: time.Date(2026, 1, 1, 4, 0, 0, 0, time.UTC)}
+	a.take(Assigned{Instance: "i-1", Slots: targetSlots, Restarted: true})
+	a.fill(2 * targetSlots)
+	running, waiting := a.InFlight()
+	is.Equal(running, targetSlots)
+	is.Equal(waiting, targetSlots)
+}
