--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -35,6 +35,7 @@
 	commander.Register(&explainCommand{output: out}, "operation")
 	commander.Register(&settingsCommand{output: out}, "")
 	commander.Register(&replayCommand{output: out}, "operation")
+	commander.Register(&traceCommand{output: out}, "operation")
 	commander.Register(&versionCommand{output: out}, "")
 	if err := flags.Parse(args); err != nil {
 		return int(subcommands.ExitUsageError)
