--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -158,8 +158,8 @@
 	for _, e := range effects.Relay {
 		h.calls.deliver(e.Call, e.Reply)
 	}
-	if call := effects.Store; call != nil {
-		h.goDo(func() { h.callStore(*call) })
+	for _, call := range effects.Store {
+		h.goDo(func() { h.callStore(call) })
 	}
 }
 
--- a/internal/host/store.go
+++ b/internal/host/store.go
@@ -25,6 +25,9 @@
 	if c.Reader != nil {
 		return h.askReader(c)
 	}
+	if c.Part == source.ConfigurationOnly {
+		return h.askVersions(c)
+	}
 	if c.List {
 		listing, err := h.feed.List(h.ctx)
 		if err != nil {
@@ -32,13 +35,29 @@
 		}
 		return node.StoreListed{Listing: listing}
 	}
-	changes, err := h.feed.Watch(h.ctx, c.After, c.Wait)
+	changes, err := h.feed.Watch(h.ctx, c.Part, c.After, c.Wait)
 	if err != nil {
 		return storeFailed(err)
 	}
 	return node.StoreChanged{Changes: changes}
 }
 
+// askVersions asks for the configuration alone.
+func (h *Host) askVersions(c source.Call) node.Event {
+	var changes source.Changes
+	var err error
+	if c.List {
+		changes, err = h.feed.Newest(h.ctx)
+	} else {
+		changes, err = h.feed.Watch(h.ctx, c.Part, c.After, c.Wait)
+	}
+	if err != nil {
+		failed := storeFailed(err)
+		return node.VersionsFailed{Compacted: failed.Compacted, Cause: failed.Cause}
+	}
+	return node.VersionsChanged{Changes: changes}
+}
+
 // askReader asks another proxy in place of the store.
 func (h *Host) askReader(c source.Call) node.Event {
 	var request source.RelayRequest
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -19,6 +19,13 @@
 		Compacted bool
 		Cause     string
 	}
+	// VersionsChanged and VersionsFailed are the result of a call for the
+	// configuration alone.
+	VersionsChanged struct{ Changes source.Changes }
+	VersionsFailed  struct {
+		Compacted bool
+		Cause     string
+	}
 	// StoreRelayed is a reader's answer in place of the store's.
 	StoreRelayed struct {
 		Reader string
@@ -43,10 +50,17 @@
 	case StoreRelayed:
 		view, next = n.relayed(now, e)
 	}
-	out.Store = &next
+	out.Store = append(out.Store, next)
 	n.learn(now, view, out)
 }
 
+// askVersions calls for the configuration alone if that is due.
+func (n *Node) askVersions(now time.Time, out *Effects) {
+	if call, ok := n.follower.Versions(now); ok {
+		out.Store = append(out.Store, call)
+	}
+}
+
 // learn passes on what the follower learnt, the instances first: a version
 // that is in force can then be served at once.
 func (n *Node) learn(now time.Time, v source.View, out *Effects) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -53,8 +53,8 @@
 	Admission []admission.Effect
 	Dedupe    []dedupe.Effect
 	Limit     []limit.Effect
-	// Store is the next call of the store, nil if none follows.
-	Store *source.Call
+	// Store holds the next calls of the store.
+	Store []source.Call
 	// Relay answers requests of proxies that follow the store through this one.
 	Relay []RelayAnswer
 	// Journal holds the decisions of the step, for the log.
@@ -126,6 +126,7 @@
 		n.begin(now, &out)
 		if n.follower != nil {
 			n.learn(now, n.follower.Tick(now), &out)
+			n.askVersions(now, &out)
 			n.answerRelays(now, &out)
 		}
 		n.stepMember(now, member.Tick{}, &out)
@@ -137,8 +138,16 @@
 		n.stepQuarantine(now, quarantine.Tick{}, &out)
 	case Leave:
 		n.leave(now, e.Cause, &out)
+	case VersionsChanged:
+		n.learn(now, n.follower.VersionsRead(now, e.Changes), &out)
+		n.askVersions(now, &out)
+		n.answerRelays(now, &out)
+	case VersionsFailed:
+		n.learn(now, n.follower.VersionsFailed(now, e.Compacted, e.Cause), &out)
+		n.askVersions(now, &out)
 	case StoreListed, StoreChanged, StoreFailed, StoreRelayed:
 		n.stepFollower(now, e, &out)
+		n.askVersions(now, &out)
 		n.answerRelays(now, &out)
 	case RelayReceived:
 		n.relayReceived(now, e, &out)
@@ -173,7 +182,7 @@
 	}
 	n.begun = true
 	if n.follower != nil {
-		out.Store = &source.Call{List: true}
+		out.Store = append(out.Store, source.Call{List: true})
 		return
 	}
 	n.viewChanged(now, out)
--- a/internal/node/trace.go
+++ b/internal/node/trace.go
@@ -29,7 +29,7 @@
 // recordable lists every event type of the reducer. Routing.Enforced and
 // routing.InstancesChanged are made inside and need no line.
 var recordable = eventTypes(
-	Tick{}, Leave{}, StoreListed{}, StoreChanged{}, StoreFailed{}, StoreRelayed{}, RelayReceived{},
+	Tick{}, Leave{}, StoreListed{}, StoreChanged{}, StoreFailed{}, StoreRelayed{}, VersionsChanged{}, VersionsFailed{}, RelayReceived{},
 	member.Listed{}, member.Received{}, member.Answered{}, member.Failed{}, member.Publish{},
 	dist.Announced{}, dist.PullReceived{}, dist.Pulled{}, dist.SourceRead{}, dist.Published{},
 	routing.Arrived{}, routing.AttemptEnded{}, routing.Abandoned{},
--- a/internal/source/feed.go
+++ b/internal/source/feed.go
@@ -18,12 +18,24 @@
 type Feed interface {
 	// List reads everything.
 	List(ctx context.Context) (Listing, error)
-	// Watch waits for changes after the revision, at most for wait.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (Changes, error)
+	// Watch waits for changes of a part after the revision, at most for wait.
+	Watch(ctx context.Context, part Part, after uint64, wait time.Duration) (Changes, error)
+	// Newest reads the configuration alone, without the versions before it.
+	Newest(ctx context.Context) (Changes, error)
 	// Close ends the connections to the store.
 	Close()
 }
 
+// Part is a part of what the store holds.
+type Part int
+
+// Parts.
+const (
+	Everything Part = iota
+	InstancesOnly
+	ConfigurationOnly
+)
+
 // Listing is everything that the store holds.
 type Listing struct {
 	// Revision is one from which a watch misses nothing.
--- a/internal/source/follow.go
+++ b/internal/source/follow.go
@@ -36,8 +36,10 @@
 type Call struct {
 	// At is the earliest time of the call.
 	At time.Time
-	// List asks for everything; otherwise for changes after After.
+	// List asks for all that the part holds; otherwise for changes after
+	// After.
 	List  bool
+	Part  Part
 	After uint64
 	Wait  time.Duration
 	// Reader is the proxy that is asked in place of the store, nil for the
@@ -75,6 +77,8 @@
 	graceUntil time.Time
 	// configuredAt is when a watch last brought a version.
 	configuredAt time.Time
+	// versions is the call that follows the configuration alone.
+	versions versionCall
 	// listRevision is the revision of the last change of the list.
 	listRevision uint64
 	// lost holds when readers failed.
@@ -126,6 +130,7 @@
 		}
 	}
 	f.listed = true
+	f.versions.revision = max(f.versions.revision, l.Revision)
 	v.Instances = f.list()
 	f.configure(l.Configuration, &v)
 	return v, f.watch(now)
@@ -155,10 +160,7 @@
 		next.At = now.Add(gatherTime)
 	}
 	if c.Configuration != nil {
-		// A watch brings every version in turn, each of them whole. While
-		// they come in quick succession only the newest is read.
-		next.List = next.Reader == nil && now.Sub(f.configuredAt) < stormTime
-		f.configuredAt = now
+		next.List = f.storm(now) && !f.large()
 	}
 	return v, next
 }
@@ -178,7 +180,8 @@
 	}
 	wait := min(retryMin<<min(f.failures, 8), retryMax)
 	f.failures++
-	next := Call{After: f.revision}
+	next := f.watch(now)
+	next.Wait, next.Reader = 0, nil
 	if !f.listed {
 		next = Call{List: true}
 	}
@@ -202,7 +205,11 @@
 }
 
 func (f *Follower) watch(now time.Time) Call {
-	return Call{At: now, After: f.revision, Wait: watchWait, Reader: f.reader(now)}
+	call := Call{At: now, After: f.revision, Wait: watchWait, Reader: f.reader(now)}
+	if f.large() {
+		call.Part = InstancesOnly
+	}
+	return call
 }
 
 // regained notes the first success after failures.
--- a/internal/source/relay_test.go
+++ b/internal/source/relay_test.go
@@ -124,3 +124,63 @@
 	is.True(!call.List)
 	is.Equal(call.After, uint64(20))
 }
+
+// storeAsker returns a reader of a large fleet.
+func storeAsker(t *testing.T) (*Follower, Call) {
+	t.Helper()
+	for i := range 60 {
+		if f, call := follow(i, 60); call.Reader == nil {
+			return f, call
+		}
+	}
+	t.Fatal("no proxy asks the store")
+	return nil, Call{}
+}
+
+// The list of instances must not wait behind versions of half a megabyte.
+func TestLargeFleetFollowsInstancesApartFromVersions(t *testing.T) {
+	is := is.New(t)
+	f, call := storeAsker(t)
+	is.Equal(call.Part, InstancesOnly)
+	versions, ok := f.Versions(followStart)
+	is.True(ok)
+	is.Equal(versions.Part, ConfigurationOnly)
+	is.Equal(versions.After, uint64(5))
+	_, ok = f.Versions(followStart)
+	is.True(!ok) // one is under way
+
+	view := f.VersionsRead(followStart, Changes{Revision: 8, Configuration: &Configuration{Version: 2}})
+	is.Equal(view.Configuration.Version, uint64(2))
+	versions, ok = f.Versions(followStart)
+	is.True(ok)
+	is.True(!versions.List)
+	is.Equal(versions.After, uint64(8))
+	is.Equal(versions.At, followStart.Add(gatherTime))
+
+	now := versions.At
+	f.VersionsRead(now, Changes{Revision: 9, Configuration: &Configuration{Version: 3}})
+	versions, _ = f.Versions(now)
+	is.True(versions.List) // a storm: only the newest
+}
+
+func TestVersionsAreAskedForAgainAfterAFailure(t *testing.T) {
+	is := is.New(t)
+	f, _ := storeAsker(t)
+	f.Versions(followStart)
+	f.VersionsFailed(followStart, false, "refused")
+	versions, ok := f.Versions(followStart)
+	is.True(ok)
+	is.True(versions.At.After(followStart))
+	is.Equal(versions.Wait, time.Duration(0))
+	f.VersionsFailed(followStart, true, "compacted")
+	versions, _ = f.Versions(followStart)
+	is.True(versions.List)
+	is.Equal(versions.At, followStart)
+}
+
+func TestProxyThatAsksAReaderLeavesTheVersionsToIt(t *testing.T) {
+	is := is.New(t)
+	f, _ := someFollower(t)
+	_, ok := f.Versions(followStart)
+	is.True(!ok)
+}
