--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -250,6 +250,7 @@
 	delete(a.waiting, r.ID)
 	a.running[r.ID] = r
 	a.counters.Run++
+	a.service.begin(now, r.Route)
 	if !r.Repeatable {
 		a.requests.set(now, r.Request, FenceRunning, 0)
 	}
--- a/internal/admission/refuse.go
+++ b/internal/admission/refuse.go
@@ -123,7 +123,7 @@
 		return false
 	}
 	if a.stalled(now) || a.missesTarget(now, r, 0) {
-		return true
+		return !a.service.stale(now, r.Route)
 	}
 	wait := a.waitOf(now, r)
 	spare := r.Target.Sub(now) - a.service.of(r.Route)
--- a/internal/admission/service.go
+++ b/internal/admission/service.go
@@ -23,6 +23,25 @@
 	margin time.Duration
 	// routes holds the means by route.
 	routes map[string]time.Duration
+	// begun is when a request of each route last ran.
+	begun map[string]time.Time
+}
+
+// probeInterval is the time after which a request of a route is run although
+// the estimate speaks against it, since only a run renews the estimate.
+const probeInterval = 500 * time.Millisecond
+
+// stale reports whether no request of the route ran of late.
+func (s *serviceTime) stale(now time.Time, route string) bool {
+	return now.Sub(s.begun[route]) >= probeInterval
+}
+
+// begin notes the start of a run.
+func (s *serviceTime) begin(now time.Time, route string) {
+	if s.begun == nil || len(s.begun) >= maxRoutes {
+		s.begun = make(map[string]time.Time)
+	}
+	s.begun[route] = now
 }
 
 // maxRoutes bounds the routes whose means are kept.
--- a/internal/admission/target_test.go
+++ b/internal/admission/target_test.go
@@ -101,6 +101,7 @@
 	a := newTargeted()
 	a.fill(2)
 	a.now = a.now.Add(stallFactor*targetService + time.Millisecond)
+	a.arrive(2, 0) // recent, so that the estimate is not stale
 	_, refusal := a.arrive(2, 0.25)
 	is.Equal(refusal.Reason, outcome.Busy)
 }
@@ -113,6 +114,7 @@
 		a.now = a.now.Add(targetTime + targetService)
 		a.end(id)
 	}
+	a.arrive(0, 0)
 	_, refusal := a.arrive(2, 0.25)
 	is.Equal(refusal.Reason, outcome.Busy)
 	_, refusal = a.arrive(2, 0)
@@ -173,3 +175,23 @@
 	is.Equal(running, targetSlots)
 	is.Equal(waiting, targetSlots)
 }
+
+// Replays a backend server that is fast again: nothing but a run can show it.
+func TestSlowBackendServerIsTriedNowAndThen(t *testing.T) {
+	is := is.New(t)
+	a := newTargeted()
+	for range 40 {
+		id, _ := a.arrive(0, 0)
+		a.now = a.now.Add(targetTime + targetService)
+		a.end(id)
+	}
+	a.arrive(0, 0)
+	_, refusal := a.arrive(2, 0.25)
+	is.True(refusal != nil)
+	a.now = a.now.Add(probeInterval)
+	id, refusal := a.arrive(2, 0.25)
+	is.Equal(refusal, nil)
+	_, refusal = a.arrive(2, 0.25)
+	is.True(refusal != nil) // one at a time
+	a.end(id)
+}
