End a storm of versions when nothing new comes; one long run is no stall

Causes: a reader read the newest version, 478 KB, again and again once a storm had begun, since an unchanged version counted as news; and of one or two runs one long run was taken for a stalled backend server.

--- a/internal/admission/refuse.go
+++ b/internal/admission/refuse.go
@@ -12,6 +12,10 @@
 // on a sound backend server: one in a hundred has a tail of three to five times.
 const stallFactor = 3
 
+// stallShare is the inverse share of the slots that slow runs must hold: one
+// or two long runs of a backend server that has little to do show nothing.
+const stallShare = 3
+
 // refuse gives a request that was not run its final answer.
 func (a *Admission) refuse(now time.Time, r *request, reason outcome.Reason) {
 	a.refuseWith(now, r, outcome.Refusal{
@@ -139,7 +143,7 @@
 			slow++
 		}
 	}
-	return slow > len(a.running)/2
+	return slow > len(a.running)/2 && slow*stallShare >= a.limit(now)
 }
 
 // turnAway refuses a request whose sender has other instances to turn to, and
--- a/internal/admission/target_test.go
+++ b/internal/admission/target_test.go
@@ -106,6 +106,19 @@
 	is.Equal(refusal.Reason, outcome.Busy)
 }
 
+// Replays a large fleet with little load, where each backend server runs one or
+// two requests: a long one must not turn the others away.
+func TestOneLongRunDoesNotStallABackendServer(t *testing.T) {
+	is := is.New(t)
+	a := newTargeted()
+	a.fill(1)
+	a.now = a.now.Add(stallFactor*targetService + time.Millisecond)
+	a.arrive(2, 0)
+	a.end(a.next)
+	_, refusal := a.arrive(2, 0.25)
+	is.Equal(refusal, nil)
+}
+
 func TestSlowBackendServerTurnsPatientRequestsAway(t *testing.T) {
 	is := is.New(t)
 	a := newTargeted()
--- a/internal/source/relay_test.go
+++ b/internal/source/relay_test.go
@@ -184,3 +184,20 @@
 	_, ok := f.Versions(followStart)
 	is.True(!ok)
 }
+
+// The end of a storm: reading the newest version again brings nothing new, and
+// the watch goes on.
+func TestNewestVersionReadAgainEndsTheStorm(t *testing.T) {
+	is := is.New(t)
+	f, _ := storeAsker(t)
+	f.Versions(followStart)
+	f.VersionsRead(followStart, Changes{Revision: 8, Configuration: &Configuration{Version: 2}})
+	f.Versions(followStart)
+	f.VersionsRead(followStart, Changes{Revision: 9, Configuration: &Configuration{Version: 3}})
+	call, _ := f.Versions(followStart)
+	is.True(call.List)
+	f.VersionsRead(followStart, Changes{Revision: 9, Configuration: &Configuration{Version: 3}})
+	call, _ = f.Versions(followStart)
+	is.True(!call.List)
+	is.True(call.Wait > 0)
+}
--- a/internal/source/versions.go
+++ b/internal/source/versions.go
@@ -47,7 +47,7 @@
 	var v View
 	f.versions = versionCall{revision: max(f.versions.revision, c.Revision)}
 	f.configure(c.Configuration, &v)
-	if c.Configuration != nil {
+	if v.Configuration != nil {
 		f.versions.next = Call{Part: ConfigurationOnly, At: now.Add(gatherTime), List: f.storm(now)}
 	}
 	return v
