--- a/internal/routing/place.go
+++ b/internal/routing/place.go
@@ -134,16 +134,3 @@
 		i.downUntil = now.Add(downTime)
 	}
 }
-
-// spent estimates how long a caller has tried already: callers of one route
-// begin with the same time, and come back with what is left of it. The value
-// of an answer falls with the time since the first attempt, so a request that
-// comes back must not count as a new one.
-func (r *Router) spent(m *Match, budget time.Duration) time.Duration {
-	if m.Route.Target == 0 || budget <= 0 {
-		return 0
-	}
-	longest := max(r.longest[m.Route.Name], budget)
-	r.longest[m.Route.Name] = longest
-	return longest - budget
-}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -68,8 +68,8 @@
 	weights weights
 	// answerBytes is the mean length of the answers of each route.
 	answerBytes map[string]float64
-	// longest is the longest time that a caller of each route allowed.
-	longest map[string]time.Duration
+	// usual is the time that callers of each route usually allow.
+	usual   map[string]*usualBudget
 	scratch candidates
 	effects []Effect
 }
@@ -85,7 +85,7 @@
 		calls:       make(map[uint64]*call),
 		weights:     newWeights(),
 		answerBytes: make(map[string]float64),
-		longest:     make(map[string]time.Duration),
+		usual:       make(map[string]*usualBudget),
 		budget:      newBudget(proxyRetries, proxyRefill),
 		budgets:     make(map[string]*serviceBudget),
 	}
@@ -134,7 +134,7 @@
 	r.table = NewTable(s, r.table)
 	r.weights = newWeights()
 	clear(r.answerBytes)
-	clear(r.longest)
+	clear(r.usual)
 	for name, org := range r.orgs {
 		if _, ok := r.table.organisations[name]; !ok && org.InFlight == 0 {
 			delete(r.orgs, name)
