--- a/internal/source/relay.go
+++ b/internal/source/relay.go
@@ -96,6 +96,8 @@
 		f.replace(r.Instances, &v)
 	}
 	f.configure(c, &v)
+	// Should the readers fail, the newest version is enough.
+	f.versions.next = Call{Part: ConfigurationOnly, List: true}
 	return v, f.watch(now)
 }
 
--- a/internal/source/versions.go
+++ b/internal/source/versions.go
@@ -53,8 +53,8 @@
 	return v
 }
 
-// VersionsFailed takes the failure of such a call. Compacted history is read
-// anew.
+// VersionsFailed takes the failure of such a call. The next one reads the newest
+// version alone: several whole ones may be what took too long.
 func (f *Follower) VersionsFailed(now time.Time, compacted bool, cause string) View {
 	var v View
 	v.note("configuration not read", cause)
@@ -66,7 +66,7 @@
 	f.versions = versionCall{
 		revision: f.versions.revision,
 		failures: failures,
-		next:     Call{Part: ConfigurationOnly, At: now.Add(wait), List: compacted},
+		next:     Call{Part: ConfigurationOnly, At: now.Add(wait), List: true},
 	}
 	return v
 }
