--- a/internal/forward/rig_test.go
+++ b/internal/forward/rig_test.go
@@ -33,6 +33,7 @@
 	repeatable bool
 	retry      bool
 	budget     time.Duration
+	instance   string
 
 	mu        sync.Mutex
 	ids       atomic.Uint64
@@ -105,7 +106,7 @@
 		return
 	}
 	f.attempts[id]++
-	f.routes[id] <- routing.Send{ID: id, Address: f.targets[n], Version: 7, Repeatable: f.repeatable, Deadline: f.deadlines[id], Retry: f.retry}
+	f.routes[id] <- routing.Send{ID: id, Address: f.targets[n], Instance: f.instance, Version: 7, Repeatable: f.repeatable, Deadline: f.deadlines[id], Retry: f.retry}
 }
 
 func (f *fakeCore) Admit(e admission.Event) {
@@ -188,6 +189,8 @@
 	// callers, forward and backend are the addresses of the three hops.
 	callers, forward, backend string
 	ledger                    *ledger
+	// dialect is heatherlift's own unless it is set.
+	dialect Dialect
 	// served counts the requests that the entry has dealt with.
 	served atomic.Int32
 }
@@ -206,10 +209,10 @@
 	g.core = newFakeCore()
 	pool := NewPool(DialTCP, 0)
 	t.Cleanup(pool.Close)
-	local := NewLocal(g.core, pool, backend, true, OwnDialect())
+	local := NewLocal(g.core, pool, backend, true, g.dialect)
 	g.forward = serveHTTP(t, local)
 	g.core.targets = []string{g.forward}
-	g.entry = NewEntry(g.core, pool, "entry", local, "", "")
+	g.entry = NewEntry(g.core, pool, "entry", local, "", "desk")
 	g.server = NewCallerServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		defer g.served.Add(1)
 		g.entry.ServeHTTP(w, r)
