--- a/internal/host/store.go
+++ b/internal/host/store.go
@@ -52,8 +52,7 @@
 		changes, err = h.feed.Watch(h.ctx, c.Part, c.After, c.Wait)
 	}
 	if err != nil {
-		failed := storeFailed(err)
-		return node.VersionsFailed{Compacted: failed.Compacted, Cause: failed.Cause}
+		return node.VersionsFailed(storeFailed(err))
 	}
 	return node.VersionsChanged{Changes: changes}
 }
