--- a/internal/admission/events.go
+++ b/internal/admission/events.go
@@ -25,7 +25,7 @@
 		Deadline    time.Time
 		// Instance is the instance that the sender means, empty for any.
 		Instance string
-		// Priority is the rank of the request, 0 the most urgent.
+		// Priority is the class of the request, 0 the most urgent.
 		Priority int
 		// Target is when an answer loses its full value, zero if it does not.
 		Target time.Time
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -30,7 +30,7 @@
 
 func (r *request) position(slot int) *int { return &r.positions[slot] }
 
-// sooner orders the requests of one share: the more urgent rank first, then
+// sooner orders the requests of one share: the higher priority first, then
 // those that can still be in time for their target, then by that time. It
 // answers overload: a request that is late already has lost most of its value,
 // and must not make the next one late as well.
--- a/internal/admission/refuse.go
+++ b/internal/admission/refuse.go
@@ -101,7 +101,7 @@
 }
 
 // waitOf estimates how long a new request would wait for a slot. A request
-// with a target overtakes those of lower rank, and those that are late.
+// with a target overtakes those of lower priority, and those that are late.
 func (a *Admission) waitOf(now time.Time, r *request) time.Duration {
 	if r.Target.IsZero() {
 		return a.expectedWait(now, a.ahead(r.Organisation))
@@ -188,7 +188,7 @@
 	return true
 }
 
-// sweepLate looks for late requests behind those of higher rank.
+// sweepLate looks for late requests behind those of higher priority.
 func (a *Admission) sweepLate(now time.Time) {
 	if !a.crowded(now) {
 		return
--- a/internal/admission/target_test.go
+++ b/internal/admission/target_test.go
@@ -38,15 +38,15 @@
 	return a
 }
 
-// arrive adds a request of the rank and returns its refusal, if it got one.
-func (a *targeted) arrive(rank int, patience float64) (uint64, *outcome.Refusal) {
-	return a.arriveLeft(rank, patience, targetTime)
+// arrive adds a request of the priority and returns its refusal, if it got one.
+func (a *targeted) arrive(priority int, patience float64) (uint64, *outcome.Refusal) {
+	return a.arriveLeft(priority, patience, targetTime)
 }
 
-func (a *targeted) arriveLeft(rank int, patience float64, target time.Duration) (uint64, *outcome.Refusal) {
+func (a *targeted) arriveLeft(priority int, patience float64, target time.Duration) (uint64, *outcome.Refusal) {
 	a.next++
 	return a.next, a.take(Arrived{
-		ID: a.next, Repeatable: true, Route: "r", Priority: rank, Patience: patience,
+		ID: a.next, Repeatable: true, Route: "r", Priority: priority, Patience: patience,
 		Target: a.now.Add(target), Deadline: a.now.Add(time.Second),
 	})
 }
@@ -134,9 +134,9 @@
 	is.Equal(refusal, nil)
 }
 
-// Replays more work than slots: the more urgent rank runs first, and what can
+// Replays more work than slots: the higher priority runs first, and what can
 // still be in time before what is late.
-func TestQueueServesRankThenWhatCanBeInTime(t *testing.T) {
+func TestQueueServesPriorityThenWhatCanBeInTime(t *testing.T) {
 	is := is.New(t)
 	a := newTargeted()
 	running := a.fill(targetSlots)
@@ -162,7 +162,7 @@
 	is.Equal(refusal.Outcome, outcome.NotRun)
 	is.True(refusal.RetryAfter >= 100*time.Millisecond)
 	_, refusal = a.arrive(1, 0)
-	is.Equal(refusal, nil) // overtakes those of lower rank
+	is.Equal(refusal, nil) // overtakes those of lower priority
 }
 
 func TestLateRequestsBehindOthersAreSweptOut(t *testing.T) {
--- a/internal/config/organisation.go
+++ b/internal/config/organisation.go
@@ -47,7 +47,7 @@
 	// Target is the time within which an answer has its full value, 0 if it
 	// is not known.
 	Target Duration `json:"target,omitempty" toml:"-"`
-	// Priority is the rank of the route's requests, 0 the most urgent.
+	// Priority is the class of the route's requests, 0 the most urgent.
 	Priority int `json:"priority,omitempty" toml:"-"`
 	// MaxAttempts bounds the backend servers to which a request is sent, 0
 	// for the bound of the proxy's settings.
--- a/internal/forward/dialect.go
+++ b/internal/forward/dialect.go
@@ -35,6 +35,9 @@
 // OwnDialect is heatherlift's own interface.
 func OwnDialect() Dialect { return Dialect{} }
 
+// own reports whether this is heatherlift's own interface.
+func (d *Dialect) own() bool { return d.RequestID == "" }
+
 // hop lists the headers of this package, between proxies and on refusals.
 var hop = map[string]bool{
 	OrganisationHeader: true,
@@ -56,7 +59,7 @@
 		"Expect", "Host", "Content-Length":
 		return false
 	}
-	if d.RequestID == "" {
+	if d.own() {
 		return !internal(name)
 	}
 	return !hop[name] && name != d.Expect && name != d.NotRun
@@ -111,7 +114,7 @@
 
 // deadline returns the text of the deadline header for a backend server.
 func (d *Dialect) deadline(left time.Duration) string {
-	if d.RequestID == "" {
+	if d.own() {
 		return formatDeadline(left)
 	}
 	return strconv.FormatInt(max(1, left.Milliseconds()), 10)
--- a/internal/routing/events.go
+++ b/internal/routing/events.go
@@ -109,7 +109,7 @@
 		Deadline   time.Time
 		// Target is when an answer loses its full value, zero if it does not.
 		Target time.Time
-		// Priority is the rank of the request, 0 the most urgent.
+		// Priority is the class of the request, 0 the most urgent.
 		Priority int
 		// Attempt counts the attempts made at this proxy, from 1.
 		Attempt int
--- a/internal/source/instances.go
+++ b/internal/source/instances.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -43,9 +42,6 @@
 	// Incarnation changes with each start of the backend server, 0 if the
 	// list does not tell it.
 	Incarnation uint64 `json:"incarnation,omitempty"`
-	// WarmUp is how long, from the reading of the list, the backend server
-	// is slow after its start.
-	WarmUp time.Duration `json:"warm_up_ns,omitempty"`
 }
 
 // InstanceList reads the platform's list of instances. It remembers the last
