End busy connections of callers when a proxy stops

Ruled out: a short limit, which the rule allows for requests sent early. Change: a drain takes nothing more of busy connections and one more request of idle ones, which end when the listener closes. The new test fails before.

--- a/internal/forward/callers.go
+++ b/internal/forward/callers.go
@@ -91,8 +91,15 @@
 	return list
 }
 
-// Drain makes every further answer the last one of its connection.
-func (s *CallerServer) Drain() { s.draining.Store(true) }
+// Drain ends every connection with its next answer: one that carries requests
+// takes no further one, an idle one takes a last one. Otherwise a caller that
+// pipelines would never come to the end of its connection.
+func (s *CallerServer) Drain() {
+	s.draining.Store(true)
+	for _, c := range s.all() {
+		c.endIfBusy()
+	}
+}
 
 // CloseIdle ends the connections that carry no request, in the direction of
 // the caller only: a request that crosses the end is dropped without being run
@@ -269,7 +276,7 @@
 	}
 	c.inProgress++
 	c.last = x
-	if x.mustClose() {
+	if x.mustClose() || c.server.draining.Load() {
 		c.ended = true
 	}
 	return true
@@ -316,6 +323,14 @@
 	_ = c.Conn.SetReadDeadline(past)
 }
 
+// endIfBusy takes no further request if one is in progress. What the caller
+// sent behind it stays unread.
+func (c *callerConn) endIfBusy() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = c.ended || c.inProgress > 0
+}
+
 // isEnded reports whether no further request is taken.
 func (c *callerConn) isEnded() bool {
 	c.mu.Lock()
--- a/internal/forward/pipeline_test.go
+++ b/internal/forward/pipeline_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -135,3 +136,31 @@
 	is.Equal(err, io.EOF)
 	is.Equal(g.ledger.of("/2"), 0)
 }
+
+// Replays a caller that pipelines without a pause while the proxy stops: its
+// connection must come to an end, and what it sends behind stays unread.
+func TestDrainTakesNothingMoreOfABusyConnection(t *testing.T) {
+	is := is.New(t)
+	proceed := make(chan struct{})
+	g := newRig(t, afterWarming(func(w http.ResponseWriter, r *http.Request) {
+		<-proceed
+		_, _ = io.WriteString(w, r.URL.Path)
+	}))
+	g.warm(t)
+	g.core.repeatable = true
+	c := dialRaw(t, g.callers)
+	c.send(t, get("/1"))
+	await(t, "request runs", func() bool { return g.ledger.of("/1") == 1 })
+	g.server.Drain()
+	c.send(t, get("/2"))
+	time.Sleep(50 * time.Millisecond)
+	is.Equal(g.ledger.of("/2"), 0)
+	close(proceed)
+	resp, body, err := c.read("GET")
+	is.NoErr(err)
+	is.Equal(body, "/1")
+	is.True(resp.Close)
+	_, err = c.reader.ReadByte()
+	is.Equal(err, io.EOF)
+	is.Equal(g.ledger.of("/2"), 0)
+}
--- a/internal/host/shutdown.go
+++ b/internal/host/shutdown.go
@@ -50,6 +50,7 @@
 	h.step(node.Leave{Cause: "signal"})
 	h.sleep(time.Duration(h.settings.Shutdown.Notice))
 	_ = s.accept.Close()
+	s.callers.CloseIdle()
 	if h.awaitIdle(ctx) {
 		s.callers.CloseIdle()
 		h.sleep(lingerTime)
--- a/internal/source/relay_test.go
+++ b/internal/source/relay_test.go
@@ -155,7 +155,7 @@
 	is.True(ok)
 	is.True(!versions.List)
 	is.Equal(versions.After, uint64(8))
-	is.Equal(versions.At, followStart.Add(gatherTime))
+	is.Equal(versions.At, followStart.Add(versionsGather))
 
 	now := versions.At
 	f.VersionsRead(now, Changes{Revision: 9, Configuration: &Configuration{Version: 3}})
--- a/internal/source/versions.go
+++ b/internal/source/versions.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// versionsGather is the pause after a version. Its transfer over a slow link
+// takes most of the time in which it must be in force.
+const versionsGather = 100 * time.Millisecond
+
 // versionCall is the state of the call that follows the configuration alone.
 // In a large fleet a version is large as well; the list of instances, which
 // binds within a shorter time, must not wait behind it.
@@ -48,7 +52,7 @@
 	f.versions = versionCall{revision: max(f.versions.revision, c.Revision)}
 	f.configure(c.Configuration, &v)
 	if v.Configuration != nil {
-		f.versions.next = Call{Part: ConfigurationOnly, At: now.Add(gatherTime), List: f.storm(now)}
+		f.versions.next = Call{Part: ConfigurationOnly, At: now.Add(versionsGather), List: f.storm(now)}
 	}
 	return v
 }
