Let a connection whose answer has begun take one more request at a drain

Cause: a drain ended a connection whose last answer was written but not yet counted as finished; that answer had not said that it was the last, so the next request was dropped. Ruled out: the tests' own timing, as the new test shows it each time. Change: a connection ends at a drain only if its last answer can still say so; otherwise it takes one more request.

--- a/internal/forward/callers.go
+++ b/internal/forward/callers.go
@@ -157,8 +157,10 @@
 	mu sync.Mutex
 	// inProgress counts the requests whose answer is not written.
 	inProgress int
-	// last is the request that was read last.
-	last *exchangeWriter
+	// last is the request that was read last; answered tells that the head of
+	// its answer was written.
+	last     *exchangeWriter
+	answered bool
 	// ended tells that no further request is taken.
 	ended bool
 }
@@ -275,7 +277,7 @@
 		return false
 	}
 	c.inProgress++
-	c.last = x
+	c.last, c.answered = x, false
 	if x.mustClose() || c.server.draining.Load() {
 		c.ended = true
 	}
@@ -298,8 +300,9 @@
 func (c *callerConn) endsWith(x *exchangeWriter, closing bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.last == x && (closing || c.server.draining.Load()) {
-		c.ended = true
+	if c.last == x {
+		c.answered = true
+		c.ended = c.ended || c.server.draining.Load()
 	}
 	if closing {
 		c.ended = true
@@ -323,12 +326,12 @@
 	_ = c.Conn.SetReadDeadline(past)
 }
 
-// endIfBusy takes no further request if one is in progress. What the caller
-// sent behind it stays unread.
+// endIfBusy takes no further request if one is in progress whose answer can
+// still say that it is the last. What the caller sent behind it stays unread.
 func (c *callerConn) endIfBusy() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ended = c.ended || c.inProgress > 0
+	c.ended = c.ended || c.inProgress > 0 && !c.answered
 }
 
 // isEnded reports whether no further request is taken.
--- a/internal/forward/pipeline_test.go
+++ b/internal/forward/pipeline_test.go
@@ -164,3 +164,30 @@
 	is.Equal(err, io.EOF)
 	is.Equal(g.ledger.of("/2"), 0)
 }
+
+// An answer that has begun can no longer say that it is the last one: its
+// caller may send another request, which must be answered.
+func TestDrainDuringAnAnswerServesOneMoreRequest(t *testing.T) {
+	is := is.New(t)
+	proceed := make(chan struct{})
+	g := newRig(t, afterWarming(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, r.URL.Path)
+		_ = http.NewResponseController(w).Flush()
+		<-proceed
+	}))
+	g.warm(t)
+	c := dialRaw(t, g.callers)
+	c.send(t, get("/1"))
+	resp, err := http.ReadResponse(c.reader, nil)
+	is.NoErr(err)
+	is.True(!resp.Close)
+	g.server.Drain()
+	close(proceed)
+	body, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.Equal(string(body), "/1")
+	resp, text, err := c.exchange(t, get("/2"))
+	is.NoErr(err)
+	is.Equal(text, "/2")
+	is.True(resp.Close)
+}
