Keep one copy of each step of the follower

Cause: taking a whole list stood twice (from the store and from a reader), the backoff twice beside a third bound on doublings, the sorted entries twice, and list() changed state besides. Change: replace, retryWait, entries and show serve all; the bound is that of pace.go. The steps over a reader's list now go in the order of identifiers, as a replayed stream of events needs.

--- a/internal/source/follow.go
+++ b/internal/source/follow.go
@@ -117,21 +117,10 @@
 	f.regained(now, &v)
 	away := now.Before(f.graceUntil)
 	f.revision = l.Revision
-	present := make(map[string]bool, len(l.Instances))
-	for _, e := range l.Instances {
-		if e.Instance != nil {
-			present[e.ID] = true
-			f.put(e)
-		}
-	}
-	for _, id := range slices.Sorted(maps.Keys(f.known)) {
-		if !present[id] {
-			f.remove(now, id, away, &v)
-		}
-	}
+	f.replace(l.Instances, func(id string) { f.remove(now, id, away, &v) })
 	f.listed = true
 	f.versions.revision = max(f.versions.revision, l.Revision)
-	v.Instances = f.list()
+	f.show(&v)
 	f.configure(l.Configuration, &v)
 	return v, f.watch(now)
 }
@@ -152,7 +141,7 @@
 		f.put(e)
 	}
 	if len(c.Instances) > 0 {
-		v.Instances = f.list()
+		f.show(&v)
 	}
 	f.configure(c.Configuration, &v)
 	next := f.watch(now)
@@ -178,7 +167,7 @@
 		f.lostAt = now
 		v.note("store lost", cause)
 	}
-	wait := min(retryMin<<min(f.failures, 8), retryMax)
+	wait := retryWait(f.failures)
 	f.failures++
 	next := f.watch(now)
 	next.Wait, next.Reader = 0, nil
@@ -191,6 +180,11 @@
 	return v, next
 }
 
+// retryWait is the wait after so many failed calls before the present one.
+func retryWait(failures int) time.Duration {
+	return min(retryMin<<min(failures, maxDoublings), retryMax)
+}
+
 // Tick drops the kept entries whose time has passed.
 func (f *Follower) Tick(now time.Time) View {
 	var v View
@@ -200,7 +194,7 @@
 	for _, id := range slices.Sorted(maps.Keys(f.missing)) {
 		f.drop(id, "not registered again after the store's return", &v)
 	}
-	v.Instances = f.list()
+	f.show(&v)
 	return v
 }
 
@@ -222,6 +216,23 @@
 	f.graceUntil = now.Add(returnGrace)
 }
 
+// replace takes a whole list and calls gone for each known instance that it
+// lacks, in the order of their identifiers.
+func (f *Follower) replace(entries []Entry, gone func(id string)) {
+	present := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		if e.Instance != nil {
+			present[e.ID] = true
+			f.put(e)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(f.known)) {
+		if !present[id] {
+			gone(id)
+		}
+	}
+}
+
 func (f *Follower) put(e Entry) {
 	delete(f.missing, e.ID)
 	f.known[e.ID] = e
@@ -254,14 +265,18 @@
 	}
 }
 
-func (f *Follower) list() []Instance {
+// show puts the list as it is now into the view.
+func (f *Follower) show(v *View) {
 	f.listRevision = f.revision
-	out := make([]Instance, 0, len(f.known))
-	for _, e := range f.known {
-		out = append(out, *e.Instance)
+	v.Instances = make([]Instance, 0, len(f.known))
+	for _, e := range f.entries() {
+		v.Instances = append(v.Instances, *e.Instance)
 	}
-	slices.SortFunc(out, func(a, b Instance) int { return cmp.Compare(a.ID, b.ID) })
-	return out
+}
+
+// entries returns the known entries, sorted by identifier.
+func (f *Follower) entries() []Entry {
+	return slices.SortedFunc(maps.Values(f.known), func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
 }
 
 func (v *View) note(what, cause string) {
--- a/internal/source/relay.go
+++ b/internal/source/relay.go
@@ -50,7 +50,7 @@
 // reader returns the proxy that is asked in place of the store, nil if this
 // proxy asks the store itself.
 func (f *Follower) reader(now time.Time) *Instance {
-	if len(f.known) < relayFrom {
+	if !f.large() {
 		return nil
 	}
 	readers := f.readers()
@@ -93,7 +93,8 @@
 	f.regained(now, &v)
 	f.revision = max(f.revision, r.Revision)
 	if r.Instances != nil {
-		f.replace(r.Instances, &v)
+		f.replace(r.Instances, func(id string) { f.drop(id, "entry removed", &v) })
+		f.show(&v)
 	}
 	f.configure(c, &v)
 	// Should the readers fail, the newest version is enough.
@@ -101,23 +102,6 @@
 	return v, f.watch(now)
 }
 
-// replace takes a whole list.
-func (f *Follower) replace(entries []Entry, v *View) {
-	present := make(map[string]bool, len(entries))
-	for _, e := range entries {
-		if e.Instance != nil {
-			present[e.ID] = true
-			f.put(e)
-		}
-	}
-	for id := range f.known {
-		if !present[id] {
-			f.drop(id, "entry removed", v)
-		}
-	}
-	v.Instances = f.list()
-}
-
 // ReaderFailed notes that a reader did not answer, or does not reach the store
 // itself, and returns the next call, to another reader or to the store.
 func (f *Follower) ReaderFailed(now time.Time, id, cause string) (View, Call) {
@@ -140,13 +124,8 @@
 // Answer returns the answer to a request but for its delta.
 func (f *Follower) Answer(r RelayRequest) RelayReply {
 	reply := RelayReply{Stale: !f.Reachable(), Revision: f.listRevision}
-	if f.listRevision <= r.After {
-		return reply
-	}
-	reply.Instances = make([]Entry, 0, len(f.known))
-	for _, e := range f.known {
-		reply.Instances = append(reply.Instances, e)
+	if f.listRevision > r.After {
+		reply.Instances = f.entries()
 	}
-	slices.SortFunc(reply.Instances, func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
 	return reply
 }
--- a/internal/source/versions.go
+++ b/internal/source/versions.go
@@ -63,7 +63,7 @@
 	var v View
 	v.note("configuration not read", cause)
 	failures := f.versions.failures + 1
-	wait := min(retryMin<<min(failures, 8), retryMax)
+	wait := retryWait(failures)
 	if compacted {
 		wait = 0
 	}
