Join checks that stood twice and drop state that nothing reads

Cause: group and deadline of a route were checked by the same lines for both forms of routes; Exchange.whole and Assigned.Instance were written and never read; whether a message may be repeated was set in two places; two tests slowed their backend server by the same loop. Change: validateDestination, one assignment, turnSlow. No check and no assertion differs.

--- a/internal/admission/events.go
+++ b/internal/admission/events.go
@@ -55,7 +55,6 @@
 	Leave struct{}
 	// Assigned tells which backend server is beside this proxy.
 	Assigned struct {
-		Instance string
 		// Slots is the number of requests that it runs at once.
 		Slots int
 		// Restarted reports another backend server or a new start of it.
--- a/internal/admission/target_test.go
+++ b/internal/admission/target_test.go
@@ -69,6 +69,17 @@
 	a.take(Ended{ID: id, Outcome: outcome.Answered})
 }
 
+// turnSlow makes the backend server take longer than the target, and leaves a
+// recent run, so that the estimate is not stale.
+func (a *targeted) turnSlow() {
+	for range 40 {
+		id, _ := a.arrive(0, 0)
+		a.now = a.now.Add(targetTime + targetService)
+		a.end(id)
+	}
+	a.arrive(0, 0)
+}
+
 // fill makes n requests run or wait.
 func (a *targeted) fill(n int) (first uint64) {
 	first = a.next + 1
@@ -122,12 +133,7 @@
 func TestSlowBackendServerTurnsPatientRequestsAway(t *testing.T) {
 	is := is.New(t)
 	a := newTargeted()
-	for range 40 {
-		id, _ := a.arrive(0, 0)
-		a.now = a.now.Add(targetTime + targetService)
-		a.end(id)
-	}
-	a.arrive(0, 0)
+	a.turnSlow()
 	_, refusal := a.arrive(2, 0.25)
 	is.Equal(refusal.Reason, outcome.Busy)
 	_, refusal = a.arrive(2, 0)
@@ -182,7 +188,7 @@
 func TestAssignedBackendServerHasAllItsSlotsAtOnce(t *testing.T) {
 	is := is.New(t)
 	a := &targeted{Admission: New(Config{Slots: 10, QueueLength: 100}), now: time.Date(2026, 1, 1, 4, 0, 0, 0, time.UTC)}
-	a.take(Assigned{Instance: "i-1", Slots: targetSlots, Restarted: true})
+	a.take(Assigned{Slots: targetSlots, Restarted: true})
 	a.fill(2 * targetSlots)
 	running, waiting := a.InFlight()
 	is.Equal(running, targetSlots)
@@ -193,12 +199,7 @@
 func TestSlowBackendServerIsTriedNowAndThen(t *testing.T) {
 	is := is.New(t)
 	a := newTargeted()
-	for range 40 {
-		id, _ := a.arrive(0, 0)
-		a.now = a.now.Add(targetTime + targetService)
-		a.end(id)
-	}
-	a.arrive(0, 0)
+	a.turnSlow()
 	_, refusal := a.arrive(2, 0.25)
 	is.True(refusal != nil)
 	a.now = a.now.Add(probeInterval)
--- a/internal/config/published.go
+++ b/internal/config/published.go
@@ -4,7 +4,6 @@
 	"maps"
 	"slices"
 	"strings"
-	"time"
 )
 
 // FromOrganisations compiles complete organisations, as a source publishes
@@ -43,12 +42,7 @@
 	if !strings.HasPrefix(r.Path, "/") || !strings.HasSuffix(r.Path, "/") || !r.Prefix {
 		problems.add(key+".path", "%q: want a prefix between slashes", r.Path)
 	}
-	if _, ok := groups[r.Group]; !ok {
-		problems.add(key+".group", "no group %q in this version", r.Group)
-	}
-	if d := time.Duration(r.Deadline); d < MinDeadline || d > MaxDeadline {
-		problems.add(key+".deadline", "%v: want %v to %v", d, MinDeadline, MaxDeadline)
-	}
+	validateDestination(key, r, groups, problems)
 	for _, part := range r.Parts {
 		if _, ok := groups[part.Group]; !ok {
 			problems.add(key+".parts", "no group %q in this version", part.Group)
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -83,6 +83,11 @@
 			problems.add(key+".methods", "%q is listed twice", m)
 		}
 	}
+	validateDestination(key, r, groups, problems)
+}
+
+// validateDestination checks what routes of every form have.
+func validateDestination(key string, r Route, groups map[string]Group, problems *problemList) {
 	if _, ok := groups[r.Group]; !ok {
 		problems.add(key+".group", "no group %q in this version", r.Group)
 	}
--- a/internal/forward/entry.go
+++ b/internal/forward/entry.go
@@ -129,11 +129,11 @@
 // send makes one attempt and reports whether the caller has its answer.
 func (c *entryCall) send(d routing.Send) bool {
 	start := time.Now()
+	c.message.once = !d.Repeatable
 	if d.Address == c.self && c.local != nil {
 		return c.sendLocal(d, start)
 	}
 	c.setFields(d)
-	c.message.once = !d.Repeatable
 	fencing := c.fencing(d)
 	x, err := c.pool.Do(c.r.Context(), d.Deadline, d.Address, c.message)
 	if err != nil {
@@ -153,7 +153,6 @@
 // sendLocal makes an attempt at the backend server beside this proxy.
 func (c *entryCall) sendLocal(d routing.Send, start time.Time) bool {
 	c.message.retry = d.Retry
-	c.message.once = !d.Repeatable
 	a := c.local.start(c.r.Context(), c.message, admission.Arrived{
 		Request:      c.request(),
 		Organisation: c.share(),
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -22,8 +22,6 @@
 	pool *Pool
 	// framed tells that the answer's end does not depend on the connection's.
 	framed bool
-	// whole tells that the body is held in memory.
-	whole  bool
 	conn   *connection
 	stop   func() bool
 	upload *upload
--- a/internal/forward/verify.go
+++ b/internal/forward/verify.go
@@ -67,7 +67,6 @@
 		resp.Body = io.NopCloser(io.MultiReader(bytes.NewReader(body), resp.Body))
 		return nil
 	}
-	x.whole = true
 	resp.Body = io.NopCloser(bytes.NewReader(body))
 	if resp.Request.Method != http.MethodHead {
 		resp.ContentLength = int64(len(body))
--- a/internal/node/listed.go
+++ b/internal/node/listed.go
@@ -37,10 +37,6 @@
 	}
 	restarted := n.backend.ID != i.ID || n.backend.Incarnation != i.Incarnation
 	n.backend = i
-	n.stepAdmission(now, admission.Assigned{
-		Instance:  i.ID,
-		Slots:     i.Slots,
-		Restarted: restarted,
-	}, out)
+	n.stepAdmission(now, admission.Assigned{Slots: i.Slots, Restarted: restarted}, out)
 	n.stepAdmission(now, admission.Draining{Draining: i.State == source.InstanceLeaving}, out)
 }
