Build the fields of a log line only if the line is written

Cause: every request collected two dozen values for a line that the sampler dropped nine times in ten. Change: Note and Add take a function that returns the fields and call it at once for a line within its bounds. Lines, bounds and assertions are the same.

--- a/internal/decisionlog/decisionlog.go
+++ b/internal/decisionlog/decisionlog.go
@@ -60,14 +60,15 @@
 }
 
 // Add writes a line soon, unless the bounds of its class are reached. Fields
-// are pairs of a name and a value.
-func (l *Log) Add(class Class, what string, fields ...any) {
+// returns pairs of a name and a value; it is called only for a line that is
+// within the bounds, since most ordinary ones are not.
+func (l *Log) Add(class Class, what string, fields func() []any) {
 	if !l.limits[class].Allow() {
 		l.omitted[class].Add(1)
 		return
 	}
 	select {
-	case l.lines <- line{what, fields}:
+	case l.lines <- line{what, fields()}:
 	default:
 		l.omitted[class].Add(1)
 	}
--- a/internal/decisionlog/decisionlog_test.go
+++ b/internal/decisionlog/decisionlog_test.go
@@ -10,6 +10,9 @@
 	"github.com/matryer/is"
 )
 
+// fields returns a function that returns the pairs.
+func fields(pairs ...any) func() []any { return func() []any { return pairs } }
+
 // run starts the writer and returns the function that ends it.
 func run(l *Log) (end func()) {
 	stop, done := make(chan struct{}), make(chan struct{})
@@ -28,10 +31,10 @@
 	var out bytes.Buffer
 	l := New(log.New(&out))
 	for range 10 * ordinaryRate {
-		l.Add(Ordinary, "served")
+		l.Add(Ordinary, "served", fields())
 	}
 	for range 2 {
-		l.Add(Notable, "refused", "request", "r1")
+		l.Add(Notable, "refused", fields("request", "r1"))
 	}
 	is.Equal(l.omitted[Ordinary].Load(), uint64(10*ordinaryRate-burst*ordinaryRate))
 	run(l)()
@@ -59,7 +62,7 @@
 	go func() {
 		defer close(added)
 		for range 2 * pending {
-			l.Add(Notable, "refused")
+			l.Add(Notable, "refused", fields())
 		}
 	}()
 	select {
--- a/internal/host/core.go
+++ b/internal/host/core.go
@@ -21,12 +21,12 @@
 }
 
 // Note implements forward.Noter.
-func (h *Host) Note(notable bool, what string, fields ...any) {
+func (h *Host) Note(notable bool, what string, fields func() []any) {
 	class := decisionlog.Ordinary
 	if notable {
 		class = decisionlog.Notable
 	}
-	h.decisions.Add(class, what, fields...)
+	h.decisions.Add(class, what, fields)
 }
 
 // Admit implements forward.Core.
