--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -26,7 +26,8 @@
 // link is a connection to a peer.
 type link struct {
 	conn net.Conn
-	// rpc is nil until the handshake is done.
+	// rpc is nil until the handshake is done. Transport.mu guards it; it does
+	// not change once it is set.
 	rpc      *jsonrpc2.Conn
 	lastUsed time.Time
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -78,12 +78,12 @@
 	t.cancel()
 	t.mu.Lock()
 	t.closed = true
-	var all []*link
+	var all []link // copies: a handshake that ends now still sets rpc
 	for _, l := range t.dialled {
-		all = append(all, l)
+		all = append(all, *l)
 	}
 	for l := range t.accepted {
-		all = append(all, l)
+		all = append(all, *l)
 	}
 	t.mu.Unlock()
 	for _, l := range all {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -194,3 +194,14 @@
 		}
 	})
 }
+
+// A peer may connect at the moment at which the transport closes.
+func TestCloseWhileAPeerConnects(t *testing.T) {
+	for range 500 {
+		transport := NewTransport(echo{}, &counters{changed: make(chan struct{}, 1)}, nil)
+		here, there := net.Pipe()
+		transport.accept(here)
+		transport.Close()
+		_ = there.Close()
+	}
+}
