Bind a write deadline to its own answer on a pipelined connection

Cause: the deadline of an answer above 16 KB was set on the connection while answers before it were not yet written. When it passed, an earlier answer that was ready could not be written and the connection was closed. Ruled out by the trace: the backend server, which had answered. Change: a deadline binds from the answer's turn on, and the wait for the turn extends it. The new test fails before.

--- a/internal/forward/callerwriter.go
+++ b/internal/forward/callerwriter.go
@@ -44,6 +44,9 @@
 	length  int64
 	written int64
 	err     error
+	// writeDeadline is the handler's; it binds the connection only while it is
+	// this answer's turn.
+	writeDeadline time.Time
 }
 
 func newExchangeWriter(ctx context.Context, c *callerConn, req *http.Request, turn <-chan struct{}) *exchangeWriter {
@@ -152,7 +155,7 @@
 	if x.err != nil {
 		return x.err
 	}
-	x.awaitTurn()
+	x.takeTurn()
 	x.commit(false)
 	x.writeHeld()
 	return x.err
@@ -161,8 +164,15 @@
 // SetReadDeadline implements http.ResponseController.
 func (x *exchangeWriter) SetReadDeadline(t time.Time) error { return x.conn.Conn.SetReadDeadline(t) }
 
-// SetWriteDeadline implements http.ResponseController.
-func (x *exchangeWriter) SetWriteDeadline(t time.Time) error { return x.conn.Conn.SetWriteDeadline(t) }
+// SetWriteDeadline implements http.ResponseController. Before the answer's turn
+// the connection belongs to the answers before.
+func (x *exchangeWriter) SetWriteDeadline(t time.Time) error {
+	x.writeDeadline = t
+	if !x.committed {
+		return nil
+	}
+	return x.conn.Conn.SetWriteDeadline(t)
+}
 
 // EnableFullDuplex implements http.ResponseController: the body may always be
 // read while the answer is written.
@@ -177,6 +187,18 @@
 // awaitTurn waits until the answers before are written.
 func (x *exchangeWriter) awaitTurn() { <-x.turn }
 
+// takeTurn waits until the answers before are written and takes over the
+// connection. The wait is no fault of the receiver and extends the deadline.
+func (x *exchangeWriter) takeTurn() {
+	began := time.Now()
+	x.awaitTurn()
+	if x.committed || x.writeDeadline.IsZero() {
+		return
+	}
+	x.writeDeadline = x.writeDeadline.Add(time.Since(began))
+	_ = x.conn.Conn.SetWriteDeadline(x.writeDeadline)
+}
+
 // commit writes the head. Whole tells that the body is held complete.
 func (x *exchangeWriter) commit(whole bool) {
 	if x.committed {
@@ -252,7 +274,7 @@
 // end writes what is left of the answer.
 func (x *exchangeWriter) end() error {
 	x.WriteHeader(http.StatusOK)
-	x.awaitTurn()
+	x.takeTurn()
 	if x.hasBody() && x.length >= 0 && x.written < x.length {
 		return errShortAnswer
 	}
--- a/internal/forward/pipeline_test.go
+++ b/internal/forward/pipeline_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -191,3 +192,33 @@
 	is.Equal(text, "/2")
 	is.True(resp.Close)
 }
+
+// Replays a caller that pipelines a request with a short deadline behind a slow
+// one: the deadline of the second answer must not cut the first, nor does the
+// time count in which the second waits for its turn.
+func TestDeadlineOfALaterAnswerCutsNoneBefore(t *testing.T) {
+	const deadline, slow = 200 * time.Millisecond, 500 * time.Millisecond
+	long := strings.Repeat("x", smallAnswer+1)
+	for _, first := range []string{"short", long} {
+		is := is.New(t)
+		g := newRig(t, afterWarming(func(w http.ResponseWriter, r *http.Request) {
+			text := long
+			if r.URL.Path == "/1" {
+				time.Sleep(slow)
+				text = first
+			}
+			w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+			_, _ = io.WriteString(w, text)
+		}))
+		g.warm(t)
+		g.core.repeatable = true
+		c := dialRaw(t, g.callers)
+		c.send(t, get("/1")+"GET /2 HTTP/1.1\r\nHost: a\r\nHeatherlift-Deadline-Ms: "+strconv.FormatInt(deadline.Milliseconds(), 10)+"\r\n\r\n")
+		for _, want := range []string{first, long} {
+			resp, body, err := c.read("GET")
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, http.StatusOK)
+			is.Equal(len(body), len(want))
+		}
+	}
+}
