Tell the list of instances by its hash between proxies

Cause: a reader answered only when the list's revision had risen, but an entry that lapsed with the store away is dropped at a revision that the others know; in fleets of 24 and more they kept it until the next change. Found by reading. Change: requests carry the hash of the list held; a reader that is not behind answers if it differs, and the revision of the last change is not kept any more. The new test fails with the old comparison.

--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -120,5 +120,5 @@
 // RelayRequest returns what this proxy asks a reader for.
 func (n *Node) RelayRequest(c source.Call) source.RelayRequest {
 	held := n.dist.Held()
-	return source.RelayRequest{After: c.After, Version: held.Version, Root: held.Root, WaitMs: c.Wait.Milliseconds()}
+	return source.RelayRequest{After: c.After, List: n.follower.ListHash(), Version: held.Version, Root: held.Root, WaitMs: c.Wait.Milliseconds()}
 }
--- a/internal/source/follow.go
+++ b/internal/source/follow.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -79,8 +81,8 @@
 	configuredAt time.Time
 	// versions is the call that follows the configuration alone.
 	versions versionCall
-	// listRevision is the revision of the last change of the list.
-	listRevision uint64
+	// listHash identifies the content of the list.
+	listHash uint64
 	// lost holds when readers failed.
 	lost map[string]time.Time
 	// missing holds the entries that are kept though they were removed.
@@ -267,11 +269,13 @@
 
 // show puts the list as it is now into the view.
 func (f *Follower) show(v *View) {
-	f.listRevision = f.revision
+	hash := xxhash.New()
 	v.Instances = make([]Instance, 0, len(f.known))
 	for _, e := range f.entries() {
 		v.Instances = append(v.Instances, *e.Instance)
+		fmt.Fprintf(hash, "%s %d\n", e.ID, e.Revision)
 	}
+	f.listHash = hash.Sum64()
 }
 
 // entries returns the known entries, sorted by identifier.
--- a/internal/source/relay.go
+++ b/internal/source/relay.go
@@ -25,8 +25,9 @@
 
 // RelayRequest asks a reader for what changed.
 type RelayRequest struct {
-	// After is the revision of the list held.
+	// After and List are the revision and the hash of the list held.
 	After uint64 `json:"after"`
+	List  uint64 `json:"list"`
 	// Version and Root name the version held, 0 and empty for none.
 	Version uint64      `json:"version"`
 	Root    config.Hash `json:"root,omitempty"`
@@ -118,13 +119,23 @@
 // HasNews reports whether a request can be answered with something new, or
 // must be because the store is out of reach.
 func (f *Follower) HasNews(r RelayRequest) bool {
-	return !f.Reachable() || f.listRevision > r.After || f.version > r.Version
+	return !f.Reachable() || f.listDiffers(r) || f.version > r.Version
 }
 
+// listDiffers reports whether the list here replaces the one that a proxy
+// holds. It may differ at the same revision, since entries that lapsed are
+// dropped some time after the store's return.
+func (f *Follower) listDiffers(r RelayRequest) bool {
+	return f.revision >= r.After && f.listHash != r.List
+}
+
+// ListHash identifies the content of the list held.
+func (f *Follower) ListHash() uint64 { return f.listHash }
+
 // Answer returns the answer to a request but for its delta.
 func (f *Follower) Answer(r RelayRequest) RelayReply {
-	reply := RelayReply{Stale: !f.Reachable(), Revision: f.listRevision}
-	if f.listRevision > r.After {
+	reply := RelayReply{Stale: !f.Reachable(), Revision: f.revision}
+	if f.listDiffers(r) {
 		reply.Instances = f.entries()
 	}
 	return reply
--- a/internal/source/relay_test.go
+++ b/internal/source/relay_test.go
@@ -88,7 +88,7 @@
 func TestReaderOutOfReachOfTheStoreSaysSo(t *testing.T) {
 	is := is.New(t)
 	f, _ := follow(0, 60)
-	request := RelayRequest{After: 5, Version: 1}
+	request := RelayRequest{After: 5, List: f.ListHash(), Version: 1}
 	f.configure(&Configuration{Version: 1}, &View{})
 	is.True(!f.HasNews(request))
 	f.Failed(followStart, false, "refused")
@@ -101,12 +101,40 @@
 	reader, _ := follow(0, 60)
 	reader.Watched(followStart, Changes{Revision: 9, Instances: []Entry{removal("i-07", 9)}})
 	f, call := someFollower(t)
-	request := RelayRequest{After: call.After}
+	request := RelayRequest{After: call.After, List: f.ListHash()}
 	is.True(reader.HasNews(request))
 	view, next := f.Relayed(followStart, reader.Answer(request), nil)
 	is.Equal(len(view.Instances), 59)
 	is.Equal(next.After, uint64(9))
-	is.True(!reader.HasNews(RelayRequest{After: next.After}))
+	is.True(!reader.HasNews(RelayRequest{After: next.After, List: f.ListHash()}))
+}
+
+// A reader drops an entry that lapsed with the store away some time after the
+// store's return, at a revision that the other proxy knows already.
+func TestDroppedLapsedEntryIsRelayed(t *testing.T) {
+	is := is.New(t)
+	reader, _ := follow(0, 60)
+	reader.Failed(followStart, false, "refused")
+	reader.Listed(followStart, Listing{Revision: 9, Instances: zoneList(60)[:59]})
+	f, call := someFollower(t)
+	_, call = f.Relayed(followStart, reader.Answer(RelayRequest{After: call.After, List: f.ListHash()}), nil)
+	request := RelayRequest{After: call.After, List: f.ListHash()}
+	is.True(!reader.HasNews(request)) // the entry is kept for now
+	reader.Tick(followStart.Add(returnGrace))
+	is.True(reader.HasNews(request))
+	view, _ := f.Relayed(followStart, reader.Answer(request), nil)
+	is.Equal(len(view.Instances), 59)
+}
+
+// A reader that is behind must not bring an older list back.
+func TestReaderThatIsBehindRelaysNoList(t *testing.T) {
+	is := is.New(t)
+	reader, _ := follow(0, 60)
+	f, _ := someFollower(t)
+	f.Watched(followStart, Changes{Revision: 9, Instances: []Entry{removal("i-07", 9)}})
+	request := RelayRequest{After: 9, List: f.ListHash()}
+	is.True(!reader.HasNews(request))
+	is.Equal(reader.Answer(request).Instances, nil)
 }
 
 // A watch brings each version of a storm in turn; the newest is enough.
