Run the requests of other proxies in the first part of a stop

Ruled out: a shorter notice, which would cut callers that still come. Change: the reducer closes admission at 0.6 of the notice, and readiness and membership still end at once. The test refuses without it.

--- a/internal/host/shutdown.go
+++ b/internal/host/shutdown.go
@@ -15,6 +15,9 @@
 	// lingerTime is how long a closed idle connection still takes bytes, so
 	// that a caller that has just sent a request sees its end and no reset.
 	lingerTime = 250 * time.Millisecond
+	// admitShare is the share of the notice in which requests of other proxies
+	// are still run. What is left of it is time for those runs to end.
+	admitShare = 0.6
 )
 
 // servers holds what serves requests.
@@ -35,20 +38,21 @@
 	}
 }
 
-// shutDown refuses new work of other proxies, waits until they know, takes
-// the last requests of callers and closes the servers when all has ended.
+// shutDown announces the end to callers and other proxies, takes their last
+// requests until they know, and closes the servers when all has ended.
 //
 // Every answer to a caller since the start is the last one of its connection.
 // Callers thus have the notice and then the end of their request to move; only
 // connections that stayed idle all that time are closed without an answer.
 func (h *Host) shutDown(s *servers) {
-	limit := time.Now().Add(time.Duration(h.settings.Shutdown.Notice) + time.Duration(h.settings.Shutdown.Limit))
+	began, notice := time.Now(), time.Duration(h.settings.Shutdown.Notice)
+	limit := began.Add(notice + time.Duration(h.settings.Shutdown.Limit))
 	ctx, cancel := context.WithDeadline(context.Background(), limit)
 	defer cancel()
 	h.log.Info("graceful shutdown began", "until", limit)
 	s.callers.Drain()
-	h.step(node.Leave{Cause: "signal"})
-	h.sleep(time.Duration(h.settings.Shutdown.Notice))
+	h.step(node.Leave{Cause: "signal", AdmitUntil: began.Add(time.Duration(admitShare * float64(notice)))})
+	h.sleep(notice)
 	_ = s.accept.Close()
 	s.callers.CloseIdle()
 	if h.awaitIdle(ctx) {
--- a/internal/node/listed_test.go
+++ b/internal/node/listed_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"heatherlift.example/heatherlift/internal/admission"
 	"heatherlift.example/heatherlift/internal/config"
 	"heatherlift.example/heatherlift/internal/dist"
 	"heatherlift.example/heatherlift/internal/member"
@@ -21,6 +22,7 @@
 		Member:         member.Config{Self: member.Record{ID: id, Service: "desk"}, Interval: time.Second},
 		Dist:           dist.Config{ID: id, Followed: true},
 		Routing:        routing.Config{AvailabilityZone: "tanga", MaxAttempts: 3},
+		Admission:      admission.Config{QueueLength: 10},
 		Listed:         true,
 		BackendAddress: "10.0.0.1:80",
 	})
--- a/internal/node/marks.go
+++ b/internal/node/marks.go
@@ -59,7 +59,7 @@
 // learnMark begins to leave if the mark is meant for this process.
 func (n *Node) learnMark(now time.Time, key string, out *Effects) {
 	if key == markKey(n.members.Self()) {
-		n.leave(now, "marked by the platform", out)
+		n.leave(now, Leave{Cause: "marked by the platform"}, out)
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,8 +41,12 @@
 type (
 	// Tick passes time.
 	Tick struct{}
-	// Leave begins a graceful shutdown.
-	Leave struct{ Cause string }
+	// Leave begins a graceful shutdown. Requests of other proxies are run until
+	// AdmitUntil and refused afterwards.
+	Leave struct {
+		Cause      string
+		AdmitUntil time.Time
+	}
 )
 
 // Effects is the output of one step, by the package that carries it out.
@@ -84,6 +88,8 @@
 	// backend is the listed instance beside this proxy.
 	backend source.Instance
 	leaving bool
+	// admitUntil ends the time in which requests are run though leaving.
+	admitUntil time.Time
 	// inForceSince is when the version in force was accepted.
 	inForceSince   time.Time
 	inForceVersion uint64
@@ -133,11 +139,12 @@
 		n.stepDist(now, dist.Tick{}, &out)
 		n.stepRouting(now, routing.Tick{}, &out)
 		n.stepAdmission(now, admission.Tick{}, &out)
+		n.closeAdmission(now, &out)
 		n.stepLimit(now, limit.Tick{}, &out)
 		n.stepDedupe(now, dedupe.Tick{}, &out)
 		n.stepQuarantine(now, quarantine.Tick{}, &out)
 	case Leave:
-		n.leave(now, e.Cause, &out)
+		n.leave(now, e, &out)
 	case VersionsChanged:
 		n.learn(now, n.follower.VersionsRead(now, e.Changes), &out)
 		n.askVersions(now, &out)
@@ -188,14 +195,23 @@
 	n.viewChanged(now, out)
 }
 
-func (n *Node) leave(now time.Time, cause string, out *Effects) {
+func (n *Node) leave(now time.Time, e Leave, out *Effects) {
 	if n.leaving {
 		return
 	}
-	n.leaving = true
-	n.journal.add(now, "leaving", cause)
+	n.leaving, n.admitUntil = true, e.AdmitUntil
+	n.journal.add(now, "leaving", e.Cause)
 	n.stepMember(now, member.Leave{}, out)
-	n.stepAdmission(now, admission.Leave{}, out)
+	n.closeAdmission(now, out)
+}
+
+// closeAdmission refuses the requests of other proxies from admitUntil on. It
+// answers restarts in turn: the backend server beside a proxy that stops runs
+// on, and its slots are missed for as long as they are refused.
+func (n *Node) closeAdmission(now time.Time, out *Effects) {
+	if n.leaving && !now.Before(n.admitUntil) {
+		n.stepAdmission(now, admission.Leave{}, out)
+	}
 }
 
 func (n *Node) stepMember(now time.Time, e member.Event, out *Effects) {
@@ -223,7 +239,7 @@
 	}
 	view := n.members.View()
 	if n.members.Self().State == member.Leaving {
-		n.leave(now, "marked by the platform", out)
+		n.leave(now, Leave{Cause: "marked by the platform"}, out)
 	}
 	n.lives = lives(view)
 	n.stepDedupe(now, dedupe.PeersChanged{Peers: n.dedupePeers(view)}, out)
