Charge rejections by another instance to the retry budget

After the final loss of power every backend server has a new identifier; requests under the old ones are rejected with 421 and were sent on free of charge, though a rejected arrival counts. The present sources kept the rule only because an instance is left alone for 500 ms after. Ruled out: retries after doubt, which the fleet's budget bounds. Change: such a rejection is charged, and the instance is left alone until the list must name its successor. The test replays the pattern and fails without either part.

--- a/internal/routing/place.go
+++ b/internal/routing/place.go
@@ -32,6 +32,10 @@
 	// not be reached or said that it stops. A try costs a fraction of a
 	// millisecond, so it may be repeated often.
 	downTime = 500 * time.Millisecond
+	// replacedTime is how long an instance is left alone after another one
+	// answered at its address. It is the time in which the list must name the
+	// new one (the platform's bound for a removal).
+	replacedTime = 2 * time.Second
 	// meanBytesWeight is the weight of a new length in the mean of a route.
 	meanBytesWeight = 0.1
 )
@@ -130,7 +134,9 @@
 	switch e.Reason {
 	case outcome.Busy, outcome.Overload:
 		r.busy(now, i, e.RetryAfter)
-	case outcome.ConnectFailed, outcome.InstanceLeaving, outcome.OtherInstance:
+	case outcome.ConnectFailed, outcome.InstanceLeaving:
 		i.downUntil = now.Add(downTime)
+	case outcome.OtherInstance:
+		i.downUntil = now.Add(replacedTime)
 	}
 }
--- a/internal/routing/platform_test.go
+++ b/internal/routing/platform_test.go
@@ -95,6 +95,40 @@
 	is.True(float64(total) > limit*budgetShare*0.9)
 }
 
+// Replays a loss of power after which every backend server runs under another
+// identifier while the list still names the old ones: each rejects what it
+// gets, and each rejected arrival counts for the service. The requests sent on
+// stay within this proxy's part of the budget.
+func TestRejectionsByOtherInstancesAreCharged(t *testing.T) {
+	is := is.New(t)
+	const requests, instances = 100, 40
+	r := New(Config{
+		AvailabilityZone: testZone, MaxAttempts: 3, Seed: 1,
+		Retries: RetryBudget{Ratio: 0.2, Slack: 64, Window: 10 * time.Second},
+	})
+	r.Step(start, Enforced{Snapshot: publishedSnapshot(t, 1, prefixRoute("look", "/a/", "desk"))})
+	r.Step(start, InstancesChanged{Instances: testInstances("desk", instances)})
+	now, arrivals, sent := start, 0, 0
+	for id := range uint64(requests) {
+		effect := r.Step(now, Arrived{ID: id, Organisation: "a.example", Method: "GET", Path: "/a/", Budget: time.Second})[0]
+		for first := true; ; first = false {
+			if _, ok := effect.(Send); !ok {
+				break
+			}
+			if first {
+				sent++
+			}
+			arrivals++
+			effect = r.Step(now, AttemptEnded{ID: id, Outcome: outcome.NotRun, Reason: outcome.OtherInstance, Status: 421})[0]
+		}
+		is.Equal(effect.(Refuse).Refusal.Outcome, outcome.NotRun)
+		now = now.Add(10 * time.Millisecond)
+	}
+	is.True(float64(arrivals-sent) <= budgetShare*(0.2*requests+64.0/instances))
+	// Each instance is asked again only when the list should tell better.
+	is.True(arrivals <= instances*(1+int(now.Sub(start)/replacedTime)))
+}
+
 // placedRouter has two near instances and two far ones.
 func placedRouter(t *testing.T) *Router {
 	t.Helper()
--- a/internal/routing/retry.go
+++ b/internal/routing/retry.go
@@ -52,7 +52,7 @@
 const (
 	// final ends the request.
 	final next = iota
-	// free sends it on at no charge: no backend server has worked on it.
+	// free sends it on at no charge: no backend server has seen it.
 	free
 	// charged sends it on if the retry budgets allow.
 	charged
@@ -75,7 +75,7 @@
 		// reached; elsewhere it was asked already.
 		return final
 	}
-	if !isOverload(e.Reason) && e.Reason != outcome.ClaimFailed {
+	if !isOverload(e.Reason) && e.Reason != outcome.ClaimFailed && e.Reason != outcome.OtherInstance {
 		return free
 	}
 	if c.retry {
