--- a/internal/forward/callerwriter.go
+++ b/internal/forward/callerwriter.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync"
@@ -93,14 +92,12 @@
 	}
 }
 
-// handle reports whether the handler came to its end.
+// handle reports whether the handler came to its end. A panic ends the
+// connection alone; LogPanics tells of it.
 func (x *exchangeWriter) handle() (ok bool) {
 	defer func() {
-		if r := recover(); r != nil {
+		if recover() != nil {
 			ok = false
-			if r != http.ErrAbortHandler { //nolint:errorlint // the value itself is panicked with
-				fmt.Printf("panic serving %s: %v\n%s", x.conn.RemoteAddr(), r, debug.Stack())
-			}
 		}
 	}()
 	if x.rejected != 0 {
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -46,7 +46,8 @@
 // Dial opens a connection to an address. It is the place for authentication.
 type Dial func(ctx context.Context, address string) (net.Conn, error)
 
-// DialTCP opens a plain TCP connection.
+// DialTCP opens a plain TCP connection that ends soon after its other end has
+// fallen silent.
 func DialTCP(ctx context.Context, address string) (net.Conn, error) {
 	return dialer.DialContext(ctx, "tcp", address)
 }
--- a/internal/host/shutdown.go
+++ b/internal/host/shutdown.go
@@ -32,8 +32,8 @@
 	local := forward.NewLocal(h, h.backendPool, backend.Address, backend.ShedNotRun, h.dialect)
 	entry := forward.NewEntry(h, h.peerPool, h.origin, local, h.settings.Listen.Forward, h.settings.Service)
 	return &servers{
-		callers: forward.NewCallerServer(entry, readHeaderTimeout, idleTimeout),
-		local:   newServer(local),
+		callers: forward.NewCallerServer(forward.LogPanics(entry, h.log), readHeaderTimeout, idleTimeout),
+		local:   newServer(forward.LogPanics(local, h.log)),
 		accept:  l.callers,
 	}
 }
