Do not ask readers that are in doubt about entries

Besides, the proxy beside a backend server that leaves by removal alone went on running requests. Ruled out: slow links (the removal was read within 0.3 s everywhere). Change: a reader is not certain while it keeps such entries, and says so; the proxy beside a backend server without an entry refuses.

--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -58,6 +59,9 @@
 	bin, dir string
 	network  int
 	client   *http.Client
+	// Logs writes the output of each program to a file in Dir, named after the
+	// last argument.
+	Logs bool
 
 	// authority signs certificates; nil if proxies talk plaintext.
 	authority *authority.Authority
@@ -221,6 +225,15 @@
 func (l *Lab) start(program string, args ...string) (*Process, error) {
 	cmd := exec.Command(filepath.Join(l.bin, program), args...)
 	cmd.Stderr = os.Stderr
+	if l.Logs && len(args) > 0 {
+		name := filepath.Base(args[len(args)-1])
+		file, err := os.OpenFile(filepath.Join(l.dir, strings.TrimSuffix(name, filepath.Ext(name))+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return nil, errors.Wrap(err, "open log")
+		}
+		defer file.Close()
+		cmd.Stdout, cmd.Stderr = file, file
+	}
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	p := &Process{cmd: cmd, done: make(chan struct{})}
 	if err := cmd.Start(); err != nil {
@@ -246,18 +259,34 @@
 	return p.cmd.Process.Pid
 }
 
+// ErrStillRuns marks a process that did not end in time.
+var ErrStillRuns = errors.New("process did not end")
+
 // Wait waits until the process has ended and returns its error.
-func (p *Process) Wait() error {
+func (p *Process) Wait() error { return p.WaitFor(stopTimeout) }
+
+// WaitFor waits for at most limit until the process has ended and returns its
+// error, or ErrStillRuns.
+func (p *Process) WaitFor(limit time.Duration) error {
 	select {
 	case <-p.done:
 		return p.err
-	case <-time.After(stopTimeout):
-		return errors.New("process did not end")
+	case <-time.After(limit):
+		return errors.Wrapf(ErrStillRuns, "within %v", limit)
 	}
 }
 
+// Ended is closed when the process has ended.
+func (p *Process) Ended() <-chan struct{} { return p.done }
+
 // Stop ends every process that still runs and removes the work directory.
 func (l *Lab) Stop() {
+	l.Kill()
+	_ = os.RemoveAll(l.dir)
+}
+
+// Kill ends every process that still runs.
+func (l *Lab) Kill() {
 	l.mu.Lock()
 	processes := l.processes
 	l.processes = nil
@@ -268,5 +297,4 @@
 	for _, p := range processes {
 		<-p.done
 	}
-	_ = os.RemoveAll(l.dir)
 }
--- a/internal/node/listed.go
+++ b/internal/node/listed.go
@@ -12,9 +12,11 @@
 // listed takes the platform's list as the whole truth about the instances.
 func (n *Node) listed(now time.Time, list []source.Instance, out *Effects) {
 	instances := make([]routing.Instance, 0, len(list))
+	present := false
 	for _, i := range list {
 		if i.BackendAddress == n.cfg.BackendAddress && i.Service == n.cfg.Member.Self.Service {
 			n.beside(now, i, out)
+			present = true
 		}
 		instances = append(instances, routing.Instance{
 			ID:               i.ID,
@@ -26,6 +28,9 @@
 			Incarnation:      i.Incarnation,
 		})
 	}
+	if !present {
+		n.stepAdmission(now, admission.Draining{Draining: true}, out)
+	}
 	n.stepRouting(now, routing.InstancesChanged{Instances: instances}, out)
 }
 
--- a/internal/node/listed_test.go
+++ b/internal/node/listed_test.go
@@ -10,6 +10,7 @@
 	"heatherlift.example/heatherlift/internal/config"
 	"heatherlift.example/heatherlift/internal/dist"
 	"heatherlift.example/heatherlift/internal/member"
+	"heatherlift.example/heatherlift/internal/outcome"
 	"heatherlift.example/heatherlift/internal/routing"
 	"heatherlift.example/heatherlift/internal/source"
 )
@@ -71,6 +72,29 @@
 	is.Equal(n.Pressure(), 0.0)
 }
 
+// Some backend servers leave without saying so: their entry is removed and they
+// serve on for a while. The proxy beside one turns away what others still send.
+func TestBackendServerWithoutEntryGetsNothingMore(t *testing.T) {
+	is := is.New(t)
+	n := newListed("desk-1")
+	n.Step(listedStart, Tick{})
+	n.Step(listedStart, listing(t, 7))
+	n.Step(listedStart, StoreChanged{Changes: source.Changes{Revision: 6, Instances: []source.Entry{{ID: "i-1", Revision: 6}}}})
+	arrived := admission.Arrived{ID: 1, Request: "r", Repeatable: true, Deadline: listedStart.Add(time.Second)}
+	out := n.Step(listedStart, arrived)
+	refused, ok := out.Admission[0].(admission.Refuse)
+	is.True(ok)
+	is.Equal(refused.Refusal.Reason, outcome.InstanceLeaving)
+
+	successor := source.Entry{ID: "i-2", Revision: 7, Instance: &source.Instance{
+		ID: "i-2", Service: "desk", AvailabilityZone: "tanga", State: source.InstanceLive, BackendAddress: "10.0.0.1:80", Address: "10.0.0.1:81", Slots: 9,
+	}}
+	n.Step(listedStart, StoreChanged{Changes: source.Changes{Revision: 7, Instances: []source.Entry{successor}}})
+	arrived.ID = 2
+	_, ok = n.Step(listedStart, arrived).Admission[0].(admission.Run)
+	is.True(ok)
+}
+
 func TestOlderVersionOfTheStoreIsNotEnforced(t *testing.T) {
 	is := is.New(t)
 	n := newListed("desk-1")
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -90,7 +90,7 @@
 // of the reader.
 func (n *Node) relayed(now time.Time, e StoreRelayed) (source.View, source.Call) {
 	if e.Err == "" && e.Reply.Stale {
-		e.Err = "does not follow the store"
+		e.Err = "is not certain of what the store holds"
 	}
 	var c *source.Configuration
 	if e.Err == "" && len(e.Reply.Delta) > 0 {
--- a/internal/source/relay.go
+++ b/internal/source/relay.go
@@ -37,7 +37,8 @@
 
 // RelayReply is a reader's answer.
 type RelayReply struct {
-	// Stale reports that the reader does not reach the store itself.
+	// Stale reports that the reader does not reach the store itself, or did
+	// not a moment ago.
 	Stale bool `json:"stale,omitempty"`
 	// Revision is that of the list.
 	Revision uint64 `json:"revision"`
@@ -103,8 +104,8 @@
 	return v, f.watch(now)
 }
 
-// ReaderFailed notes that a reader did not answer, or does not reach the store
-// itself, and returns the next call, to another reader or to the store.
+// ReaderFailed notes that a reader did not answer, or is not certain of what it
+// holds, and returns the next call, to another reader or to the store.
 func (f *Follower) ReaderFailed(now time.Time, id, cause string) (View, Call) {
 	var v View
 	v.note("reader lost", id+": "+cause)
@@ -116,10 +117,15 @@
 	return v, next
 }
 
+// certain reports whether what is held is what the store holds. Entries that
+// may have lapsed while this proxy was out of reach are kept for itself alone:
+// other proxies may know better.
+func (f *Follower) certain() bool { return f.Reachable() && len(f.missing) == 0 }
+
 // HasNews reports whether a request can be answered with something new, or
-// must be because the store is out of reach.
+// must be because this proxy is not certain of what it holds.
 func (f *Follower) HasNews(r RelayRequest) bool {
-	return !f.Reachable() || f.listDiffers(r) || f.version > r.Version
+	return !f.certain() || f.listDiffers(r) || f.version > r.Version
 }
 
 // listDiffers reports whether the list here replaces the one that a proxy
@@ -134,7 +140,7 @@
 
 // Answer returns the answer to a request but for its delta.
 func (f *Follower) Answer(r RelayRequest) RelayReply {
-	reply := RelayReply{Stale: !f.Reachable(), Revision: f.revision}
+	reply := RelayReply{Stale: !f.certain(), Revision: f.revision}
 	if f.listDiffers(r) {
 		reply.Instances = f.entries()
 	}
