Let machines with fast links read the store for their zone

Change: platform.link_mbps in the settings; a proxy with less than 40 Mbit/s declines to be a reader, the others ask the next, and insist if all decline. A proxy that is asked reads the store itself, so that nobody follows a follower. The test replays fleets with few, only and no fast links.

--- a/internal/host/build.go
+++ b/internal/host/build.go
@@ -30,6 +30,7 @@
 	if adapter != nil {
 		c.Listed = true
 		c.BackendAddress = s.BackendServer.Address
+		c.LinkMbps = s.Platform.LinkMbps
 		c.Dist.Followed = true
 		c.Routing.Retries = adapter.Retries
 		c.Admission.MinRetryAfter = adapter.MinRetryAfter
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,6 +30,8 @@
 	Listed bool
 	// BackendAddress tells which listed instance is the one beside the proxy.
 	BackendAddress string
+	// LinkMbps is the bandwidth of this machine's link, 0 if it is not known.
+	LinkMbps float64
 }
 
 // Event is a member.Event, dist.Event, routing.Event, admission.Event,
@@ -116,6 +118,7 @@
 		n.follower = source.NewFollower(source.FollowerConfig{
 			AvailabilityZone: cfg.Dist.AvailabilityZone,
 			BackendAddress:   cfg.BackendAddress,
+			LinkMbps:         cfg.LinkMbps,
 			Seed:             cfg.Dist.Seed,
 		})
 	}
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -43,6 +43,7 @@
 		out.Relay = append(out.Relay, RelayAnswer{Call: e.Call, Reply: source.RelayReply{Stale: true}})
 		return
 	}
+	n.follower.Asked(now, e.Request)
 	until := now.Add(time.Duration(e.Request.WaitMs) * time.Millisecond)
 	n.relay.waiting = append(n.relay.waiting, waitingRelay{RelayReceived: e, until: until})
 	n.answerRelays(now, out)
@@ -59,7 +60,9 @@
 		}
 		reply := n.follower.Answer(w.Request)
 		reply.Stale = reply.Stale || n.leaving
-		reply.Delta = n.deltaFor(w.Request)
+		if !reply.Declined {
+			reply.Delta = n.deltaFor(w.Request)
+		}
 		out.Relay = append(out.Relay, RelayAnswer{Call: w.Call, Reply: reply})
 	}
 	n.relay.waiting = kept
@@ -89,6 +92,9 @@
 // relayed takes a reader's answer. One that cannot be used counts as a failure
 // of the reader.
 func (n *Node) relayed(now time.Time, e StoreRelayed) (source.View, source.Call) {
+	if e.Err == "" && e.Reply.Declined {
+		return source.View{}, n.follower.ReaderDeclined(now, e.Reader)
+	}
 	if e.Err == "" && e.Reply.Stale {
 		e.Err = "is not certain of what the store holds"
 	}
@@ -120,5 +126,5 @@
 // RelayRequest returns what this proxy asks a reader for.
 func (n *Node) RelayRequest(c source.Call) source.RelayRequest {
 	held := n.dist.Held()
-	return source.RelayRequest{After: c.After, List: n.follower.ListHash(), Version: held.Version, Root: held.Root, WaitMs: c.Wait.Milliseconds()}
+	return source.RelayRequest{After: c.After, List: n.follower.ListHash(), Version: held.Version, Root: held.Root, WaitMs: c.Wait.Milliseconds(), Insist: c.Insist}
 }
--- a/internal/settings/rule.go
+++ b/internal/settings/rule.go
@@ -114,6 +114,18 @@
 	return ""
 }
 
+// amountRule allows the numbers from 0 to high.
+type amountRule struct{ high float64 }
+
+func (r amountRule) bounds() string { return fmt.Sprintf("0 to %g", r.high) }
+
+func (r amountRule) check(v any) string {
+	if n := v.(float64); !(n >= 0 && n <= r.high) {
+		return fmt.Sprintf("%g: want %s", n, r.bounds())
+	}
+	return ""
+}
+
 // durationRule allows the durations from low to high.
 type durationRule struct{ low, high time.Duration }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -73,6 +73,9 @@
 	Store string `toml:"store"`
 	// Bounds are the platform's bounds, each as NAME=VALUE.
 	Bounds []string `toml:"bounds"`
+	// LinkMbps is the bandwidth of the machine's link in Mbit/s, 0 if it is
+	// not known.
+	LinkMbps float64 `toml:"link_mbps"`
 	// Source is the base URL of the configuration service.
 	Source string `toml:"source"`
 	// Instances is the base URL of the list of instances.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -148,3 +148,15 @@
 	is.NoErr(err)
 	is.True(strings.Contains(string(page), Reference()))
 }
+
+func TestLinkMayBeAnIntegerOrAFraction(t *testing.T) {
+	is := is.New(t)
+	for text, want := range map[string]float64{"100": 100, "2.5": 2.5} {
+		var s Settings
+		is.Equal(len(decode([]byte("[platform]\nlink_mbps = "+text+"\n"), &s, "f")), 0)
+		is.Equal(s.Platform.LinkMbps, want)
+	}
+	problems := decode([]byte("[platform]\nlink_mbps = \"fast\"\n"), new(Settings), "f")
+	is.Equal(len(problems), 1)
+	is.Equal(problems[0].Key, "platform.link_mbps")
+}
--- a/internal/settings/tree.go
+++ b/internal/settings/tree.go
@@ -30,6 +30,9 @@
 			message = "unknown key"
 		default:
 			message = checkType(value(Default(), key), tree[name])
+			if n, ok := tree[name].(int64); ok && isAmount(key) {
+				tree[name] = float64(n) // the library decodes no integer as a fraction
+			}
 		}
 		if message != "" {
 			problems = append(problems, config.Problem{File: file, Key: key, Message: message})
@@ -43,6 +46,12 @@
 	return slices.ContainsFunc(fields, func(f field) bool { return f.key == key })
 }
 
+// isAmount reports whether the values of a key may be integers or fractions.
+func isAmount(key string) bool {
+	_, ok := value(Default(), key).(float64)
+	return ok
+}
+
 // isSection reports whether some key lies below the name.
 func isSection(name string) bool {
 	return slices.ContainsFunc(fields, func(f field) bool {
@@ -67,6 +76,10 @@
 		if _, ok := got.(int64); !ok {
 			return fmt.Sprintf("want an integer, got %s", show(got))
 		}
+	case float64:
+		if k := kindOf(got); k != "an integer" && k != "a fraction" {
+			return fmt.Sprintf("want a number, got %s", show(got))
+		}
 	default:
 		if reflect.TypeOf(want) != reflect.TypeOf(got) {
 			return fmt.Sprintf("want %s, got %s", kindOf(want), show(got))
--- a/internal/source/follow.go
+++ b/internal/source/follow.go
@@ -47,6 +47,8 @@
 	// Reader is the proxy that is asked in place of the store, nil for the
 	// store itself.
 	Reader *Instance
+	// Insist is that of the reader's request.
+	Insist bool
 }
 
 // View is what the follower learnt in one step. Nil and zero fields tell of no
@@ -85,6 +87,11 @@
 	listHash uint64
 	// lost holds when readers failed.
 	lost map[string]time.Time
+	// declined holds the proxies that do not want to be readers.
+	declined map[string]bool
+	// askedUntil ends the time in which this proxy is a reader because others
+	// ask it.
+	askedUntil time.Time
 	// missing holds the entries that are kept though they were removed.
 	missing map[string]bool
 }
@@ -95,6 +102,9 @@
 	AvailabilityZone string
 	// BackendAddress tells which instance is the one beside this proxy.
 	BackendAddress string
+	// LinkMbps is the bandwidth of this machine's link in Mbit/s, 0 if it is
+	// not known.
+	LinkMbps float64
 	// Seed seeds the waits after failures.
 	Seed uint64
 }
@@ -102,11 +112,12 @@
 // NewFollower returns a follower that knows nothing.
 func NewFollower(cfg FollowerConfig) *Follower {
 	return &Follower{
-		cfg:     cfg,
-		rng:     rand.New(rand.NewPCG(cfg.Seed, 3)),
-		lost:    make(map[string]time.Time),
-		known:   make(map[string]Entry),
-		missing: make(map[string]bool),
+		cfg:      cfg,
+		rng:      rand.New(rand.NewPCG(cfg.Seed, 3)),
+		lost:     make(map[string]time.Time),
+		declined: make(map[string]bool),
+		known:    make(map[string]Entry),
+		missing:  make(map[string]bool),
 	}
 }
 
@@ -172,7 +183,7 @@
 	wait := retryWait(f.failures)
 	f.failures++
 	next := f.watch(now)
-	next.Wait, next.Reader = 0, nil
+	next.Wait, next.Reader, next.Insist = 0, nil, false
 	if !f.listed {
 		next = Call{List: true}
 	}
@@ -201,7 +212,8 @@
 }
 
 func (f *Follower) watch(now time.Time) Call {
-	call := Call{At: now, After: f.revision, Wait: watchWait, Reader: f.reader(now)}
+	call := Call{At: now, After: f.revision, Wait: watchWait}
+	call.Reader, call.Insist = f.reader(now)
 	if f.large() {
 		call.Part = InstancesOnly
 	}
@@ -257,6 +269,8 @@
 func (f *Follower) drop(id, cause string, v *View) {
 	delete(f.known, id)
 	delete(f.missing, id)
+	delete(f.declined, id)
+	delete(f.lost, id)
 	v.note("instance gone", id+": "+cause)
 }
 
--- a/internal/source/relay.go
+++ b/internal/source/relay.go
@@ -19,6 +19,13 @@
 	relayFrom = 24
 	// readersPerZone is the number of proxies of a zone that ask the store.
 	readersPerZone = 2
+	// readerLinkMbps is the bandwidth that a proxy needs to be a reader. The
+	// largest version, 1 MB, then takes a tenth of the 2 s in which it must be
+	// in force.
+	readerLinkMbps = 40
+	// askedTime is how long a proxy that was asked reads the store itself:
+	// two waits of those that ask.
+	askedTime = 2 * watchWait
 	// readerLostTime is the time for which a reader that failed is not asked.
 	readerLostTime = 3 * time.Second
 )
@@ -33,6 +40,9 @@
 	Root    config.Hash `json:"root,omitempty"`
 	// WaitMs is how long the reader may wait for a change.
 	WaitMs int64 `json:"wait_ms"`
+	// Insist asks a proxy that would rather not be a reader, since all others
+	// of the zone would not either.
+	Insist bool `json:"insist,omitempty"`
 }
 
 // RelayReply is a reader's answer.
@@ -40,6 +50,8 @@
 	// Stale reports that the reader does not reach the store itself, or did
 	// not a moment ago.
 	Stale bool `json:"stale,omitempty"`
+	// Declined reports that the proxy's link is too slow for a reader.
+	Declined bool `json:"declined,omitempty"`
 	// Revision is that of the list.
 	Revision uint64 `json:"revision"`
 	// Instances is the whole list, nil if it did not change.
@@ -50,15 +62,15 @@
 }
 
 // reader returns the proxy that is asked in place of the store, nil if this
-// proxy asks the store itself.
-func (f *Follower) reader(now time.Time) *Instance {
-	if !f.large() {
-		return nil
+// proxy asks the store itself, and whether it must insist.
+func (f *Follower) reader(now time.Time) (*Instance, bool) {
+	if !f.large() || now.Before(f.askedUntil) {
+		return nil, false
 	}
-	readers := f.readers()
+	readers, insist := f.readers()
 	for _, r := range readers {
 		if r.BackendAddress == f.cfg.BackendAddress {
-			return nil
+			return nil, false
 		}
 	}
 	// Half of the proxies ask the second reader first.
@@ -67,16 +79,17 @@
 	}
 	for _, r := range readers {
 		if lost, ok := f.lost[r.ID]; !ok || now.Sub(lost) >= readerLostTime {
-			return r
+			return r, insist
 		}
 	}
-	return nil
+	return nil, false
 }
 
 // readers returns the proxies of the zone that ask the store, the same at all
-// proxies that know the same list.
-func (f *Follower) readers() []*Instance {
-	var zone []*Instance
+// proxies that know the same list and who declined. If all declined, the first
+// ones are asked nevertheless, which the second result tells.
+func (f *Follower) readers() ([]*Instance, bool) {
+	var zone, willing []*Instance
 	for _, e := range f.known {
 		if e.Instance.AvailabilityZone == f.cfg.AvailabilityZone && e.Instance.State == InstanceLive && !f.missing[e.ID] {
 			zone = append(zone, e.Instance)
@@ -85,7 +98,33 @@
 	slices.SortFunc(zone, func(a, b *Instance) int {
 		return cmp.Or(cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)), cmp.Compare(a.ID, b.ID))
 	})
-	return zone[:min(len(zone), readersPerZone)]
+	for _, i := range zone {
+		if !f.declined[i.ID] && (i.BackendAddress != f.cfg.BackendAddress || !f.slow()) {
+			willing = append(willing, i)
+		}
+	}
+	if len(willing) == 0 {
+		return zone[:min(len(zone), readersPerZone)], true
+	}
+	return willing[:min(len(willing), readersPerZone)], false
+}
+
+// Asked notes that another proxy follows the store through this one, which
+// then reads the store itself.
+func (f *Follower) Asked(now time.Time, r RelayRequest) {
+	if !f.declines(r) {
+		f.askedUntil = now.Add(askedTime)
+	}
+}
+
+// slow reports whether this proxy's link is too slow for a reader.
+func (f *Follower) slow() bool { return f.cfg.LinkMbps > 0 && f.cfg.LinkMbps < readerLinkMbps }
+
+// ReaderDeclined notes that a proxy does not want to be a reader, and returns
+// the next call.
+func (f *Follower) ReaderDeclined(now time.Time, id string) Call {
+	f.declined[id] = true
+	return f.watch(now)
 }
 
 // Relayed takes a reader's answer, with the version that its delta makes, and
@@ -125,9 +164,12 @@
 // HasNews reports whether a request can be answered with something new, or
 // must be because this proxy is not certain of what it holds.
 func (f *Follower) HasNews(r RelayRequest) bool {
-	return !f.certain() || f.listDiffers(r) || f.version > r.Version
+	return f.declines(r) || !f.certain() || f.listDiffers(r) || f.version > r.Version
 }
 
+// declines reports whether a request is answered by another proxy better.
+func (f *Follower) declines(r RelayRequest) bool { return f.slow() && !r.Insist }
+
 // listDiffers reports whether the list here replaces the one that a proxy
 // holds. It may differ at the same revision, since entries that lapsed are
 // dropped some time after the store's return.
@@ -140,6 +182,9 @@
 
 // Answer returns the answer to a request but for its delta.
 func (f *Follower) Answer(r RelayRequest) RelayReply {
+	if f.declines(r) {
+		return RelayReply{Declined: true}
+	}
 	reply := RelayReply{Stale: !f.certain(), Revision: f.revision}
 	if f.listDiffers(r) {
 		reply.Instances = f.entries()
--- a/internal/source/relay_test.go
+++ b/internal/source/relay_test.go
@@ -60,6 +60,71 @@
 	}
 }
 
+// settle lets n proxies ask each other until nobody changes whom it follows,
+// with the bandwidth of each machine given by link. It returns whom each
+// follows, nil for the store.
+func settle(t *testing.T, n int, link func(i int) float64) []*Instance {
+	t.Helper()
+	proxies := make([]*Follower, n)
+	for i := range proxies {
+		proxies[i], _ = follow(i, n)
+		proxies[i].cfg.LinkMbps = link(i)
+	}
+	follows := make([]*Instance, n)
+	for range n {
+		for i, f := range proxies {
+			call := f.watch(followStart)
+			follows[i] = call.Reader
+			if call.Reader == nil {
+				continue
+			}
+			var asked int
+			if _, err := fmt.Sscanf(call.Reader.ID, "i-%d", &asked); err != nil {
+				t.Fatal(err)
+			}
+			request := RelayRequest{Insist: call.Insist}
+			proxies[asked].Asked(followStart, request)
+			if proxies[asked].Answer(request).Declined {
+				f.ReaderDeclined(followStart, call.Reader.ID)
+			}
+		}
+	}
+	return follows
+}
+
+// Replays a fleet whose versions take long over most links: the few machines
+// with fast ones read the store for the others. If none is fast, some of each
+// zone do so nevertheless. Nobody follows a proxy that follows another one.
+func TestMachinesWithFastLinksAreReaders(t *testing.T) {
+	const slow, fast = 5, 100
+	for name, link := range map[string]func(i int) float64{
+		"few fast":  func(i int) float64 { return []float64{fast, slow}[min(i/4%8, 1)] },
+		"all slow":  func(int) float64 { return slow },
+		"all fast":  func(int) float64 { return fast },
+		"not known": func(int) float64 { return 0 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			follows := settle(t, 64, link)
+			readers := make(map[string]int)
+			for i, reader := range follows {
+				if reader == nil {
+					readers[zoneList(64)[i].Instance.AvailabilityZone]++
+					is.True(name != "few fast" || link(i) == fast)
+					continue
+				}
+				var asked int
+				_, err := fmt.Sscanf(reader.ID, "i-%d", &asked)
+				is.NoErr(err)
+				is.Equal(follows[asked], nil)
+			}
+			for _, zone := range []string{"tanga", "kilwa"} {
+				is.True(readers[zone] >= 1 && readers[zone] <= readersPerZone)
+			}
+		})
+	}
+}
+
 // someFollower returns a proxy that asks a reader.
 func someFollower(t *testing.T) (*Follower, Call) {
 	t.Helper()
--- a/internal/source/versions.go
+++ b/internal/source/versions.go
@@ -31,7 +31,10 @@
 // Versions returns the next call for the configuration alone, or false if none
 // is due: one is under way, or other calls bring the configuration.
 func (f *Follower) Versions(now time.Time) (Call, bool) {
-	if f.versions.busy || !f.listed || !f.large() || f.reader(now) != nil {
+	if f.versions.busy || !f.listed || !f.large() {
+		return Call{}, false
+	}
+	if reader, _ := f.reader(now); reader != nil {
 		return Call{}, false
 	}
 	f.versions.busy = true
