Notice lost readers and a silent store sooner in large fleets

Ruled out: the slow link alone (the versions were read in 0.9 s once asked for). Change: calls of a large fleet wait 0.8 s, which leaves time to read a version over a slow link; proxies that have not answered yet are asked first, so that both readers of a zone know that they are. The tests hold the sum of the times and the number of readers in each zone.

--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -108,7 +108,7 @@
 	if e.Err != "" {
 		return n.follower.ReaderFailed(now, e.Reader, e.Err)
 	}
-	return n.follower.Relayed(now, e.Reply, c)
+	return n.follower.Relayed(now, e.Reader, e.Reply, c)
 }
 
 func (n *Node) applyRelayed(text json.RawMessage) (*source.Configuration, error) {
--- a/internal/source/follow.go
+++ b/internal/source/follow.go
@@ -17,6 +17,11 @@
 	// client's time-out this stays below the 3 s after which a proxy is held
 	// to the bounds again.
 	watchWait = 2200 * time.Millisecond
+	// largeWatchWait is the same in a large fleet, where other proxies depend
+	// on a reader and notice only then that it, or the store for it, is lost.
+	// They then still have to read a version over a slow link, about 1 s,
+	// within the 2.5 s in which it must be in force.
+	largeWatchWait = 800 * time.Millisecond
 	// gatherTime is the pause after changes, in which further ones gather
 	// for the next call. It is a quarter of the time in which a change must be
 	// in force.
@@ -89,6 +94,8 @@
 	lost map[string]time.Time
 	// declined holds the proxies that do not want to be readers.
 	declined map[string]bool
+	// confirmed holds the proxies that have answered as readers.
+	confirmed map[string]bool
 	// askedUntil ends the time in which this proxy is a reader because others
 	// ask it.
 	askedUntil time.Time
@@ -112,12 +119,13 @@
 // NewFollower returns a follower that knows nothing.
 func NewFollower(cfg FollowerConfig) *Follower {
 	return &Follower{
-		cfg:      cfg,
-		rng:      rand.New(rand.NewPCG(cfg.Seed, 3)),
-		lost:     make(map[string]time.Time),
-		declined: make(map[string]bool),
-		known:    make(map[string]Entry),
-		missing:  make(map[string]bool),
+		cfg:       cfg,
+		rng:       rand.New(rand.NewPCG(cfg.Seed, 3)),
+		lost:      make(map[string]time.Time),
+		declined:  make(map[string]bool),
+		confirmed: make(map[string]bool),
+		known:     make(map[string]Entry),
+		missing:   make(map[string]bool),
 	}
 }
 
@@ -215,7 +223,7 @@
 	call := Call{At: now, After: f.revision, Wait: watchWait}
 	call.Reader, call.Insist = f.reader(now)
 	if f.large() {
-		call.Part = InstancesOnly
+		call.Part, call.Wait = InstancesOnly, largeWatchWait
 	}
 	return call
 }
@@ -270,6 +278,7 @@
 	delete(f.known, id)
 	delete(f.missing, id)
 	delete(f.declined, id)
+	delete(f.confirmed, id)
 	delete(f.lost, id)
 	v.note("instance gone", id+": "+cause)
 }
--- a/internal/source/relay.go
+++ b/internal/source/relay.go
@@ -25,7 +25,7 @@
 	readerLinkMbps = 40
 	// askedTime is how long a proxy that was asked reads the store itself:
 	// two waits of those that ask.
-	askedTime = 2 * watchWait
+	askedTime = 2 * largeWatchWait
 	// readerLostTime is the time for which a reader that failed is not asked.
 	readerLostTime = 3 * time.Second
 )
@@ -77,12 +77,18 @@
 	if len(readers) > 1 && f.cfg.Seed%readersPerZone == 1 {
 		slices.Reverse(readers)
 	}
+	var first *Instance
 	for _, r := range readers {
-		if lost, ok := f.lost[r.ID]; !ok || now.Sub(lost) >= readerLostTime {
-			return r, insist
+		lost, ok := f.lost[r.ID]
+		switch {
+		case ok && now.Sub(lost) < readerLostTime:
+		case !f.confirmed[r.ID]:
+			return r, insist // it may decline, and the next one be a reader
+		case first == nil:
+			first = r
 		}
 	}
-	return nil, false
+	return first, insist
 }
 
 // readers returns the proxies of the zone that ask the store, the same at all
@@ -127,10 +133,11 @@
 	return f.watch(now)
 }
 
-// Relayed takes a reader's answer, with the version that its delta makes, and
-// returns the next call. The reader has judged lapsed entries already.
-func (f *Follower) Relayed(now time.Time, r RelayReply, c *Configuration) (View, Call) {
+// Relayed takes the answer of a reader, with the version that its delta makes,
+// and returns the next call. The reader has judged lapsed entries already.
+func (f *Follower) Relayed(now time.Time, id string, r RelayReply, c *Configuration) (View, Call) {
 	var v View
+	f.confirmed[id] = true
 	f.regained(now, &v)
 	f.revision = max(f.revision, r.Revision)
 	if r.Instances != nil {
--- a/internal/source/relay_test.go
+++ b/internal/source/relay_test.go
@@ -86,7 +86,9 @@
 			proxies[asked].Asked(followStart, request)
 			if proxies[asked].Answer(request).Declined {
 				f.ReaderDeclined(followStart, call.Reader.ID)
+				continue
 			}
+			f.confirmed[call.Reader.ID] = true
 		}
 	}
 	return follows
@@ -119,7 +121,7 @@
 				is.Equal(follows[asked], nil)
 			}
 			for _, zone := range []string{"tanga", "kilwa"} {
-				is.True(readers[zone] >= 1 && readers[zone] <= readersPerZone)
+				is.Equal(readers[zone], readersPerZone)
 			}
 		})
 	}
@@ -150,6 +152,20 @@
 	is.Equal(call.Reader.ID, first)
 }
 
+// Replays a store that falls silent for both readers of a zone just before a
+// version is published. Their calls, and those of the proxies that ask them,
+// end early enough to read the version from the store within its bound.
+func TestSilenceIsNoticedWithinTheBoundOfAVersion(t *testing.T) {
+	is := is.New(t)
+	const bound, transfer, slack = 2500 * time.Millisecond, time.Second, 700 * time.Millisecond
+	_, call := someFollower(t)
+	is.True(call.Wait+slack+transfer <= bound)
+	f, call := storeAsker(t)
+	is.True(call.Wait+slack+transfer <= bound)
+	f.Failed(followStart, false, "silent")
+	is.True(f.HasNews(RelayRequest{After: call.After, List: f.ListHash()})) // told at once
+}
+
 func TestReaderOutOfReachOfTheStoreSaysSo(t *testing.T) {
 	is := is.New(t)
 	f, _ := follow(0, 60)
@@ -168,7 +184,7 @@
 	f, call := someFollower(t)
 	request := RelayRequest{After: call.After, List: f.ListHash()}
 	is.True(reader.HasNews(request))
-	view, next := f.Relayed(followStart, reader.Answer(request), nil)
+	view, next := f.Relayed(followStart, "i-00", reader.Answer(request), nil)
 	is.Equal(len(view.Instances), 59)
 	is.Equal(next.After, uint64(9))
 	is.True(!reader.HasNews(RelayRequest{After: next.After, List: f.ListHash()}))
@@ -195,7 +211,7 @@
 	late, call := someFollower(t)
 	request = RelayRequest{After: call.After, List: late.ListHash()}
 	is.True(reader.HasNews(request))
-	view, _ := late.Relayed(followStart, reader.Answer(request), nil)
+	view, _ := late.Relayed(followStart, "i-00", reader.Answer(request), nil)
 	is.Equal(len(view.Instances), 59)
 }
 
@@ -308,7 +324,7 @@
 func TestProxyWithoutReadersReadsTheNewestVersionAtOnce(t *testing.T) {
 	is := is.New(t)
 	f, call := someFollower(t)
-	f.Relayed(followStart, RelayReply{Revision: 9}, nil)
+	f.Relayed(followStart, "i-00", RelayReply{Revision: 9}, nil)
 	_, call = f.ReaderFailed(followStart, call.Reader.ID, "silent")
 	f.ReaderFailed(followStart, call.Reader.ID, "silent")
 	versions, ok := f.Versions(followStart)
