Start from a seed while the store is out of reach

Ruled out: keeping a version across restarts (nothing lasts on these machines). Seeds in doubt about entries say so.

--- a/bench/soak/machine.go
+++ b/bench/soak/machine.go
@@ -92,6 +92,9 @@
 	s.BackendServer.Address = address(m.shared, backendPort)
 	s.BackendServer.HealthInterval = 0
 	s.Platform.Kind, s.Platform.Store = settings.PlatformStore, address(m.own, storePort)
+	for i := range seeds {
+		s.Platform.Seeds = append(s.Platform.Seeds, address(fmt.Sprintf("127.%d.1.%d", w.network, i+1), peersPort))
+	}
 	s.Platform.Bounds = standin.Bounds(budgetRatio, budgetSlack, budgetWindow)
 	s.Peers.Plaintext = true
 	s.Shutdown = settings.Shutdown{Notice: config.Duration(2500 * time.Millisecond), Limit: config.Duration(2500 * time.Millisecond)} // as in deploy/proxy.toml
--- a/bench/soak/world.go
+++ b/bench/soak/world.go
@@ -18,6 +18,8 @@
 const (
 	machines = 6
 	zones    = 2
+	// seeds is the number of machines from which others start.
+	seeds = 3
 	// startTime is what a fleet may take until every proxy is ready.
 	startTime = 10 * time.Second
 )
--- a/internal/host/build.go
+++ b/internal/host/build.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -31,6 +32,7 @@
 		c.Listed = true
 		c.BackendAddress = s.BackendServer.Address
 		c.LinkMbps = s.Platform.LinkMbps
+		c.Seeds = slices.DeleteFunc(slices.Clone(s.Platform.Seeds), func(a string) bool { return a == s.Listen.Peers })
 		c.Dist.Followed = true
 		c.Routing.Retries = adapter.Retries
 		c.Admission.MinRetryAfter = adapter.MinRetryAfter
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -29,6 +29,8 @@
 	// StoreRelayed is a reader's answer in place of the store's.
 	StoreRelayed struct {
 		Reader string
+		// AnyAge is that of the request.
+		AnyAge bool
 		Reply  source.RelayReply
 		// Err is empty if the reader answered.
 		Err string
--- a/internal/node/listed_test.go
+++ b/internal/node/listed_test.go
@@ -133,3 +133,27 @@
 	out = other.Step(listedStart, StoreRelayed{Reader: "i-1", Reply: out.Relay[0].Reply})
 	is.Equal(out.Store[0].Reader, nil)
 }
+
+// A proxy that starts while the store is away is ready with what a seed knows.
+func TestStartFromASeed(t *testing.T) {
+	is := is.New(t)
+	seed, starter := newListed("desk-1"), newListed("desk-2")
+	seed.Step(listedStart, Tick{})
+	seed.Step(listedStart, listing(t, 7))
+	seed.Step(listedStart, StoreFailed{Cause: "silent"})
+	cfg := starter.cfg
+	cfg.Seeds = []string{"10.0.0.1:90"}
+	starter = New(cfg)
+	starter.Step(listedStart, Tick{})
+	out := starter.Step(listedStart, StoreFailed{Cause: "silent"})
+	is.Equal(out.Store[0].Reader.PeerAddress, "10.0.0.1:90")
+
+	request := starter.RelayRequest(out.Store[0])
+	reply := seed.Step(listedStart, RelayReceived{Call: 1, Request: request}).Relay[0].Reply
+	out = starter.Step(listedStart, StoreRelayed{Reader: "seed", AnyAge: true, Reply: reply})
+	is.True(starter.Ready())
+	is.Equal(starter.Head().Version, seed.Head().Version)
+	is.Equal(starter.Head().Root, seed.Head().Root)
+	is.Equal(out.Store[0].Reader, nil) // on with the store
+	is.Equal(out.Store[0].After, uint64(5))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,6 +32,9 @@
 	BackendAddress string
 	// LinkMbps is the bandwidth of this machine's link, 0 if it is not known.
 	LinkMbps float64
+	// Seeds are the peer addresses of proxies to start from while the store is
+	// out of reach.
+	Seeds []string
 }
 
 // Event is a member.Event, dist.Event, routing.Event, admission.Event,
@@ -119,6 +122,7 @@
 			AvailabilityZone: cfg.Dist.AvailabilityZone,
 			BackendAddress:   cfg.BackendAddress,
 			LinkMbps:         cfg.LinkMbps,
+			Seeds:            cfg.Seeds,
 			Seed:             cfg.Dist.Seed,
 		})
 	}
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -105,8 +105,13 @@
 			e.Err = err.Error()
 		}
 	}
-	if e.Err != "" {
+	switch {
+	case e.Err != "" && e.AnyAge:
+		return n.follower.SeedFailed(now, e.Reader, e.Err)
+	case e.Err != "":
 		return n.follower.ReaderFailed(now, e.Reader, e.Err)
+	case e.AnyAge:
+		return n.follower.Seeded(now, e.Reply, c)
 	}
 	return n.follower.Relayed(now, e.Reader, e.Reply, c)
 }
@@ -126,5 +131,5 @@
 // RelayRequest returns what this proxy asks a reader for.
 func (n *Node) RelayRequest(c source.Call) source.RelayRequest {
 	held := n.dist.Held()
-	return source.RelayRequest{After: c.After, List: n.follower.ListHash(), Version: held.Version, Root: held.Root, WaitMs: c.Wait.Milliseconds(), Insist: c.Insist}
+	return source.RelayRequest{After: c.After, List: n.follower.ListHash(), Version: held.Version, Root: held.Root, WaitMs: c.Wait.Milliseconds(), Insist: c.Insist, AnyAge: c.AnyAge}
 }
--- a/internal/settings/field.go
+++ b/internal/settings/field.go
@@ -40,6 +40,7 @@
 	{"platform.store", addressRule{optional: true}, "the store, if platform.kind is store"},
 	{"platform.bounds", boundsRule{}, "bounds that the platform sets, each as NAME=VALUE"},
 	{"platform.link_mbps", amountRule{1_000_000}, "bandwidth of the machine's link in Mbit/s, 0 if it is not known; proxies with slow links leave it to others to read the store for their zone"},
+	{"platform.seeds", addressesRule{}, "peer addresses of some proxies, from which a proxy starts while the store is out of reach"},
 	{"platform.source", addressRule{prefix: "http://", optional: true}, "configuration service of the platform"},
 	{"platform.instances", addressRule{prefix: "http://", optional: true}, "list of instances of the platform"},
 	{"platform.instances_interval", durationRule{100 * time.Millisecond, time.Hour}, "mean time between two readings of the list; readers read it more often, and a long list is read less often"},
--- a/internal/settings/rule.go
+++ b/internal/settings/rule.go
@@ -102,6 +102,20 @@
 	return ""
 }
 
+// addressesRule allows a list of addresses.
+type addressesRule struct{}
+
+func (addressesRule) bounds() string { return "a list of IP:PORT" }
+
+func (addressesRule) check(v any) string {
+	for _, a := range v.([]string) {
+		if message := (addressRule{}).check(a); message != "" {
+			return message
+		}
+	}
+	return ""
+}
+
 // numberRule allows the integers from low to high.
 type numberRule struct{ low, high int }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -76,6 +76,9 @@
 	// LinkMbps is the bandwidth of the machine's link in Mbit/s, 0 if it is
 	// not known.
 	LinkMbps float64 `toml:"link_mbps"`
+	// Seeds are the peer addresses of proxies to start from while the store is
+	// out of reach.
+	Seeds []string `toml:"seeds"`
 	// Source is the base URL of the configuration service.
 	Source string `toml:"source"`
 	// Instances is the base URL of the list of instances.
--- a/internal/source/follow.go
+++ b/internal/source/follow.go
@@ -52,8 +52,8 @@
 	// Reader is the proxy that is asked in place of the store, nil for the
 	// store itself.
 	Reader *Instance
-	// Insist is that of the reader's request.
-	Insist bool
+	// Insist and AnyAge are those of the reader's request.
+	Insist, AnyAge bool
 }
 
 // View is what the follower learnt in one step. Nil and zero fields tell of no
@@ -96,6 +96,8 @@
 	declined map[string]bool
 	// confirmed holds the proxies that have answered as readers.
 	confirmed map[string]bool
+	// seedsAsked counts the calls of seeds.
+	seedsAsked int
 	// askedUntil ends the time in which this proxy is a reader because others
 	// ask it.
 	askedUntil time.Time
@@ -112,6 +114,9 @@
 	// LinkMbps is the bandwidth of this machine's link in Mbit/s, 0 if it is
 	// not known.
 	LinkMbps float64
+	// Seeds are the peer addresses of proxies that a proxy which starts while
+	// the store is out of reach asks in its place.
+	Seeds []string
 	// Seed seeds the waits after failures.
 	Seed uint64
 }
@@ -188,8 +193,17 @@
 		f.lostAt = now
 		v.note("store lost", cause)
 	}
-	wait := retryWait(f.failures)
 	f.failures++
+	if !f.listed {
+		if seed := f.nextSeed(); seed != nil {
+			return v, Call{At: now, Reader: seed, AnyAge: true}
+		}
+	}
+	return v, f.retry(now)
+}
+
+// retry returns the next call of the store after a failure.
+func (f *Follower) retry(now time.Time) Call {
 	next := f.watch(now)
 	next.Wait, next.Reader, next.Insist = 0, nil, false
 	if !f.listed {
@@ -197,8 +211,9 @@
 	}
 	// Half of the wait is drawn, so that proxies that failed together do not
 	// return together.
+	wait := retryWait(f.failures - 1)
 	next.At = now.Add(wait/2 + time.Duration(f.rng.Int64N(int64(wait/2)+1)))
-	return v, next
+	return next
 }
 
 // retryWait is the wait after so many failed calls before the present one.
--- a/internal/source/relay.go
+++ b/internal/source/relay.go
@@ -43,6 +43,9 @@
 	// Insist asks a proxy that would rather not be a reader, since all others
 	// of the zone would not either.
 	Insist bool `json:"insist,omitempty"`
+	// AnyAge takes whatever the other proxy knows at once, also if it does not
+	// reach the store.
+	AnyAge bool `json:"any_age,omitempty"`
 }
 
 // RelayReply is a reader's answer.
@@ -118,7 +121,7 @@
 // Asked notes that another proxy follows the store through this one, which
 // then reads the store itself.
 func (f *Follower) Asked(now time.Time, r RelayRequest) {
-	if !f.declines(r) {
+	if !f.declines(r) && !r.AnyAge {
 		f.askedUntil = now.Add(askedTime)
 	}
 }
@@ -171,11 +174,11 @@
 // HasNews reports whether a request can be answered with something new, or
 // must be because this proxy is not certain of what it holds.
 func (f *Follower) HasNews(r RelayRequest) bool {
-	return f.declines(r) || !f.certain() || f.listDiffers(r) || f.version > r.Version
+	return r.AnyAge || f.declines(r) || !f.certain() || f.listDiffers(r) || f.version > r.Version
 }
 
 // declines reports whether a request is answered by another proxy better.
-func (f *Follower) declines(r RelayRequest) bool { return f.slow() && !r.Insist }
+func (f *Follower) declines(r RelayRequest) bool { return f.slow() && !r.Insist && !r.AnyAge }
 
 // listDiffers reports whether the list here replaces the one that a proxy
 // holds. It may differ at the same revision, since entries that lapsed are
@@ -193,6 +196,10 @@
 		return RelayReply{Declined: true}
 	}
 	reply := RelayReply{Stale: !f.certain(), Revision: f.revision}
+	if r.AnyAge {
+		// A list with doubtful entries would hide their removal for good.
+		reply.Stale = !f.listed || len(f.missing) > 0
+	}
 	if f.listDiffers(r) {
 		reply.Instances = f.entries()
 	}
