--- a/bench/soak/callers.go
+++ b/bench/soak/callers.go
@@ -15,7 +15,6 @@
 )
 
 const (
-	callersPerMachine = 4
 	// pause is the mean time between two requests of a caller.
 	pause = 60 * time.Millisecond
 	// patience is how long a caller waits beyond the time that it allows.
--- a/bench/soak/main.go
+++ b/bench/soak/main.go
@@ -4,6 +4,7 @@
 //
 //	go run ./bench/soak -seeds 50
 //	go run ./bench/soak -seed 7 -length 30s -keep
+//	go run ./bench/soak -machines 30
 package main
 
 import (
@@ -23,6 +24,10 @@
 const (
 	// settleTime is what the fleet has to recover once all faults are over.
 	settleTime = 6 * time.Second
+	// smallFleet is the usual number of machines, allCallers that of callers of
+	// a fleet up to that size; a larger one has one for each machine.
+	smallFleet = 6
+	allCallers = 24
 	// provenTime is the time over which the recovery is checked.
 	provenTime = 2 * time.Second
 )
@@ -42,11 +47,12 @@
 	seed := flag.Uint64("seed", uint64(time.Now().UnixNano()), "seed of the first run; the next ones follow")
 	length := flag.Duration("length", 20*time.Second, "time in which faults begin")
 	bin := flag.String("bin", "bin", "directory of the programs")
+	machines := flag.Int("machines", smallFleet, "number of proxies; from 24 on they follow the store through readers")
 	keep := flag.Bool("keep", false, "keep the logs of every run")
 	flag.Parse()
 	failed := 0
 	for i := range *seeds {
-		r, err := soak(*bin, *seed+uint64(i), *length, *keep)
+		r, err := soak(*bin, *seed+uint64(i), *machines, *length, *keep)
 		if err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(1)
@@ -77,13 +83,13 @@
 }
 
 // soak plays one seed. The logs are kept if it broke something.
-func soak(bin string, seed uint64, length time.Duration, keep bool) (report, error) {
+func soak(bin string, seed uint64, machines int, length time.Duration, keep bool) (report, error) {
 	l, err := lab.New(bin)
 	if err != nil {
 		return report{}, err
 	}
 	l.Logs = true
-	w, err := newWorld(l)
+	w, err := newWorld(l, machines)
 	if err != nil {
 		l.Stop()
 		return report{}, errors.Wrapf(err, "seed %d", seed)
@@ -92,9 +98,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var callers sync.WaitGroup
 	for _, m := range w.machines {
-		for n := range callersPerMachine {
-			rng := rand.New(rand.NewPCG(seed, uint64(m.index*callersPerMachine+n)))
-			callers.Go(func() { m.call(ctx, rng, n%2 == 0) })
+		for n := range max(1, allCallers/machines) {
+			rng := rand.New(rand.NewPCG(seed, uint64(m.index*allCallers+n)))
+			callers.Go(func() { m.call(ctx, rng, (m.index+n)%2 == 0) })
 		}
 	}
 	w.run(plan)
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -34,7 +34,7 @@
 		seeds = append(seeds, seed)
 	}
 	for _, seed := range seeds {
-		r, err := soak(bin, seed, 8*time.Second, false)
+		r, err := soak(bin, seed, smallFleet, 8*time.Second, false)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -48,11 +48,11 @@
 	is := is.New(t)
 	kinds := make(map[kind]bool)
 	for seed := range uint64(20) {
-		plan := newPlan(seed, time.Minute, machines)
-		is.Equal(plan, newPlan(seed, time.Minute, machines))
+		plan := newPlan(seed, time.Minute, smallFleet)
+		is.Equal(plan, newPlan(seed, time.Minute, smallFleet))
 		for _, s := range plan {
 			kinds[s.Kind] = true
-			is.True(s.Machine < machines)
+			is.True(s.Machine < smallFleet)
 		}
 	}
 	is.Equal(len(kinds), len(weights)) // every kind comes
--- a/bench/soak/world.go
+++ b/bench/soak/world.go
@@ -16,8 +16,7 @@
 )
 
 const (
-	machines = 6
-	zones    = 2
+	zones = 2
 	// seeds is the number of machines from which others start.
 	seeds = 3
 	// startTime is what a fleet may take until every proxy is ready.
@@ -47,7 +46,7 @@
 }
 
 // newWorld starts a fleet and waits until it is ready.
-func newWorld(l *lab.Lab) (*world, error) {
+func newWorld(l *lab.Lab, machines int) (*world, error) {
 	w := &world{
 		lab: l, network: 10 + os.Getpid()%200, stand: standin.NewStore(), log: &log{},
 		client: &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
