Hold answers between proxies until they are whole

An answer began 3 ms before its deadline over a link that was filled by large versions; its body was cut by the deadline, the entry closed the caller's connection, and with it went the requests pipelined behind, which instances had run (dar-kivukoni-10: answered at 29.3656 s after 751 of 754 ms, cancelled at 29.3704 s). Change: the entry, too, reads and verifies an answer before it passes any of it on, so that a loss ends one attempt: it is repeated where the route allows it, or answered 502 or 504. A handler whose caller has left ends without an answer and no longer with an empty one.

--- a/internal/forward/entry.go
+++ b/internal/forward/entry.go
@@ -104,7 +104,7 @@
 			}
 		case <-c.r.Context().Done():
 			c.core.Route(routing.Abandoned{ID: c.id})
-			return
+			panic(http.ErrAbortHandler) // a return would write an empty answer
 		}
 	}
 }
@@ -145,6 +145,10 @@
 		x.Close(false)
 		return c.failed(d, start, refusal, load)
 	}
+	if err := x.whole(d.Deadline); err != nil {
+		c.detail = err.Error()
+		return c.failed(d, start, lostRefusal(err), 0)
+	}
 	defer c.answered(d, x.Response, start)()
 	relay(c.w, c.r, x, d.Deadline, versionField(d))
 	return true
--- a/internal/forward/local.go
+++ b/internal/forward/local.go
@@ -176,18 +176,13 @@
 	return "", false
 }
 
-// exchange passes the request to the backend server and reads the answer. An
-// answer of a dialect with signatures is read whole and verified first.
+// exchange passes the request to the backend server and reads the answer.
 func (c *localCall) exchange() (*Exchange, error) {
 	x, err := c.pool.Do(c.ctx, c.deadline, c.address, c.message)
-	if err != nil || c.dialect.Signature == "" {
-		return x, err
-	}
-	if err := x.verify(); err != nil {
-		x.abort()
-		return nil, markExpired(err, c.deadline)
+	if err != nil {
+		return nil, err
 	}
-	return x, nil
+	return x, x.whole(c.deadline)
 }
 
 // setFields sets the headers for the backend server.
--- a/internal/forward/verify.go
+++ b/internal/forward/verify.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -17,6 +18,20 @@
 	maxStrays = 4
 )
 
+// whole reads and verifies an answer of a dialect with signatures, so that one
+// that is lost on its way, also between proxies, ends an attempt and not the
+// caller's connection. Other answers are passed on as they come.
+func (x *Exchange) whole(deadline time.Time) error {
+	if x.dialect.Signature == "" {
+		return nil
+	}
+	if err := x.verify(); err != nil {
+		x.abort()
+		return markExpired(err, deadline)
+	}
+	return nil
+}
+
 // verify reads the answer to its end and checks that it belongs to the request
 // and is whole. A success without the backend server's signature is none.
 func (x *Exchange) verify() error {
