Let a seed replace what is held, unless it is behind

Cause: found by reading the change: a proxy whose history was discarded and which then loses the store holds a list already. A seed's list was added to it, so that an instance removed meanwhile would have stayed for good, and a seed that is behind would have taken the proxy back. Change: the seed's list replaces the one held; a seed behind this proxy counts as failed; a seed always sends its list. The test holds all three. Conclusion: mended before it was seen.

--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -111,7 +111,7 @@
 	case e.Err != "":
 		return n.follower.ReaderFailed(now, e.Reader, e.Err)
 	case e.AnyAge:
-		return n.follower.Seeded(now, e.Reply, c)
+		return n.follower.Seeded(now, e.Reader, e.Reply, c)
 	}
 	return n.follower.Relayed(now, e.Reader, e.Reply, c)
 }
--- a/internal/source/relay.go
+++ b/internal/source/relay.go
@@ -200,7 +200,7 @@
 		// A list with doubtful entries would hide their removal for good.
 		reply.Stale = !f.listed || len(f.missing) > 0
 	}
-	if f.listDiffers(r) {
+	if r.AnyAge || f.listDiffers(r) {
 		reply.Instances = f.entries()
 	}
 	return reply
--- a/internal/source/seed.go
+++ b/internal/source/seed.go
@@ -18,11 +18,14 @@
 
 // Seeded takes what a seed knows, with the version that its delta makes, and
 // returns the next call. The store counts as lost until it answers itself.
-func (f *Follower) Seeded(now time.Time, r RelayReply, c *Configuration) (View, Call) {
+func (f *Follower) Seeded(now time.Time, id string, r RelayReply, c *Configuration) (View, Call) {
+	if r.Revision < f.revision {
+		return f.SeedFailed(now, id, "knows less than this proxy")
+	}
 	var v View
 	v.note("started from another proxy", fmt.Sprintf("list at revision %d, the store is out of reach", r.Revision))
 	f.revision, f.listed = r.Revision, true
-	f.replace(r.Instances, func(string) {})
+	f.replace(r.Instances, func(id string) { f.drop(id, "not known to the seed", &v) })
 	f.versions.next = Call{Part: ConfigurationOnly, List: true}
 	f.show(&v)
 	f.configure(c, &v)
--- a/internal/source/seed_test.go
+++ b/internal/source/seed_test.go
@@ -26,7 +26,7 @@
 	is.True(seed.HasNews(request)) // answered at once
 	reply := seed.Answer(request)
 	is.True(!reply.Stale)
-	view, call := f.Seeded(followStart, reply, &Configuration{Version: 7})
+	view, call := f.Seeded(followStart, "seed", reply, &Configuration{Version: 7})
 	is.Equal(len(view.Instances), 12)
 	is.Equal(view.Configuration.Version, uint64(7))
 	is.True(!f.Reachable()) // others do not take its word
@@ -69,3 +69,29 @@
 	seed.Tick(followStart.Add(returnGrace))
 	is.True(!seed.Answer(request).Stale)
 }
+
+// A proxy whose history was discarded, and which then loses the store, knows
+// something already: a seed must not hide what was removed meanwhile, nor take
+// it back to an older list.
+func TestSeedReplacesWhatIsHeldUnlessItIsBehind(t *testing.T) {
+	is := is.New(t)
+	seed, _ := follow(2, 12)
+	f := newStarter()
+	f.Listed(followStart, Listing{Revision: 4, Instances: zoneList(13)})
+	f.Failed(followStart, true, "discarded")
+	f.Failed(followStart, false, "silent")
+	reply := seed.Answer(RelayRequest{AnyAge: true, List: f.ListHash()})
+	view, _ := f.Seeded(followStart, "seed", reply, nil)
+	is.Equal(len(view.Instances), 12)
+
+	same, _ := follow(4, 12)
+	is.Equal(len(seed.Answer(RelayRequest{AnyAge: true, After: 5, List: same.ListHash()}).Instances), 12)
+
+	ahead := newStarter()
+	ahead.Listed(followStart, Listing{Revision: 6, Instances: zoneList(13)})
+	ahead.Failed(followStart, true, "discarded")
+	ahead.Failed(followStart, false, "silent")
+	view, call := ahead.Seeded(followStart, "seed", reply, nil)
+	is.Equal(view.Instances, nil)
+	is.True(call.List)
+}
