Name what the soak records for what it is

Why: a type log that is no log and machine numbers -1 and -2 would stop a newcomer; the ends of runs were recorded and never read. No change of checks; tests and a run of the short soak pass.

--- a/bench/soak/callers.go
+++ b/bench/soak/callers.go
@@ -86,9 +86,9 @@
 	case 7, 8:
 		return movedPath
 	}
-	m.log.mu.Lock()
-	defer m.log.mu.Unlock()
-	newest := m.log.versions[len(m.log.versions)-1].number
+	m.seen.mu.Lock()
+	defer m.seen.mu.Unlock()
+	newest := m.seen.versions[len(m.seen.versions)-1].number
 	return addedPath(newest - min(newest-1, rng.Uint64N(3)))
 }
 
@@ -111,7 +111,7 @@
 			a.end = behind
 		}
 		a.ended, a.bootEnd = time.Now(), int(m.boot.Load())
-		m.log.attempt(a)
+		m.seen.attempt(a)
 	}
 	return last, ok
 }
--- a/bench/soak/check.go
+++ b/bench/soak/check.go
@@ -39,45 +39,39 @@
 
 // checker holds a finished run, sorted for the checks.
 type checker struct {
-	*log
+	*observations
 	byID map[string]*attempt
-	// ran holds the runs of each request, answers those that were answered.
-	ran, arrivals, answers map[string][]*standin.Run
-	breaches               []string
-	now                    time.Time
+	// arrivals holds those of each request, ran the ones that were run.
+	arrivals, ran map[string][]*standin.Run
+	breaches      []string
+	now           time.Time
 }
 
 // check returns what the run broke, in the order of the checks.
-func check(l *log, now time.Time) []string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+func check(o *observations, now time.Time) []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	c := &checker{
-		log: l, now: now, byID: make(map[string]*attempt),
-		ran: make(map[string][]*standin.Run), arrivals: make(map[string][]*standin.Run), answers: make(map[string][]*standin.Run),
+		observations: o, now: now, byID: make(map[string]*attempt),
+		ran: make(map[string][]*standin.Run), arrivals: make(map[string][]*standin.Run),
 	}
-	for _, a := range l.attempts {
+	for _, a := range o.attempts {
 		c.byID[a.ID] = a
 	}
-	for _, r := range l.runs {
-		if r.Answered {
-			c.answers[r.Request] = append(c.answers[r.Request], r)
-			continue
-		}
+	for _, r := range o.runs {
 		c.arrivals[r.Request] = append(c.arrivals[r.Request], r)
 		if r.Ran {
 			c.ran[r.Request] = append(c.ran[r.Request], r)
 		}
 	}
-	for _, text := range l.ends {
+	for _, text := range o.ends {
 		c.breach("ended", "%s", text)
 	}
-	for _, a := range l.attempts {
+	for _, a := range o.attempts {
 		c.attemptHolds(a)
 	}
-	for _, r := range l.runs {
-		if !r.Answered {
-			c.runHolds(r)
-		}
+	for _, r := range o.runs {
+		c.runHolds(r)
 	}
 	c.regressions()
 	c.losses()
@@ -101,7 +95,7 @@
 	if a.once() && len(c.ran[a.ID]) > 1 {
 		c.breach("twice", "%v ran %d times", a, len(c.ran[a.ID]))
 	}
-	if len(c.arrivals[a.ID]) > attempts && !c.disturbed(-2, a.sent, a.ended) {
+	if len(c.arrivals[a.ID]) > attempts && !c.disturbed(anything, a.sent, a.ended) {
 		c.breach("attempts", "%v reached %d instances", a, len(c.arrivals[a.ID]))
 	}
 	if a.end == timedOut && c.sound(a.machine, a.sent, a.ended) && a.boot == a.bootEnd {
@@ -247,7 +241,7 @@
 	stray := 0
 	var first *attempt
 	for _, a := range c.attempts {
-		if a.end != closed || len(c.ran[a.ID]) == 0 || c.disturbed(-2, a.sent.Add(-contactTime), a.ended, kindStop) {
+		if a.end != closed || len(c.ran[a.ID]) == 0 || c.disturbed(anything, a.sent.Add(-contactTime), a.ended, kindStop) {
 			continue
 		}
 		if c.disturbed(a.machine, a.sent.Add(-graceTime), a.ended) {
@@ -271,7 +265,7 @@
 		seen := make(map[string]bool)
 		repeats := make(map[*standin.Run]bool)
 		for _, r := range c.runs {
-			if r.Service == service && !r.Answered {
+			if r.Service == service {
 				arrivals = append(arrivals, r)
 				repeats[r] = seen[r.Request]
 				seen[r.Request] = true
@@ -301,18 +295,18 @@
 // sound reports whether a machine, and what all share, was sound from
 // contactTime before the first moment until the second.
 func (c *checker) sound(machine int, from, to time.Time) bool {
-	return !c.disturbed(machine, from.Add(-contactTime), to) && !c.disturbed(-1, from.Add(-contactTime), to)
+	return !c.disturbed(machine, from.Add(-contactTime), to) && !c.disturbed(shared, from.Add(-contactTime), to)
 }
 
-// disturbed reports whether a machine was disturbed within a time; -1 stands
-// for what all share, -2 for anything.
+// disturbed reports whether a machine was disturbed within a time, or what all
+// share, or anything.
 func (c *checker) disturbed(machine int, from, to time.Time, but ...kind) bool {
 	for _, d := range c.disturbances {
 		over := d.to
 		if over.IsZero() {
 			over = c.now
 		}
-		if (machine == -2 || d.machine == machine) && !slices.Contains(but, d.kind) && d.from.Before(to) && over.After(from) {
+		if (machine == anything || d.machine == machine) && !slices.Contains(but, d.kind) && d.from.Before(to) && over.After(from) {
 			return true
 		}
 	}
@@ -320,11 +314,11 @@
 }
 
 // recovered checks the requests since the given time, when all faults were long over.
-func recovered(l *log, since time.Time) []string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+func recovered(o *observations, since time.Time) []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	all, served := 0, 0
-	for _, a := range l.attempts {
+	for _, a := range o.attempts {
 		if a.sent.After(since) {
 			all++
 			if a.end == answered && a.answer.Status == http.StatusOK {
--- a/bench/soak/machine.go
+++ b/bench/soak/machine.go
@@ -121,7 +121,7 @@
 	go func() {
 		<-p.Ended()
 		if !m.ending.Load() && m.process.Load() == p {
-			m.log.ended(fmt.Sprintf("%s ended by itself: %v", m.name, p.Wait()))
+			m.seen.ended(fmt.Sprintf("%s ended by itself: %v", m.name, p.Wait()))
 		}
 	}()
 	return nil
@@ -150,13 +150,13 @@
 func (m *machine) stopProxy() {
 	m.life.Lock()
 	defer m.life.Unlock()
-	defer m.log.disturb(m.index, kindStop)()
+	defer m.seen.disturb(m.index, kindStop)()
 	m.ending.Store(true)
 	p := m.process.Load()
 	began := time.Now()
 	p.Signal(syscall.SIGTERM)
 	if err := p.WaitFor(graceTime); err != nil {
-		m.log.ended(fmt.Sprintf("%s, told to stop: %v after %v", m.name, err, time.Since(began).Round(time.Millisecond)))
+		m.seen.ended(fmt.Sprintf("%s, told to stop: %v after %v", m.name, err, time.Since(began).Round(time.Millisecond)))
 		m.end(p)
 	}
 	m.restart()
@@ -166,7 +166,7 @@
 func (m *machine) killProxy(k kind) {
 	m.life.Lock()
 	defer m.life.Unlock()
-	defer m.log.disturb(m.index, k)()
+	defer m.seen.disturb(m.index, k)()
 	m.ending.Store(true)
 	m.end(m.process.Load())
 	m.restart()
@@ -180,7 +180,7 @@
 func (m *machine) restart() {
 	time.Sleep(restartTime)
 	if err := m.startProxy(); err != nil {
-		m.log.ended(fmt.Sprintf("%s did not start: %v", m.name, err))
+		m.seen.ended(fmt.Sprintf("%s did not start: %v", m.name, err))
 		return
 	}
 	m.awaitReady(faultMax)
@@ -190,7 +190,7 @@
 func (m *machine) pause(d time.Duration) {
 	m.life.Lock()
 	defer m.life.Unlock()
-	defer m.log.disturb(m.index, kindPause)()
+	defer m.seen.disturb(m.index, kindPause)()
 	p := m.process.Load()
 	p.Signal(syscall.SIGSTOP)
 	time.Sleep(d)
@@ -201,7 +201,7 @@
 func (m *machine) startBackend() error {
 	m.releases++
 	id := fmt.Sprintf("i-%d-%d", m.index, m.releases)
-	b := standin.NewBackend(id, m.service, m.index, backendSlots, backendWork, m.log.run)
+	b := standin.NewBackend(id, m.service, m.index, backendSlots, backendWork, m.seen.run)
 	l, err := net.Listen("tcp", address(m.shared, backendPort))
 	if err != nil {
 		return errors.Wrap(err, "listen for a backend server")
@@ -228,9 +228,9 @@
 	defer m.room.Unlock()
 	id := m.backend.Load().ID
 	m.stand.PutInstance(id, m.entry(true))
-	m.log.departed(id)
+	m.seen.departed(id)
 	time.Sleep(drainTime)
-	defer m.log.disturb(m.index, kindRelease)()
+	defer m.seen.disturb(m.index, kindRelease)()
 	m.replace(id)
 }
 
@@ -238,7 +238,7 @@
 func (m *machine) crash() {
 	m.room.Lock()
 	defer m.room.Unlock()
-	defer m.log.disturb(m.index, kindCrash)()
+	defer m.seen.disturb(m.index, kindCrash)()
 	id := m.backend.Load().ID
 	_ = m.server.Close()
 	time.Sleep(lapseTime)
@@ -248,8 +248,8 @@
 func (m *machine) replace(id string) {
 	_ = m.server.Close()
 	m.stand.RemoveInstance(id)
-	m.log.departed(id)
+	m.seen.departed(id)
 	if err := m.startBackend(); err != nil {
-		m.log.ended(err.Error())
+		m.seen.ended(err.Error())
 	}
 }
--- a/bench/soak/main.go
+++ b/bench/soak/main.go
@@ -116,8 +116,8 @@
 		}
 	}
 	w.close()
-	r.breaches = append(append(r.breaches, check(w.log, time.Now())...), recovered(w.log, settled)...)
-	for _, a := range w.log.attempts {
+	r.breaches = append(append(r.breaches, check(w.seen, time.Now())...), recovered(w.seen, settled)...)
+	for _, a := range w.seen.attempts {
 		r.attempts++
 		if a.end == answered && a.answer.Status < 300 {
 			r.served++
--- a/bench/soak/record.go
+++ b/bench/soak/record.go
@@ -44,7 +44,15 @@
 	sent, acked time.Time
 }
 
-// disturbance is a time in which a machine, or all with -1, was not sound.
+// Values of disturbance.machine besides the numbers of machines.
+const (
+	// shared stands for what all machines share.
+	shared = -1
+	// anything stands for every machine and what they share.
+	anything = -2
+)
+
+// disturbance is a time in which a machine, or what all share, was not sound.
 type disturbance struct {
 	machine  int
 	kind     kind
@@ -57,8 +65,8 @@
 	acked    time.Time
 }
 
-// log is all that callers, backend servers and the operator saw.
-type log struct {
+// observations are all that callers, backend servers and the operator saw.
+type observations struct {
 	mu           sync.Mutex
 	attempts     []*attempt
 	runs         []*standin.Run
@@ -69,39 +77,39 @@
 	ends []string
 }
 
-func (l *log) attempt(a *attempt) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.attempts = append(l.attempts, a)
+func (o *observations) attempt(a *attempt) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.attempts = append(o.attempts, a)
 }
 
-func (l *log) run(r *standin.Run) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.runs = append(l.runs, r)
+func (o *observations) run(r *standin.Run) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.runs = append(o.runs, r)
 }
 
-func (l *log) ended(text string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.ends = append(l.ends, text)
+func (o *observations) ended(text string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.ends = append(o.ends, text)
 }
 
-func (l *log) departed(instance string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.departures = append(l.departures, departure{instance: instance, acked: time.Now()})
+func (o *observations) departed(instance string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.departures = append(o.departures, departure{instance: instance, acked: time.Now()})
 }
 
 // disturb notes a disturbance from now on and returns what ends it.
-func (l *log) disturb(machine int, k kind) (over func()) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+func (o *observations) disturb(machine int, k kind) (over func()) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	d := &disturbance{machine: machine, kind: k, from: time.Now()}
-	l.disturbances = append(l.disturbances, d)
+	o.disturbances = append(o.disturbances, d)
 	return func() {
-		l.mu.Lock()
-		defer l.mu.Unlock()
+		o.mu.Lock()
+		defer o.mu.Unlock()
 		d.to = time.Now()
 	}
 }
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -60,8 +60,8 @@
 
 var testStart = time.Date(2026, 1, 1, 4, 0, 0, 0, time.UTC)
 
-// testLog is a run of one request without a breach.
-func testLog() (*log, *attempt, *standin.Run) {
+// testRun is a run of one request without a breach.
+func testRun() (*observations, *attempt, *standin.Run) {
 	a := &attempt{
 		Request: standin.Request{ID: "q", Method: http.MethodPost, Host: hostName, Path: bookPath + "1", Body: "b", Deadline: timeLimit},
 		service: services[1], sent: testStart, ended: testStart.Add(50 * time.Millisecond), end: answered,
@@ -72,67 +72,71 @@
 		Body: crc32.ChecksumIEEE([]byte("b")), At: testStart.Add(10 * time.Millisecond), Deadline: timeLimit - 10*time.Millisecond, Ran: true,
 	}
 	v := version{number: 1, moved: services[0], sent: testStart.Add(-time.Minute), acked: testStart.Add(-time.Minute)}
-	return &log{attempts: []*attempt{a}, runs: []*standin.Run{r}, versions: []version{v}}, a, r
+	return &observations{attempts: []*attempt{a}, runs: []*standin.Run{r}, versions: []version{v}}, a, r
 }
 
 // Each check must see the breach that it is for, and nothing in a sound run.
 func TestChecksSeeEachBreach(t *testing.T) {
-	copyRun := func(l *log, change func(r *standin.Run)) {
-		r := *l.runs[0]
+	copyRun := func(o *observations, change func(r *standin.Run)) {
+		r := *o.runs[0]
 		change(&r)
-		l.runs = append(l.runs, &r)
+		o.runs = append(o.runs, &r)
 	}
-	for want, harm := range map[string]func(l *log, a *attempt, r *standin.Run){
-		"":      func(*log, *attempt, *standin.Run) {},
-		"ended": func(l *log, _ *attempt, _ *standin.Run) { l.ended("desk-1 ended by itself") },
-		"twice": func(l *log, _ *attempt, _ *standin.Run) { copyRun(l, func(r *standin.Run) { r.Instance = "i-2-1" }) },
-		"refused": func(_ *log, a *attempt, _ *standin.Run) {
+	for want, harm := range map[string]func(o *observations, a *attempt, r *standin.Run){
+		"":      func(*observations, *attempt, *standin.Run) {},
+		"ended": func(o *observations, _ *attempt, _ *standin.Run) { o.ended("desk-1 ended by itself") },
+		"twice": func(o *observations, _ *attempt, _ *standin.Run) {
+			copyRun(o, func(r *standin.Run) { r.Instance = "i-2-1" })
+		},
+		"refused": func(_ *observations, a *attempt, _ *standin.Run) {
 			a.answer = standin.Answer{Status: http.StatusServiceUnavailable}
 		},
-		"denied":   func(_ *log, a *attempt, _ *standin.Run) { a.answer = standin.Answer{Status: http.StatusNotFound} },
-		"late":     func(_ *log, a *attempt, _ *standin.Run) { a.end = timedOut },
-		"route":    func(_ *log, _ *attempt, r *standin.Run) { r.Service = services[1] },
-		"deadline": func(_ *log, _ *attempt, r *standin.Run) { r.At = r.At.Add(time.Second) },
-		"unasked":  func(_ *log, _ *attempt, r *standin.Run) { r.Caller = "other" },
-		"mixed":    func(_ *log, a *attempt, _ *standin.Run) { a.answer.Body = standin.AnswerBody("q", "i-2-1") },
-		"drain": func(l *log, _ *attempt, _ *standin.Run) {
-			l.departures = []departure{{instance: "i-0-1", acked: testStart.Add(-drainBound)}}
+		"denied": func(_ *observations, a *attempt, _ *standin.Run) {
+			a.answer = standin.Answer{Status: http.StatusNotFound}
+		},
+		"late":     func(_ *observations, a *attempt, _ *standin.Run) { a.end = timedOut },
+		"route":    func(_ *observations, _ *attempt, r *standin.Run) { r.Service = services[1] },
+		"deadline": func(_ *observations, _ *attempt, r *standin.Run) { r.At = r.At.Add(time.Second) },
+		"unasked":  func(_ *observations, _ *attempt, r *standin.Run) { r.Caller = "other" },
+		"mixed":    func(_ *observations, a *attempt, _ *standin.Run) { a.answer.Body = standin.AnswerBody("q", "i-2-1") },
+		"drain": func(o *observations, _ *attempt, _ *standin.Run) {
+			o.departures = []departure{{instance: "i-0-1", acked: testStart.Add(-drainBound)}}
 		},
-		"attempts": func(l *log, _ *attempt, _ *standin.Run) {
+		"attempts": func(o *observations, _ *attempt, _ *standin.Run) {
 			for range attempts {
-				copyRun(l, func(r *standin.Run) { r.Ran = false })
+				copyRun(o, func(r *standin.Run) { r.Ran = false })
 			}
 		},
-		"config": func(l *log, a *attempt, r *standin.Run) {
-			l.versions = append(l.versions, version{number: 2, moved: services[1], sent: testStart.Add(-changeBound - 1), acked: testStart.Add(-changeBound - 1)})
+		"config": func(o *observations, a *attempt, r *standin.Run) {
+			o.versions = append(o.versions, version{number: 2, moved: services[1], sent: testStart.Add(-changeBound - 1), acked: testStart.Add(-changeBound - 1)})
 			a.Method, a.Path, a.Body = http.MethodGet, movedPath+"1", ""
 			r.Method, r.Target, r.Body = a.Method, a.Path, 0
 		},
-		"regress": func(l *log, a *attempt, r *standin.Run) {
-			l.versions = append(l.versions, version{number: 2, moved: services[1], sent: testStart.Add(-1), acked: testStart.Add(-1)})
+		"regress": func(o *observations, a *attempt, r *standin.Run) {
+			o.versions = append(o.versions, version{number: 2, moved: services[1], sent: testStart.Add(-1), acked: testStart.Add(-1)})
 			a.Method, a.Path, a.Body = http.MethodGet, addedPath(2)+"1", ""
 			r.Method, r.Target, r.Body = a.Method, a.Path, 0
 			later := *a
 			later.ID, later.sent, later.answer = "later", a.ended.Add(2*rollbackSlack), standin.Answer{Status: http.StatusNotFound}
-			l.attempts = append(l.attempts, &later)
+			o.attempts = append(o.attempts, &later)
 		},
-		"lost": func(l *log, a *attempt, _ *standin.Run) {
+		"lost": func(o *observations, a *attempt, _ *standin.Run) {
 			a.end = closed
-			l.disturbances = []*disturbance{{kind: kindStop, from: testStart.Add(-time.Second), to: testStart.Add(time.Minute)}}
+			o.disturbances = []*disturbance{{kind: kindStop, from: testStart.Add(-time.Second), to: testStart.Add(time.Minute)}}
 		},
-		"budget": func(l *log, a *attempt, _ *standin.Run) {
+		"budget": func(o *observations, a *attempt, _ *standin.Run) {
 			a.Path = lookPath + "1"
-			for _, r := range l.runs {
+			for _, r := range o.runs {
 				r.Target = a.Path
 			}
 			for range budgetSlack + 1 {
-				copyRun(l, func(r *standin.Run) { r.Ran = false })
+				copyRun(o, func(r *standin.Run) { r.Ran = false })
 			}
 		},
 	} {
-		l, a, r := testLog()
-		harm(l, a, r)
-		breaches := check(l, testStart.Add(time.Hour))
+		o, a, r := testRun()
+		harm(o, a, r)
+		breaches := check(o, testStart.Add(time.Hour))
 		rules := make(map[string]bool)
 		for _, b := range breaches {
 			rule, _, _ := strings.Cut(b, ":")
@@ -147,19 +151,19 @@
 // A machine that was disturbed is not held to bounds in time, but to all others.
 func TestDisturbedMachinesAreNotHeldToBoundsInTime(t *testing.T) {
 	is := is.New(t)
-	l, a, r := testLog()
-	l.disturbances = []*disturbance{{kind: kindPause, from: testStart.Add(-contactTime), to: testStart.Add(-time.Second)}}
+	o, a, r := testRun()
+	o.disturbances = []*disturbance{{kind: kindPause, from: testStart.Add(-contactTime), to: testStart.Add(-time.Second)}}
 	a.end = timedOut
-	is.Equal(len(check(l, testStart.Add(time.Hour))), 0)
+	is.Equal(len(check(o, testStart.Add(time.Hour))), 0)
 	r.Body++
-	is.Equal(len(check(l, testStart.Add(time.Hour))), 1)
+	is.Equal(len(check(o, testStart.Add(time.Hour))), 1)
 }
 
 func TestRecoveryIsMeasuredOverTheLastRequests(t *testing.T) {
 	is := is.New(t)
-	l, a, _ := testLog()
-	is.Equal(len(recovered(l, testStart.Add(-time.Second))), 0)
-	is.Equal(len(recovered(l, testStart.Add(time.Second))), 1) // nobody asked
+	o, a, _ := testRun()
+	is.Equal(len(recovered(o, testStart.Add(-time.Second))), 0)
+	is.Equal(len(recovered(o, testStart.Add(time.Second))), 1) // nobody asked
 	a.answer.Status = http.StatusServiceUnavailable
-	is.Equal(len(recovered(l, testStart.Add(-time.Second))), 1)
+	is.Equal(len(recovered(o, testStart.Add(-time.Second))), 1)
 }
--- a/bench/soak/world.go
+++ b/bench/soak/world.go
@@ -36,7 +36,7 @@
 	stand        *standin.Store
 	storeServer  *http.Server
 	client       *http.Client
-	log          *log
+	seen         *observations
 	machines     []*machine
 	versions     uint64
 	publishing   sync.Mutex
@@ -48,7 +48,7 @@
 // newWorld starts a fleet and waits until it is ready.
 func newWorld(l *lab.Lab, machines int) (*world, error) {
 	w := &world{
-		lab: l, network: 10 + os.Getpid()%200, stand: standin.NewStore(), log: &log{},
+		lab: l, network: 10 + os.Getpid()%200, stand: standin.NewStore(), seen: &observations{},
 		client: &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	w.storeAddress = address(fmt.Sprintf("127.%d.0.1", w.network), storePort)
@@ -156,7 +156,7 @@
 
 // hold cuts or slows links for a while.
 func (m *machine) hold(s step, links ...*link) {
-	defer m.log.disturb(m.index, s.Kind)()
+	defer m.seen.disturb(m.index, s.Kind)()
 	for _, k := range links {
 		switch s.Kind {
 		case kindSlowProxy:
@@ -173,7 +173,7 @@
 }
 
 func (m *machine) breakConnections(k kind) {
-	defer m.log.disturb(m.index, k)()
+	defer m.seen.disturb(m.index, k)()
 	for _, l := range append([]*link{m.store}, m.proxy...) {
 		if k == kindReset {
 			l.reset()
@@ -186,7 +186,7 @@
 func (w *world) harmStore(s step) {
 	w.storeFault.Lock()
 	defer w.storeFault.Unlock()
-	defer w.log.disturb(-1, s.Kind)()
+	defer w.seen.disturb(shared, s.Kind)()
 	w.stand.SetFault(map[kind]standin.StoreFault{
 		kindStoreRefuses: standin.StoreRefuses, kindStoreSilent: standin.StoreSilent,
 		kindStoreSlow: standin.StoreSlow, kindStoreLoses: standin.StoreLosesAnswers,
@@ -196,7 +196,7 @@
 }
 
 func (m *machine) harmBackend(s step) {
-	defer m.log.disturb(m.index, s.Kind)()
+	defer m.seen.disturb(m.index, s.Kind)()
 	b := m.backend.Load()
 	if s.Kind == kindSlowBackend {
 		b.SetFault(10*backendWork, 0)
@@ -244,7 +244,7 @@
 	v.sent = time.Now()
 	w.stand.Publish(v.number, routes, services)
 	v.acked = time.Now()
-	w.log.mu.Lock()
-	defer w.log.mu.Unlock()
-	w.log.versions = append(w.log.versions, v)
+	w.seen.mu.Lock()
+	defer w.seen.mu.Unlock()
+	w.seen.versions = append(w.seen.versions, v)
 }
