Take no seed without a version

Cause: found by reading: a seed that had read the store before its first version handed on a list and no version; the store would then tell only of the next one, and the proxy would refuse everything until it came. Change: such a seed counts as failed. A wait after no failure is bounded as well. The test finds the list taken before.

--- a/internal/node/listed_test.go
+++ b/internal/node/listed_test.go
@@ -157,3 +157,21 @@
 	is.Equal(out.Store[0].Reader, nil) // on with the store
 	is.Equal(out.Store[0].After, uint64(5))
 }
+
+// A seed without a version is no seed: from its revision on, the store would
+// never tell of the version that is there.
+func TestSeedWithoutAVersionIsNotTaken(t *testing.T) {
+	is := is.New(t)
+	seed, starter := newListed("desk-1"), newListed("desk-2")
+	seed.Step(listedStart, Tick{})
+	empty := listing(t, 7)
+	empty.Listing.Configuration = nil
+	seed.Step(listedStart, empty)
+	starter.Step(listedStart, Tick{})
+	starter.Step(listedStart, StoreFailed{Cause: "silent"})
+	request := source.RelayRequest{AnyAge: true}
+	reply := seed.Step(listedStart, RelayReceived{Call: 1, Request: request}).Relay[0].Reply
+	out := starter.Step(listedStart, StoreRelayed{Reader: "seed", AnyAge: true, Reply: reply})
+	is.True(!starter.Ready())
+	is.True(out.Store[0].List)
+}
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -105,6 +105,9 @@
 			e.Err = err.Error()
 		}
 	}
+	if e.Err == "" && e.AnyAge && c == nil && n.dist.Held().Version == 0 {
+		e.Err = "knows no version" // the store would tell only of the next one
+	}
 	switch {
 	case e.Err != "" && e.AnyAge:
 		return n.follower.SeedFailed(now, e.Reader, e.Err)
--- a/internal/source/follow.go
+++ b/internal/source/follow.go
@@ -211,7 +211,7 @@
 	}
 	// Half of the wait is drawn, so that proxies that failed together do not
 	// return together.
-	wait := retryWait(f.failures - 1)
+	wait := retryWait(max(0, f.failures-1))
 	next.At = now.Add(wait/2 + time.Duration(f.rng.Int64N(int64(wait/2)+1)))
 	return next
 }
