--- a/bench/soak/check.go
+++ b/bench/soak/check.go
@@ -60,19 +60,7 @@
 func checkRun(o *observations, now time.Time) []string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	c := &checker{
-		observations: o, now: now, attemptsByID: make(map[string]*attempt),
-		executedByID: make(map[string][]*standin.Arrival), arrivalsByID: make(map[string][]*standin.Arrival),
-	}
-	for _, a := range o.attempts {
-		c.attemptsByID[a.ID] = a
-	}
-	for _, r := range o.arrivals {
-		c.arrivalsByID[r.Request] = append(c.arrivalsByID[r.Request], r)
-		if r.Executed {
-			c.executedByID[r.Request] = append(c.executedByID[r.Request], r)
-		}
-	}
+	c := newChecker(o, now)
 	for _, text := range o.failures {
 		c.addViolation("ended", "%s", text)
 	}
@@ -85,9 +73,28 @@
 	c.checkRegressions()
 	c.checkLostAnswers()
 	c.checkRetryBudget()
+	c.checkCrashingRequests()
 	return c.violations
 }
 
+// newChecker indexes the observations. The caller holds their lock.
+func newChecker(o *observations, now time.Time) *checker {
+	c := &checker{
+		observations: o, now: now, attemptsByID: make(map[string]*attempt),
+		executedByID: make(map[string][]*standin.Arrival), arrivalsByID: make(map[string][]*standin.Arrival),
+	}
+	for _, a := range o.attempts {
+		c.attemptsByID[a.ID] = a
+	}
+	for _, r := range o.arrivals {
+		c.arrivalsByID[r.Request] = append(c.arrivalsByID[r.Request], r)
+		if r.Executed {
+			c.executedByID[r.Request] = append(c.executedByID[r.Request], r)
+		}
+	}
+	return c
+}
+
 func (c *checker) addViolation(rule, format string, args ...any) {
 	c.violations = append(c.violations, rule+": "+fmt.Sprintf(format, args...))
 }
@@ -339,7 +346,7 @@
 	defer o.mu.Unlock()
 	total, served := 0, 0
 	for _, a := range o.attempts {
-		if a.sent.After(since) {
+		if a.sent.After(since) && !isCrashing(a.Path) {
 			total++
 			if a.result == answered && a.answer.Status == http.StatusOK {
 				served++
--- a/bench/soak/machine.go
+++ b/bench/soak/machine.go
@@ -197,9 +197,15 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for a backend server")
 	}
+	server := &http.Server{Handler: b, IdleTimeout: 10 * time.Second, ReadHeaderTimeout: time.Minute}
+	b.Crashes = func(a *standin.Arrival) bool { return isCrashing(a.Target) }
+	b.Crash = func() {
+		_ = server.Close()
+		go m.replaceCrashedBackend(id)
+	}
 	m.backend.Store(b)
-	m.server = &http.Server{Handler: b, IdleTimeout: 10 * time.Second, ReadHeaderTimeout: time.Minute}
-	go func() { _ = m.server.Serve(l) }()
+	m.server = server
+	go func() { _ = server.Serve(l) }()
 	m.store.PutInstance(id, m.storeEntry(false))
 	return nil
 }
@@ -237,6 +243,18 @@
 	m.replaceBackend(id)
 }
 
+// replaceCrashedBackend replaces the backend server that a request ended once its
+// store entry has expired, unless a redeployment has replaced it by then.
+func (m *machine) replaceCrashedBackend(id string) {
+	defer m.observed.recordDisturbance(m.index, kindCrashingRequest)()
+	time.Sleep(entryTTL)
+	m.backendMu.Lock()
+	defer m.backendMu.Unlock()
+	if m.backend.Load().ID == id && m.ctx.Err() == nil {
+		m.replaceBackend(id)
+	}
+}
+
 func (m *machine) replaceBackend(id string) {
 	_ = m.server.Close()
 	m.store.RemoveInstance(id)
--- a/bench/soak/main.go
+++ b/bench/soak/main.go
@@ -5,6 +5,7 @@
 //	go run ./bench/soak -seeds 50
 //	go run ./bench/soak -seed 7 -length 30s -keep
 //	go run ./bench/soak -machines 30
+//	go run ./bench/soak -machines 12 -calm -crashing 1
 package main
 
 import (
@@ -13,6 +14,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"strconv"
 	"sync"
 	"time"
 
@@ -28,6 +30,8 @@
 	// defaultCallers is the number of callers, which are spread evenly over the
 	// machines. In a larger fleet each machine has one caller.
 	defaultCallers = 24
+	// crashingStream is the first random stream of the crashing requests.
+	crashingStream = 1 << 32
 	// recoveryWindow is the time after settleDuration over which recovery is
 	// checked.
 	recoveryWindow = 2 * time.Second
@@ -35,9 +39,12 @@
 
 // report is the result of one run.
 type report struct {
-	seed             uint64
-	attempts, served int
-	violations       []string
+	seed uint64
+	// attempts, served and refused count the requests other than crashing ones;
+	// the refused ones were reported as not run.
+	attempts, served, refused int
+	crashes                   []crashes
+	violations                []string
 	// plannedSteps counts the faults and operations of the plan.
 	plannedSteps int
 	// directory holds the logs; it is empty if they were not kept.
@@ -45,16 +52,20 @@
 }
 
 func main() {
+	var o options
 	seeds := flag.Int("seeds", 1, "number of runs")
-	seed := flag.Uint64("seed", uint64(time.Now().UnixNano()), "seed of the first run; each further run uses the next number")
-	length := flag.Duration("length", 20*time.Second, "time during which faults are injected")
-	bin := flag.String("bin", "bin", "directory containing the built binaries")
-	machines := flag.Int("machines", defaultMachines, "number of proxies; from 24 on, they follow the store through proxies in the role reader")
-	keep := flag.Bool("keep", false, "keep the logs of every run")
+	flag.Uint64Var(&o.seed, "seed", uint64(time.Now().UnixNano()), "seed of the first run; each further run uses the next number")
+	flag.DurationVar(&o.length, "length", 20*time.Second, "time during which faults are injected")
+	flag.StringVar(&o.bin, "bin", "bin", "directory containing the built binaries")
+	flag.IntVar(&o.machines, "machines", defaultMachines, "number of proxies; from 24 on, they follow the store through proxies in the role reader")
+	flag.IntVar(&o.crashing, "crashing", 0, "number of requests that end each backend server that runs them and are sent throughout the run")
+	flag.BoolVar(&o.calm, "calm", false, "inject no faults")
+	flag.BoolVar(&o.keep, "keep", false, "keep the logs of every run")
 	flag.Parse()
-	failed := 0
+	failed, first := 0, o.seed
 	for i := range *seeds {
-		r, err := runSeed(*bin, *seed+uint64(i), *machines, *length, *keep)
+		o.seed = first + uint64(i)
+		r, err := runSeed(o)
 		if err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(1)
@@ -71,7 +82,10 @@
 }
 
 func (r report) String() string {
-	text := fmt.Sprintf("seed %d: %d faults, %d requests, %d served, %d violations", r.seed, r.plannedSteps, r.attempts, r.served, len(r.violations))
+	text := fmt.Sprintf("seed %d: %d faults, %d requests, %d served, %d refused, %d violations", r.seed, r.plannedSteps, r.attempts, r.served, r.refused, len(r.violations))
+	for _, s := range r.crashes {
+		text += fmt.Sprintf("\n  %s ended %d backend servers, sent late %d times", s.path, s.ended, s.late)
+	}
 	for i, b := range r.violations {
 		if i == 10 {
 			return text + "\n  ..."
@@ -84,35 +98,58 @@
 	return text
 }
 
-// runSeed performs the run of one seed. The logs are kept if keep is set or the run
-// has violations.
-func runSeed(bin string, seed uint64, machines int, length time.Duration, keep bool) (report, error) {
-	l, err := lab.New(bin)
+// options are the parameters of a run.
+type options struct {
+	bin      string
+	seed     uint64
+	machines int
+	length   time.Duration
+	// calm leaves out the faults of the plan.
+	calm bool
+	// crashing is the number of requests that end each backend server that runs
+	// them.
+	crashing int
+	keep     bool
+}
+
+// runSeed performs one run. The logs are kept if keep is set or the run has
+// violations.
+func runSeed(o options) (report, error) {
+	l, err := lab.New(o.bin)
 	if err != nil {
 		return report{}, err
 	}
 	l.LogToFiles = true
-	c, err := newCluster(l, machines)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	c, err := newCluster(ctx, l, o.machines)
 	if err != nil {
 		l.Stop()
-		return report{}, errors.Wrapf(err, "seed %d", seed)
+		return report{}, errors.Wrapf(err, "seed %d", o.seed)
+	}
+	plan := newPlan(o.seed, o.length, o.machines)
+	if o.calm {
+		plan = nil
 	}
-	plan := newPlan(seed, length, machines)
-	ctx, cancel := context.WithCancel(context.Background())
 	var callers sync.WaitGroup
 	for _, m := range c.machines {
-		for n := range max(1, defaultCallers/machines) {
-			rng := rand.New(rand.NewPCG(seed, uint64(m.index*defaultCallers+n)))
+		for n := range max(1, defaultCallers/o.machines) {
+			rng := rand.New(rand.NewPCG(o.seed, uint64(m.index*defaultCallers+n)))
 			callers.Go(func() { m.runCaller(ctx, rng, (m.index+n)%2 == 0) })
 		}
 	}
+	for n := range o.crashing {
+		rng := rand.New(rand.NewPCG(o.seed, crashingStream+uint64(n)))
+		callers.Go(func() { c.sendCrashingRequest(ctx, strconv.Itoa(n), rng) })
+	}
+	began := time.Now()
 	c.runPlan(plan)
-	time.Sleep(settleDuration)
+	time.Sleep(max(0, time.Until(began.Add(o.length))) + settleDuration)
 	settled := time.Now()
 	time.Sleep(recoveryWindow)
 	cancel()
 	callers.Wait()
-	r := report{seed: seed, plannedSteps: len(plan)}
+	r := report{seed: o.seed, plannedSteps: len(plan)}
 	for _, m := range c.machines {
 		if !m.lab.RespondsOK(m.readyURL()) {
 			r.violations = append(r.violations, "recover: "+m.name+" is not ready")
@@ -120,13 +157,8 @@
 	}
 	c.close()
 	r.violations = append(append(r.violations, checkRun(c.observed, time.Now())...), checkRecovery(c.observed, settled)...)
-	for _, a := range c.observed.attempts {
-		r.attempts++
-		if a.result == answered && a.answer.Status < 300 {
-			r.served++
-		}
-	}
-	if keep || len(r.violations) > 0 {
+	r.summarise(c.observed)
+	if o.keep || len(r.violations) > 0 {
 		r.directory = l.Dir()
 		l.Kill()
 		return r, nil
@@ -134,3 +166,21 @@
 	l.Stop()
 	return r, nil
 }
+
+// summarise counts the requests and what became of them.
+func (r *report) summarise(o *observations) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	r.crashes = newChecker(o, time.Now()).crashesByPath()
+	for _, a := range o.attempts {
+		switch {
+		case isCrashing(a.Path):
+			continue
+		case a.result == answered && a.answer.Status < 300:
+			r.served++
+		case a.result == answered && meansNotRun(a.answer.Status):
+			r.refused++
+		}
+		r.attempts++
+	}
+}
--- a/bench/soak/plan.go
+++ b/bench/soak/plan.go
@@ -32,8 +32,10 @@
 	kindSlowBackend  kind = "slow-backend"  // a backend server takes longer for each request
 	kindRelease      kind = "release"       // a backend server drains and another takes its address
 	kindCrash        kind = "crash"         // a backend server closes without draining and is replaced
-	kindChange       kind = "change"        // a new version is published
-	kindStorm        kind = "storm"         // several versions are published in quick succession
+	// kindCrashingRequest is the end of a backend server by a request that it ran.
+	kindCrashingRequest kind = "crashing-request"
+	kindChange          kind = "change" // a new version is published
+	kindStorm           kind = "storm"  // several versions are published in quick succession
 )
 
 // weights gives the relative frequency of each kind.
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -32,7 +32,7 @@
 		seeds = append(seeds, seed)
 	}
 	for _, seed := range seeds {
-		r, err := runSeed(bin, seed, defaultMachines, 8*time.Second, false)
+		r, err := runSeed(options{bin: bin, seed: seed, machines: defaultMachines, length: 8 * time.Second})
 		if err != nil {
 			t.Fatal(err)
 		}
