Log the suspects of each crash and the fingerprints of requests

The logs named neither the fingerprint of a request nor the suspects of a crash nor where a suspicion came from, so that three hypotheses looked alike. Change: one log line for each recorded crash (incident, seen here or told by another proxy, fingerprints, crashes, end of the quarantine), the fingerprint in lines about requests, counters of incidents by source and of refusals. No decision changed.

--- a/internal/forward/decisionlog.go
+++ b/internal/forward/decisionlog.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"strconv"
 	"time"
 
 	"heatherlift.example/heatherlift/internal/outcome"
@@ -37,6 +38,7 @@
 			"in_flight", choice.InFlight,
 			"load", choice.Load,
 			"load_age_ms", choice.LoadAge.Milliseconds(),
+			"fingerprint", strconv.FormatUint(c.fingerprint, 16),
 			"left_ms", d.Deadline.Sub(start).Milliseconds(),
 			"took_ms", time.Since(start).Milliseconds(),
 		}, fields...)
@@ -50,6 +52,7 @@
 			"request", c.dialect.requestID(c.r),
 			"organisation", c.organisation,
 			"path", c.dialect.path(c.r),
+			"fingerprint", strconv.FormatUint(c.fingerprint, 16),
 			"outcome", r.Outcome,
 			"reason", r.Reason,
 			"status", c.dialect.refusalStatus(r),
@@ -65,6 +68,7 @@
 		return []any{
 			"request", c.dialect.requestID(c.outgoing.in),
 			"instance", c.arrived.Instance,
+			"fingerprint", strconv.FormatUint(c.arrived.Fingerprint, 16),
 			"outcome", r.Outcome,
 			"reason", r.Reason,
 			"held_ms", time.Since(c.startedAt).Milliseconds(),
--- a/internal/host/admissionmetrics.go
+++ b/internal/host/admissionmetrics.go
@@ -16,6 +16,7 @@
 
 	requests, refused, running, waiting, slots *prometheus.Desc
 	claims, keys, suspects                     *prometheus.Desc
+	incidents, quarantined                     *prometheus.Desc
 }
 
 func newAdmissionMetrics(h *Host) *admissionMetrics {
@@ -23,15 +24,17 @@
 		return prometheus.NewDesc("heatherlift_admission_"+name, help, labels, nil)
 	}
 	return &admissionMetrics{
-		host:     h,
-		requests: desc("requests_total", "Events of requests for the local backend server, including fence queries and crashes.", "what"),
-		refused:  desc("refused_total", "Requests for the local backend server that were refused, by reason.", "reason"),
-		running:  desc("running", "Requests running on the backend server."),
-		waiting:  desc("waiting", "Requests waiting for a slot of the backend server or for the result of the claim on their idempotency key."),
-		slots:    desc("slots", "Current limit on concurrent requests to the backend server."),
-		claims:   desc("claims_total", "Claims by this proxy on idempotency keys, by result.", "result"),
-		keys:     desc("keys", "Idempotency keys that this proxy stores as one of their owners."),
-		suspects: desc("suspects", "Fingerprints of requests suspected of crashing backend servers."),
+		host:        h,
+		requests:    desc("requests_total", "Events of requests for the local backend server, including fence queries and crashes.", "what"),
+		refused:     desc("refused_total", "Requests for the local backend server that were refused, by reason.", "reason"),
+		running:     desc("running", "Requests running on the backend server."),
+		waiting:     desc("waiting", "Requests waiting for a slot of the backend server or for the result of the claim on their idempotency key."),
+		slots:       desc("slots", "Current limit on concurrent requests to the backend server."),
+		claims:      desc("claims_total", "Claims by this proxy on idempotency keys, by result.", "result"),
+		keys:        desc("keys", "Idempotency keys that this proxy stores as one of their owners."),
+		suspects:    desc("suspects", "Fingerprints of requests suspected of crashing backend servers."),
+		incidents:   desc("incidents_total", "Crashes of backend servers during which requests were in flight, by whether this proxy or another one saw them.", "source"),
+		quarantined: desc("quarantined_total", "Requests refused because they are suspected of crashing backend servers, at entry or for the local backend server."),
 	}
 }
 
@@ -70,4 +73,7 @@
 	gauge(m.slots, a.Slots)
 	gauge(m.keys, d.Keys)
 	gauge(m.suspects, len(q.Suspects))
+	counter(m.incidents, q.PublishedIncidents, "local")
+	counter(m.incidents, q.LearntIncidents, "peer")
+	counter(m.quarantined, q.RefusedRequests)
 }
--- a/internal/node/rumour.go
+++ b/internal/node/rumour.go
@@ -16,6 +16,10 @@
 // incidents as rumours.
 func (n *Node) stepQuarantine(now time.Time, e quarantine.Event, out *Effects) {
 	for _, effect := range n.quarantine.Step(now, e) {
+		if recorded, ok := effect.(quarantine.Recorded); ok {
+			n.journal.addSuspects(now, recorded)
+			continue
+		}
 		publish, ok := effect.(quarantine.Publish)
 		if !ok {
 			continue
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -88,7 +88,19 @@
 	TTL      time.Duration
 }
 
-func (Publish) quarantineEffect() {}
+// Recorded reports the suspects of a crash that were recorded, for the log.
+type Recorded struct {
+	Incident Incident
+	// Local reports that the crash is one of this proxy's backend server.
+	Local bool
+	// MostCrashes is the highest number of crashes of one of the suspects, and
+	// QuarantinedUntil the latest end of their quarantines.
+	MostCrashes      int
+	QuarantinedUntil time.Time
+}
+
+func (Publish) quarantineEffect()  {}
+func (Recorded) quarantineEffect() {}
 
 // suspect is the state kept for one fingerprint.
 type suspect struct {
@@ -105,6 +117,7 @@
 	suspects       map[uint64]*suspect
 	answered       answeredSet
 	publishedCount uint64
+	learntCount    uint64
 	refusedCount   uint64
 	lastSweep      time.Time
 	effects        []Effect
@@ -126,7 +139,7 @@
 		q.answered.add(now, e.Fingerprint)
 		delete(q.suspects, e.Fingerprint)
 	case Learnt:
-		q.recordIncident(now, e.Incident)
+		q.recordIncident(now, e.Incident, false)
 	case Tick:
 		q.expireSuspects(now)
 	}
@@ -157,8 +170,8 @@
 	}
 	q.publishedCount++
 	incident := Incident{ID: q.cfg.RunID + "/" + strconv.FormatUint(q.publishedCount, 36), Fingerprints: list}
-	q.recordIncident(now, incident)
 	q.effects = append(q.effects, Publish{Incident: incident, TTL: incidentTTL})
+	q.recordIncident(now, incident, true)
 }
 
 // selectSuspects returns the fingerprints that were not answered recently, or
@@ -184,8 +197,9 @@
 
 // recordIncident puts the fingerprints of an incident in quarantine. It skips
 // suspects for which the incident is already stored.
-func (q *Quarantine) recordIncident(now time.Time, incident Incident) {
+func (q *Quarantine) recordIncident(now time.Time, incident Incident, local bool) {
 	fingerprints := incident.Fingerprints
+	recorded := Recorded{Incident: incident, Local: local}
 	for _, f := range fingerprints[:min(len(fingerprints), maxSuspectsPerCrash)] {
 		s, ok := q.suspects[f]
 		if ok && slices.Contains(s.incidents, incident.ID) {
@@ -200,7 +214,18 @@
 		s.incidents = s.incidents[max(0, len(s.incidents)-maxIncidentsPerSuspect):]
 		s.lastIncident = now
 		s.quarantinedUntil = now.Add(quarantineDuration(len(s.incidents), len(fingerprints)))
+		recorded.MostCrashes = max(recorded.MostCrashes, len(s.incidents))
+		if s.quarantinedUntil.After(recorded.QuarantinedUntil) {
+			recorded.QuarantinedUntil = s.quarantinedUntil
+		}
+	}
+	if recorded.MostCrashes == 0 {
+		return
+	}
+	if !local {
+		q.learntCount++
 	}
+	q.effects = append(q.effects, recorded)
 }
 
 // quarantineDuration returns the quarantine duration for a fingerprint that was
--- a/internal/quarantine/state.go
+++ b/internal/quarantine/state.go
@@ -21,15 +21,17 @@
 type State struct {
 	Suspects []SuspectState `json:"suspects,omitempty"`
 	// PublishedIncidents counts the incidents published by this proxy,
-	// RefusedRequests the requests refused by it.
+	// LearntIncidents those learnt from others, RefusedRequests the requests
+	// refused by it.
 	PublishedIncidents uint64 `json:"published"`
+	LearntIncidents    uint64 `json:"learnt"`
 	RefusedRequests    uint64 `json:"refused"`
 }
 
 // State returns a snapshot of the suspects, sorted by fingerprint, and the
 // counters.
 func (q *Quarantine) State() State {
-	s := State{PublishedIncidents: q.publishedCount, RefusedRequests: q.refusedCount}
+	s := State{PublishedIncidents: q.publishedCount, LearntIncidents: q.learntCount, RefusedRequests: q.refusedCount}
 	for f, suspect := range q.suspects {
 		s.Suspects = append(s.Suspects, SuspectState{
 			Fingerprint:      strconv.FormatUint(f, 16),
