--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -19,14 +19,21 @@
 // TestShortSoak repeats them.
 var failedSeeds = map[uint64]string{}
 
-// TestShortSoak performs a short run of each seed with proxy processes.
-func TestShortSoak(t *testing.T) {
+// buildProxy builds the proxy and returns the directory that holds it.
+func buildProxy(t *testing.T) string {
+	t.Helper()
 	bin := t.TempDir()
 	build := exec.Command("go", "build", "-o", filepath.Join(bin, "heatherlift"), "../../cmd/heatherlift")
 	build.Stderr = os.Stderr
 	if err := build.Run(); err != nil {
 		t.Fatal(err)
 	}
+	return bin
+}
+
+// TestShortSoak performs a short run of each seed with proxy processes.
+func TestShortSoak(t *testing.T) {
+	bin := buildProxy(t)
 	seeds := []uint64{1}
 	for seed := range failedSeeds {
 		seeds = append(seeds, seed)
@@ -121,6 +128,13 @@
 			later.ID, later.sent, later.answer = "later", a.ended.Add(2*oldVersionSlack), standin.Response{Status: http.StatusNotFound}
 			o.attempts = append(o.attempts, &later)
 		},
+		"crashing": func(o *observations, a *attempt, r *standin.Arrival) {
+			a.Method, a.Path, a.Body = http.MethodGet, crashingPath+"0", ""
+			r.Method, r.Target, r.Body = a.Method, a.Path, 0
+			for range maxCalmCrashes {
+				copyRun(o, func(*standin.Arrival) {})
+			}
+		},
 		"lost": func(o *observations, a *attempt, _ *standin.Arrival) {
 			a.result = connectionClosed
 			o.disturbances = []*disturbance{{kind: kindStop, from: testStart.Add(-time.Second), to: testStart.Add(time.Minute)}}
@@ -161,6 +175,29 @@
 	is.Equal(len(checkRun(o, testStart.Add(time.Hour))), 1)
 }
 
+// Sends of a crashing request count as late only after the bound and from proxies that
+// were undisturbed.
+func TestLateSendsOfCrashingRequestsAreCounted(t *testing.T) {
+	is := is.New(t)
+	o, a, r := testRun()
+	a.Path, r.Target = crashingPath+"0", crashingPath+"0"
+	o.disturbances = []*disturbance{{machine: a.machine, kind: kindKill, from: testStart.Add(-time.Minute), to: testStart.Add(-30 * time.Second)}}
+	arrive := func(at time.Duration) {
+		later := *r
+		later.At = testStart.Add(at)
+		o.arrivals = append(o.arrivals, &later)
+	}
+	late := func() int { return newChecker(o, testStart.Add(time.Hour)).crashesByPath()[0].late }
+	arrive(time.Second)
+	arrive(2 * time.Second)
+	arrive(2*time.Second + undisturbedTime) // not later than the bound
+	is.Equal(late(), 0)
+	arrive(3*time.Second + undisturbedTime)
+	is.Equal(late(), 1)
+	o.disturbances[0].to = testStart.Add(4 * time.Second) // within undisturbedTime before the send
+	is.Equal(late(), 0)
+}
+
 func TestRecoveryCountsRequestsSentAfterSettling(t *testing.T) {
 	is := is.New(t)
 	o, a, _ := testRun()
@@ -169,3 +206,15 @@
 	a.answer.Status = http.StatusServiceUnavailable
 	is.Equal(len(checkRecovery(o, testStart.Add(-time.Second))), 1)
 }
+
+// A request that ended three backend servers was sent on by proxies that had not seen
+// a crash of their own.
+func TestCrashingRequestIsNotSentOn(t *testing.T) {
+	r, err := runSeed(options{bin: buildProxy(t), seed: 1, machines: 12, length: 4 * time.Second, calm: true, crashing: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(r.violations) > 0 {
+		t.Error(r)
+	}
+}
