--- a/bench/soak/cluster.go
+++ b/bench/soak/cluster.go
@@ -48,6 +48,8 @@
 	storeFaultMu sync.Mutex
 	// runningSteps waits for the steps of the plan that have not ended.
 	runningSteps sync.WaitGroup
+	// callers waits for the callers.
+	callers sync.WaitGroup
 }
 
 // newCluster starts a fleet and waits until every proxy is ready.
@@ -139,6 +141,8 @@
 		m.redeployBackend()
 	case kindCrash:
 		m.crashBackend()
+	case kindCrashingRequest:
+		c.startCrashingRequest(uint64(s.At))
 	case kindChange:
 		c.publish()
 	case kindStorm:
--- a/bench/soak/crashing.go
+++ b/bench/soak/crashing.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -36,10 +35,15 @@
 
 func isCrashing(path string) bool { return strings.HasPrefix(path, crashingPath) }
 
-// sendCrashingRequest sends the same request again and again until ctx is done, each
-// time to a random proxy. Its caller ignores Retry-After.
-func (c *cluster) sendCrashingRequest(ctx context.Context, name string, rng *rand.Rand) {
-	for ctx.Err() == nil {
+// startCrashingRequest starts a caller that sends the same request again and again
+// until c.ctx is done, each time to a random proxy. It ignores Retry-After. Requests
+// with different numbers differ.
+func (c *cluster) startCrashingRequest(number uint64) {
+	c.callers.Go(func() { c.sendCrashingRequest(formatHex(number), rand.New(rand.NewPCG(number, 0))) })
+}
+
+func (c *cluster) sendCrashingRequest(name string, rng *rand.Rand) {
+	for c.ctx.Err() == nil {
 		m := c.machines[rng.IntN(len(c.machines))]
 		r := standin.Request{ID: fmt.Sprintf("%016x", rng.Uint64()), Method: http.MethodGet, Host: hostName, Path: crashingPath + name, Deadline: requestDeadline}
 		if conn, err := standin.Dial(address(m.processIP, callersPort), time.Second); err == nil {
--- a/bench/soak/main.go
+++ b/bench/soak/main.go
@@ -14,8 +14,6 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"strconv"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -30,8 +28,6 @@
 	// defaultCallers is the number of callers, which are spread evenly over the
 	// machines. In a larger fleet each machine has one caller.
 	defaultCallers = 24
-	// crashingStream is the first random stream of the crashing requests.
-	crashingStream = 1 << 32
 	// recoveryWindow is the time after settleDuration over which recovery is
 	// checked.
 	recoveryWindow = 2 * time.Second
@@ -131,16 +127,14 @@
 	if o.calm {
 		plan = nil
 	}
-	var callers sync.WaitGroup
 	for _, m := range c.machines {
 		for n := range max(1, defaultCallers/o.machines) {
 			rng := rand.New(rand.NewPCG(o.seed, uint64(m.index*defaultCallers+n)))
-			callers.Go(func() { m.runCaller(ctx, rng, (m.index+n)%2 == 0) })
+			c.callers.Go(func() { m.runCaller(ctx, rng, (m.index+n)%2 == 0) })
 		}
 	}
 	for n := range o.crashing {
-		rng := rand.New(rand.NewPCG(o.seed, crashingStream+uint64(n)))
-		callers.Go(func() { c.sendCrashingRequest(ctx, strconv.Itoa(n), rng) })
+		c.startCrashingRequest(uint64(n))
 	}
 	began := time.Now()
 	c.runPlan(plan)
@@ -148,7 +142,7 @@
 	settled := time.Now()
 	time.Sleep(recoveryWindow)
 	cancel()
-	callers.Wait()
+	c.callers.Wait()
 	r := report{seed: o.seed, plannedSteps: len(plan)}
 	for _, m := range c.machines {
 		if !m.lab.RespondsOK(m.readyURL()) {
--- a/bench/soak/plan.go
+++ b/bench/soak/plan.go
@@ -32,7 +32,8 @@
 	kindSlowBackend  kind = "slow-backend"  // a backend server takes longer for each request
 	kindRelease      kind = "release"       // a backend server drains and another takes its address
 	kindCrash        kind = "crash"         // a backend server closes without draining and is replaced
-	// kindCrashingRequest is the end of a backend server by a request that it ran.
+	// kindCrashingRequest starts the sends of a request that ends each backend server
+	// that runs it. They go on until the run ends.
 	kindCrashingRequest kind = "crashing-request"
 	kindChange          kind = "change" // a new version is published
 	kindStorm           kind = "storm"  // several versions are published in quick succession
@@ -64,6 +65,7 @@
 	{kindSlowBackend, 2},
 	{kindRelease, 5},
 	{kindCrash, 2},
+	{kindCrashingRequest, 2},
 	{kindChange, 8},
 	{kindStorm, 3},
 }
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -101,7 +101,7 @@
 	case Leave:
 		a.leaving = true
 	case Assigned:
-		a.handleAssigned(e)
+		a.handleAssigned(now, e)
 	case Draining:
 		a.monitor.listedAsDraining = e.Draining
 	case Checked:
@@ -128,6 +128,15 @@
 	return len(a.running), len(a.waiting) + len(a.awaitingClaim)
 }
 
+// RunningFingerprint returns the fingerprint of a request that the backend server
+// runs, 0 if there is none.
+func (a *Admission) RunningFingerprint(id uint64) uint64 {
+	if r, ok := a.running[id]; ok {
+		return r.Fingerprint
+	}
+	return 0
+}
+
 func (a *Admission) emit(e Effect) {
 	a.effects = append(a.effects, e)
 }
@@ -235,13 +244,14 @@
 // server runs as many requests concurrently as a warm one, only more slowly. After
 // a replacement or restart of the backend server, the health state and the
 // estimates of the previous process are discarded.
-func (a *Admission) handleAssigned(e Assigned) {
+func (a *Admission) handleAssigned(now time.Time, e Assigned) {
 	if e.Slots != a.cfg.Slots || e.Restarted {
 		a.limiter = newConcurrencyLimiter(e.Slots)
 		a.limiter.limit = float64(e.Slots)
 	}
 	a.cfg.Slots = e.Slots
 	if e.Restarted {
+		a.reportCrash(now, replacementWindow)
 		a.monitor = healthMonitor{}
 		a.serviceTime = serviceTimeEstimator{}
 	}
--- a/internal/admission/crash.go
+++ b/internal/admission/crash.go
@@ -1,25 +1,39 @@
 package admission
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
 
-// crashConfirmWindow is the maximum time between the loss of a connection and the
-// proof that the backend server has crashed, which is that it refuses connections.
-const crashConfirmWindow = 2 * time.Second
+const (
+	// crashConfirmWindow is the maximum time between the loss of a connection and
+	// the proof that the backend server has crashed, which is that it refuses
+	// connections.
+	crashConfirmWindow = 2 * time.Second
+	// replacementWindow applies instead if the proof is that the platform lists
+	// another backend server, or a restart of the same one.
+	replacementWindow = 5 * time.Second
+)
+
+// CrashedRun is a run that ended because the backend server crashed.
+type CrashedRun struct {
+	Fingerprint uint64
+	// KnownCrashes is that of the request's Arrived.
+	KnownCrashes uint32
+}
 
-// lostRequest is a request whose connection to the backend server was lost while
-// it ran.
-type lostRequest struct {
-	fingerprint uint64
-	at          time.Time
+// lostRun is a run whose connection to the backend server was lost, or that its
+// sender gave up.
+type lostRun struct {
+	CrashedRun
+	at time.Time
 }
 
 // crashDetector distinguishes a crash of the backend server from the loss of a
 // single connection.
 type crashDetector struct {
-	lost []lostRequest
+	lost []lostRun
 	// reported holds the IDs of requests that were in flight during a crash
 	// that is already reported.
 	reported map[uint64]bool
@@ -32,38 +46,45 @@
 		delete(c.reported, r.ID)
 		return
 	}
+	c.lost = slices.DeleteFunc(c.lost, func(l lostRun) bool { return now.Sub(l.at) > replacementWindow })
 	if r.Fingerprint != 0 {
-		c.lost = append(c.lost, lostRequest{fingerprint: r.Fingerprint, at: now})
+		c.lost = append(c.lost, lostRun{CrashedRun: r.crashedRun(), at: now})
 	}
 }
 
+func (r *request) crashedRun() CrashedRun {
+	return CrashedRun{Fingerprint: r.Fingerprint, KnownCrashes: r.KnownCrashes}
+}
+
 // recordAnswer discards the losses before the start of an answered request: the
 // backend server still ran after them.
 func (c *crashDetector) recordAnswer(r *request) {
 	delete(c.reported, r.ID)
-	c.lost = slices.DeleteFunc(c.lost, func(l lostRequest) bool { return l.at.Before(r.startedAt) })
+	c.lost = slices.DeleteFunc(c.lost, func(l lostRun) bool { return l.at.Before(r.startedAt) })
 }
 
-// confirmCrash returns the fingerprints of the requests that were in flight when
-// the backend server crashed, or nil if no loss was recorded within
-// crashConfirmWindow.
-func (c *crashDetector) confirmCrash(now time.Time, running map[uint64]*request) []uint64 {
-	c.lost = slices.DeleteFunc(c.lost, func(l lostRequest) bool { return now.Sub(l.at) > crashConfirmWindow })
-	if len(c.lost) == 0 {
-		return nil
-	}
-	var suspects []uint64
+// confirmCrash returns the runs that were in flight when the backend server
+// crashed, ordered by fingerprint, or nil if no loss was recorded within the window.
+func (c *crashDetector) confirmCrash(now time.Time, window time.Duration, running map[uint64]*request) []CrashedRun {
+	var runs []CrashedRun
 	for _, l := range c.lost {
-		suspects = append(suspects, l.fingerprint)
+		if now.Sub(l.at) <= window {
+			runs = append(runs, l.CrashedRun)
+		}
+	}
+	if len(runs) == 0 {
+		return nil
 	}
 	c.reported = make(map[uint64]bool, len(running))
 	for id, r := range running {
 		c.reported[id] = true
 		if r.Fingerprint != 0 {
-			suspects = append(suspects, r.Fingerprint)
+			runs = append(runs, r.crashedRun())
 		}
 	}
 	c.lost = nil
-	slices.Sort(suspects)
-	return slices.Compact(suspects)
+	slices.SortFunc(runs, func(a, b CrashedRun) int {
+		return cmp.Or(cmp.Compare(a.Fingerprint, b.Fingerprint), cmp.Compare(b.KnownCrashes, a.KnownCrashes))
+	})
+	return slices.CompactFunc(runs, func(a, b CrashedRun) bool { return a.Fingerprint == b.Fingerprint })
 }
--- a/internal/admission/events.go
+++ b/internal/admission/events.go
@@ -23,6 +23,9 @@
 		// Fingerprint is equal for requests with the same content; 0 means that
 		// there is none.
 		Fingerprint uint64
+		// KnownCrashes is the number of crashes of backend servers that were
+		// known of the fingerprint when the request was sent here.
+		KnownCrashes uint32
 		// Repeatable means that the request may be run more than once.
 		Repeatable bool
 		Deadline   time.Time
@@ -135,12 +138,14 @@
 		Call  uint64
 		Reply FenceReply
 	}
-	// Crashed reports that the backend server crashed while it ran requests
-	// with these fingerprints.
-	Crashed struct{ Fingerprints []uint64 }
+	// Crashed reports that the backend server crashed, and what it ran.
+	Crashed struct{ Runs []CrashedRun }
 	// FingerprintAnswered reports that the backend server answered a request
-	// with the fingerprint.
-	FingerprintAnswered struct{ Fingerprint uint64 }
+	// with the fingerprint and the KnownCrashes of its Arrived.
+	FingerprintAnswered struct {
+		Fingerprint  uint64
+		KnownCrashes uint32
+	}
 )
 
 func (Run) admissionEffect()                 {}
--- a/internal/admission/fence_test.go
+++ b/internal/admission/fence_test.go
@@ -77,7 +77,11 @@
 func crashedFingerprints(effects []Effect) []uint64 {
 	for _, e := range effects {
 		if c, ok := e.(Crashed); ok {
-			return c.Fingerprints
+			var list []uint64
+			for _, r := range c.Runs {
+				list = append(list, r.Fingerprint)
+			}
+			return list
 		}
 	}
 	return nil
@@ -93,6 +97,29 @@
 	is.Equal(crashedFingerprints(h.end(second, outcome.Unknown, outcome.BackendServerCrashed)), nil) // one crash is reported once
 }
 
+// A backend server that is back before its proxy looks accepts connections; that the
+// platform lists another one shows that the runs ended with the one before.
+func TestReplacementOfTheBackendServerConfirmsACrash(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(Config{Slots: 8, QueueLength: 10})
+	lost, _ := h.arrive("1", 11)
+	h.end(lost, outcome.Unknown, outcome.ConnectionLost)
+	is.Equal(crashedFingerprints(h.stepAfter(time.Second, Assigned{Slots: 8})), nil)
+	is.Equal(crashedFingerprints(h.stepAfter(time.Second, Assigned{Slots: 8, Restarted: true})), []uint64{11})
+	lost, _ = h.arrive("2", 22)
+	h.end(lost, outcome.Unknown, outcome.ConnectionLost)
+	is.Equal(crashedFingerprints(h.stepAfter(replacementWindow+1, Assigned{Slots: 8, Restarted: true})), nil)
+}
+
+// The caller of a crashing request may leave just as it ends the backend server.
+func TestAbandonedRunIsSuspectedOfACrash(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(Config{Slots: 8, QueueLength: 10})
+	id, _ := h.arrive("1", 11)
+	h.step(Abandoned{ID: id})
+	is.Equal(crashedFingerprints(h.stepAfter(time.Second, Checked{Health: ConnectionRefused})), []uint64{11})
+}
+
 func TestLostConnectionAloneIsNoCrash(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(Config{Slots: 8, QueueLength: 10})
--- a/internal/admission/outcome.go
+++ b/internal/admission/outcome.go
@@ -42,7 +42,7 @@
 		a.monitor.recordAnswer(now)
 		a.crashes.recordAnswer(r)
 		if r.Fingerprint != 0 {
-			a.emit(FingerprintAnswered{Fingerprint: r.Fingerprint})
+			a.emit(FingerprintAnswered{Fingerprint: r.Fingerprint, KnownCrashes: r.KnownCrashes})
 		}
 	case e.Reason == outcome.BackendServerShed:
 		a.limiter.decrease(now)
@@ -66,10 +66,14 @@
 // ended and will be cold after its restart.
 func (a *Admission) backendServerDown(now time.Time) {
 	a.limiter.slowStart()
-	suspects := a.crashes.confirmCrash(now, a.running)
-	if len(suspects) > 0 {
+	a.reportCrash(now, crashConfirmWindow)
+}
+
+// reportCrash emits the runs that a crash ended, if any were lost within the window.
+func (a *Admission) reportCrash(now time.Time, window time.Duration) {
+	if runs := a.crashes.confirmCrash(now, window, a.running); len(runs) > 0 {
 		a.counters.Crashes++
-		a.emit(Crashed{Fingerprints: suspects})
+		a.emit(Crashed{Runs: runs})
 	}
 }
 
@@ -88,6 +92,7 @@
 	if r, ok := a.running[id]; ok {
 		delete(a.running, id)
 		a.queue.complete(now, r)
+		a.crashes.recordLoss(now, r)
 		a.recordAbandoned(now, r)
 	}
 }
--- a/internal/forward/hop.go
+++ b/internal/forward/hop.go
@@ -24,6 +24,7 @@
 	hopPriority     = "p"
 	hopTarget       = "t" // milliseconds until routing.Send.Target
 	hopRoute        = "r"
+	hopKnownCrashes = "c"
 	hopMaxWaitShare = "w" // becomes admission.Arrived.Patience
 )
 
@@ -47,6 +48,9 @@
 		v.Set(hopTarget, strconv.FormatInt(d.Target.Sub(now).Milliseconds(), 10))
 		v.Set(hopRoute, d.Route)
 	}
+	if d.KnownCrashes > 0 {
+		v.Set(hopKnownCrashes, strconv.FormatUint(uint64(d.KnownCrashes), 10))
+	}
 	if d.MaxWaitShare > 0 {
 		v.Set(hopMaxWaitShare, strconv.FormatFloat(d.MaxWaitShare, 'f', 2, 64))
 	}
@@ -83,6 +87,13 @@
 		}
 		a.Target = now.Add(time.Duration(ms) * time.Millisecond)
 	}
+	if text := v.Get(hopKnownCrashes); text != "" {
+		n, err := strconv.ParseUint(text, 10, 32)
+		if err != nil {
+			return admission.Arrived{}, false
+		}
+		a.KnownCrashes = uint32(n)
+	}
 	if text := v.Get(hopMaxWaitShare); text != "" {
 		if a.Patience, err = strconv.ParseFloat(text, 64); err != nil {
 			return admission.Arrived{}, false
--- a/internal/forward/ingress.go
+++ b/internal/forward/ingress.go
@@ -167,6 +167,7 @@
 		Organisation: c.slotOrganisation(),
 		Key:          c.dialect.idempotencyKey(c.r),
 		Fingerprint:  c.fingerprint,
+		KnownCrashes: d.KnownCrashes,
 		Repeatable:   d.Repeatable,
 		Deadline:     d.Deadline,
 		Instance:     d.Instance,
--- a/internal/host/admissionmetrics.go
+++ b/internal/host/admissionmetrics.go
@@ -16,7 +16,7 @@
 
 	requests, refused, running, waiting, slots *prometheus.Desc
 	claims, keys, suspects                     *prometheus.Desc
-	incidents, quarantined                     *prometheus.Desc
+	incidents, quarantined, evidence           *prometheus.Desc
 }
 
 func newAdmissionMetrics(h *Host) *admissionMetrics {
@@ -33,8 +33,9 @@
 		claims:      desc("claims_total", "Claims by this proxy on idempotency keys, by result.", "result"),
 		keys:        desc("keys", "Idempotency keys that this proxy stores as one of their owners."),
 		suspects:    desc("suspects", "Fingerprints of requests suspected of crashing backend servers."),
-		incidents:   desc("incidents_total", "Crashes of backend servers during which requests were in flight, by whether this proxy or another one saw them.", "source"),
+		incidents:   desc("incidents_total", "Crashes of backend servers with requests in flight that this proxy saw, and messages of others that told of a crash, by source.", "source"),
 		quarantined: desc("quarantined_total", "Requests refused because they are suspected of crashing backend servers, at entry or for the local backend server."),
+		evidence:    desc("crash_evidence_total", "Messages about crashes sent to other proxies, those without a reply, and evidence of others that was out of bounds.", "what"),
 	}
 }
 
@@ -73,7 +74,10 @@
 	gauge(m.slots, a.Slots)
 	gauge(m.keys, d.Keys)
 	gauge(m.suspects, len(q.Suspects))
-	counter(m.incidents, q.PublishedIncidents, "local")
-	counter(m.incidents, q.LearntIncidents, "peer")
-	counter(m.quarantined, q.RefusedRequests)
+	counter(m.incidents, q.Counters.LocalCrashes, "local")
+	counter(m.incidents, q.Counters.Learnt, "peer")
+	counter(m.quarantined, q.Counters.Refused)
+	counter(m.evidence, q.Counters.Sent, "sent")
+	counter(m.evidence, q.Counters.SendsFailed, "failed")
+	counter(m.evidence, q.Counters.Invalid, "invalid")
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -164,6 +164,9 @@
 	for _, e := range effects.Dedupe {
 		h.executeDedupe(e)
 	}
+	for _, e := range effects.Quarantine {
+		h.executeQuarantine(e)
+	}
 	for _, e := range effects.Relay {
 		h.replies.deliver(e.Call, e.Reply)
 	}
--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -18,6 +18,8 @@
 			out.Admission = append(out.Admission, admission.Refuse{ID: arrived.ID, Refusal: refusal})
 			return
 		}
+		arrived.KnownCrashes = max(arrived.KnownCrashes, n.quarantine.Known(arrived.Fingerprint))
+		e = arrived
 	}
 	for _, effect := range n.admission.Step(now, e) {
 		switch effect := effect.(type) {
@@ -32,15 +34,29 @@
 			n.stepDedupe(now, dedupe.Settle{ID: effect.ID, Ran: effect.Ran}, out)
 		case admission.Crashed:
 			n.journal.add(now, "backend server crashed", "with requests in flight")
-			n.stepQuarantine(now, quarantine.Crashed{Fingerprints: effect.Fingerprints}, out)
+			n.recordCrashedRuns(now, effect.Runs, out)
 		case admission.FingerprintAnswered:
-			n.stepQuarantine(now, quarantine.FingerprintAnswered{Fingerprint: effect.Fingerprint}, out)
+			n.stepQuarantine(now, quarantine.Answered{Run: quarantine.Run{Fingerprint: effect.Fingerprint, Known: effect.KnownCrashes}}, out)
+		case admission.Run:
+			n.run(now, effect, out)
 		default:
 			out.Admission = append(out.Admission, effect)
 		}
 	}
 }
 
+// run passes on the start of a request, unless its fingerprint was put in quarantine
+// while it waited.
+func (n *Node) run(now time.Time, e admission.Run, out *Effects) {
+	refusal, quarantined := n.quarantine.Check(now, n.admission.RunningFingerprint(e.ID))
+	if !quarantined {
+		out.Admission = append(out.Admission, e)
+		return
+	}
+	out.Admission = append(out.Admission, admission.Refuse{ID: e.ID, Refusal: refusal})
+	n.stepAdmission(now, admission.Ended{ID: e.ID, Outcome: refusal.Outcome, Reason: refusal.Reason}, out)
+}
+
 func (n *Node) stepDedupe(now time.Time, e dedupe.Event, out *Effects) {
 	for _, effect := range n.dedupe.Step(now, e) {
 		decided, ok := effect.(dedupe.Decided)
@@ -54,11 +70,16 @@
 
 // stepRouting passes an event to the router. It refuses requests in quarantine.
 func (n *Node) stepRouting(now time.Time, e routing.Event, out *Effects) {
-	if arrived, ok := e.(routing.Arrived); ok {
-		if refusal, quarantined := n.quarantine.Check(now, arrived.Fingerprint); quarantined {
-			out.Routing = append(out.Routing, routing.Refuse{ID: arrived.ID, Refusal: refusal})
+	switch event := e.(type) {
+	case routing.Arrived:
+		if refusal, quarantined := n.quarantine.Check(now, event.Fingerprint); quarantined {
+			out.Routing = append(out.Routing, routing.Refuse{ID: event.ID, Refusal: refusal})
 			return
 		}
+		event.KnownCrashes = n.quarantine.Known(event.Fingerprint)
+		e = event
+	case routing.AttemptEnded:
+		n.recordAttempt(now, event, out)
 	}
 	out.Routing = append(out.Routing, n.router.Step(now, e)...)
 }
--- a/internal/node/crashfleet_test.go
+++ b/internal/node/crashfleet_test.go
@@ -14,6 +14,7 @@
 	"heatherlift.example/heatherlift/internal/dist"
 	"heatherlift.example/heatherlift/internal/member"
 	"heatherlift.example/heatherlift/internal/outcome"
+	"heatherlift.example/heatherlift/internal/quarantine"
 	"heatherlift.example/heatherlift/internal/routing"
 	"heatherlift.example/heatherlift/internal/source"
 )
@@ -35,6 +36,8 @@
 	contactTime = 3 * time.Second
 	// callPause is the mean pause between two requests of an innocent caller.
 	callPause = 40 * time.Millisecond
+	// callTimeout is the time after which a caller gives up.
+	callTimeout = 3 * time.Second
 	// callRetries is how often an innocent caller repeats a request that failed.
 	callRetries = 2
 	// crashingFingerprint is the fingerprint of the crashing request.
@@ -76,6 +79,9 @@
 	nextID   uint64
 	routes   map[uint64]func(routing.Effect)
 	runs     map[uint64]func(admission.Effect)
+	replies  map[uint64]func(quarantine.Message)
+	// messages counts the messages about crashes between proxies.
+	messages int
 
 	// ended counts the backend servers that the crashing request ended, late its
 	// sends by undisturbed proxies later than contactTime after the third of them.
@@ -90,6 +96,7 @@
 	f := &crashFleet{
 		now: epoch, rng: rand.New(rand.NewPCG(seed, 1)), revision: 1,
 		routes: make(map[uint64]func(routing.Effect)), runs: make(map[uint64]func(admission.Effect)),
+		replies: make(map[uint64]func(quarantine.Message)),
 	}
 	for i := range n {
 		f.proxies = append(f.proxies, &crashProxy{index: i, backendUp: true, running: make(map[uint64]func(bool))})
@@ -135,7 +142,7 @@
 			Member: member.Config{Self: member.Record{
 				ID: fmt.Sprintf("p-%d", p.index), Incarnation: uint64(f.now.UnixNano()), Service: p.service(), PeerAddress: p.address(),
 			}, Interval: time.Second},
-			Dist:           dist.Config{ID: fmt.Sprintf("p-%d", p.index), Followed: true},
+			Dist:           dist.Config{ID: fmt.Sprintf("p-%d", p.index), Followed: true, Seed: f.rng.Uint64()},
 			Routing:        routing.Config{AvailabilityZone: "z", MaxAttempts: 3, Seed: f.rng.Uint64()},
 			Admission:      admission.Config{QueueLength: 50},
 			Listed:         true,
@@ -273,11 +280,18 @@
 // call sends a request to a proxy.
 func (f *crashFleet) call(entry *crashProxy, service int, fingerprint uint64, done func(outcome.Outcome, outcome.Reason)) {
 	f.nextID++
-	r := &crashRequest{f, f.nextID, entry, service, fingerprint, entry.generation, done}
+	ended := false
+	r := &crashRequest{f, f.nextID, entry, service, fingerprint, entry.generation, func(o outcome.Outcome, reason outcome.Reason) {
+		if !ended {
+			ended = true
+			done(o, reason)
+		}
+	}}
 	if !entry.up {
-		done(outcome.NotRun, outcome.ConnectFailed)
+		f.after(callTimeout/10, func() { r.done(outcome.NotRun, outcome.ConnectFailed) })
 		return
 	}
+	f.after(callTimeout, func() { r.done(outcome.Unknown, outcome.DeadlineExpired) })
 	f.deliver(entry, func() {
 		f.routes[r.id] = r.routed
 		f.step(entry, routing.Arrived{
@@ -419,6 +433,97 @@
 	r.deliver(r.entry, func() { r.step(r.entry, e) })
 }
 
+// killProxy ends a proxy process and starts it again.
+func (f *crashFleet) killProxy(p *crashProxy) {
+	p.cut = false
+	f.startProxy(p, proxyReturn+f.jitter(proxyReturn))
+}
+
+// pauseProxy stops a proxy process for d, like a suspended machine.
+func (f *crashFleet) pauseProxy(p *crashProxy, d time.Duration) {
+	if !p.up || p.paused {
+		return
+	}
+	p.paused = true
+	generation := p.generation
+	f.after(d, func() {
+		if p.generation != generation {
+			return
+		}
+		p.paused, p.undisturbedSince = false, f.now
+		pending := p.pending
+		p.pending = nil
+		for _, callback := range pending {
+			callback()
+		}
+	})
+}
+
+// cutProxies separates proxies from the others for d.
+func (f *crashFleet) cutProxies(d time.Duration, proxies ...*crashProxy) {
+	for _, p := range proxies {
+		p.cut = true
+	}
+	f.after(d, func() {
+		for _, p := range proxies {
+			p.cut, p.undisturbedSince = false, f.now
+		}
+	})
+}
+
+// redeploy replaces a backend server without a drain; its runs are lost.
+func (f *crashFleet) redeploy(p *crashProxy) {
+	if p.backendUp {
+		f.endBackend(p)
+	}
+}
+
+// random returns n different proxies.
+func (f *crashFleet) random(n int) []*crashProxy {
+	list := slices.Clone(f.proxies)
+	f.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:n]
+}
+
+// crashFaults are the kinds of faults that injectFaults draws from.
+var crashFaults = map[string]func(f *crashFleet, share int){
+	"kill": func(f *crashFleet, share int) {
+		for _, p := range f.random(share) {
+			f.killProxy(p)
+		}
+	},
+	"cut": func(f *crashFleet, share int) {
+		f.cutProxies(time.Second+f.jitter(5*time.Second), f.random(share)...)
+	},
+	"pause": func(f *crashFleet, share int) {
+		for _, p := range f.random(share) {
+			f.pauseProxy(p, time.Second+f.jitter(3*time.Second))
+		}
+	},
+	"restart of the fleet": func(f *crashFleet, _ int) {
+		for _, p := range f.proxies {
+			f.killProxy(p)
+		}
+	},
+	"redeployment": func(f *crashFleet, share int) {
+		for _, p := range f.random(share) {
+			f.redeploy(p)
+		}
+	},
+}
+
+// injectFaults injects faults of the named kinds until the given time, one every
+// pause on average, each on up to a quarter of the proxies.
+func (f *crashFleet) injectFaults(until time.Time, pause time.Duration, kinds ...string) {
+	f.after(time.Duration(f.rng.ExpFloat64()*float64(pause)), func() {
+		if f.now.After(until) {
+			return
+		}
+		crashFaults[kinds[f.rng.IntN(len(kinds))]](f, 1+f.rng.IntN(max(1, len(f.proxies)/4)))
+		f.injectFaults(until, pause, kinds...)
+	})
+}
+
 // sendCrashing sends the crashing request to random proxies until the given time.
 func (f *crashFleet) sendCrashing(until time.Time) {
 	if f.now.After(until) {
@@ -471,8 +576,8 @@
 }
 
 func (f *crashFleet) report(t *testing.T, n int) {
-	t.Logf("%d proxies: %d backend servers ended, %d sends late; %d of %d innocent requests served, %d refused as suspects",
-		n, f.ended, f.late, f.served, f.innocent, f.quarantined)
+	t.Logf("%d proxies: %d backend servers ended, %d sends late; %d of %d innocent requests served, %d refused as suspects; %d messages",
+		n, f.ended, f.late, f.served, f.innocent, f.quarantined, f.messages)
 }
 
 // arrival returns the event by which the request reaches the proxy beside the
@@ -480,9 +585,39 @@
 func (r *crashRequest) arrival(run uint64, s routing.Send) admission.Arrived {
 	return admission.Arrived{
 		ID: run, Repeatable: s.Repeatable, Fingerprint: r.fingerprint, Deadline: s.Deadline, Instance: s.Instance,
-		Target: s.Target, Route: s.Route, Patience: s.MaxWaitShare,
+		Target: s.Target, Route: s.Route, Patience: s.MaxWaitShare, KnownCrashes: s.KnownCrashes,
 	}
 }
 
 // stepPeers carries out the messages between proxies.
-func (f *crashFleet) stepPeers(*crashProxy, Effects) {}
+func (f *crashFleet) stepPeers(p *crashProxy, out Effects) {
+	for _, effect := range out.Quarantine {
+		switch e := effect.(type) {
+		case quarantine.Send:
+			f.messages++
+			f.exchange(p, e)
+		case quarantine.Reply:
+			f.replies[e.Call](e.Message)
+		}
+	}
+}
+
+// exchange delivers a message to another proxy and its reply to the sender.
+func (f *crashFleet) exchange(from *crashProxy, s quarantine.Send) {
+	i, _ := strconv.Atoi(s.Address)
+	to := f.proxies[i]
+	f.nextID++
+	call, generation, done := f.nextID, from.generation, false
+	finish := func(e quarantine.Event) {
+		if !done && from.generation == generation {
+			done = true
+			f.deliver(from, func() { f.step(from, e) })
+		}
+	}
+	f.after(500*time.Millisecond, func() { finish(quarantine.Failed{Send: s}) })
+	f.replies[call] = func(m quarantine.Message) {
+		delete(f.replies, call)
+		f.send(to, from, func() { finish(quarantine.Replied{Send: s, Reply: m}) }, func() {})
+	}
+	f.send(from, to, func() { f.step(to, quarantine.Received{Call: call, Message: s.Message}) }, func() { finish(quarantine.Failed{Send: s}) })
+}
--- a/internal/node/crashing_test.go
+++ b/internal/node/crashing_test.go
@@ -1,6 +1,9 @@
 package node
 
 import (
+	"maps"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 )
@@ -12,6 +15,8 @@
 	// maxLateSends is the number of sends by undisturbed proxies later than
 	// contactTime after the third crash.
 	maxLateSends = 3
+	// crashSeeds is the number of seeds of each scenario.
+	crashSeeds = 6
 )
 
 // A request that ended three backend servers was sent on: each proxy knew only of the
@@ -30,3 +35,61 @@
 		}
 	}
 }
+
+// Faults may hide a crash from some proxies or make them forget it. The bound on further
+// sends holds beside each kind of fault and beside all of them.
+func TestCrashingRequestIsNotSentOnBesideFaults(t *testing.T) {
+	kinds := slices.Sorted(maps.Keys(crashFaults))
+	scenarios := [][]string{kinds}
+	for _, kind := range kinds {
+		scenarios = append(scenarios, []string{kind})
+	}
+	for _, scenario := range scenarios {
+		t.Run(strings.Join(scenario, ", "), func(t *testing.T) {
+			for seed := range uint64(crashSeeds) {
+				n := []int{6, 12, 30}[seed%3]
+				f := newCrashFleet(100+seed, n)
+				f.start(50*time.Second, 2)
+				f.injectFaults(f.now.Add(45*time.Second), []time.Duration{2 * time.Second, 8 * time.Second}[seed%2], scenario...)
+				f.run(55 * time.Second)
+				f.report(t, n)
+				if f.late > maxLateSends {
+					t.Errorf("seed %d: %d sends late, want at most %d", seed, f.late, maxLateSends)
+				}
+			}
+		})
+	}
+}
+
+// A request that is refused is tried again from time to time, as its cause may be gone.
+// The trials must be rare, and at one proxy at a time.
+func TestTrialsOfCrashingRequestAreRare(t *testing.T) {
+	f := newCrashFleet(5, 12)
+	f.start(20*time.Minute, 0)
+	f.run(20 * time.Minute)
+	f.report(t, 12)
+	if f.ended > maxEndedInCalm {
+		t.Errorf("%d backend servers ended, want at most %d", f.ended, maxEndedInCalm)
+	}
+	f = newCrashFleet(6, 4)
+	f.start(6*time.Hour, 0)
+	f.run(6 * time.Hour)
+	f.report(t, 4)
+	if f.late > maxLateSends {
+		t.Errorf("%d sends late in 6 hours, want at most %d", f.late, maxLateSends)
+	}
+}
+
+// Innocent requests that are in flight during the crashes are not refused in the end.
+func TestInnocentRequestsAreServedBesideACrashingOne(t *testing.T) {
+	f := newCrashFleet(7, 12)
+	f.start(30*time.Second, 12)
+	f.run(35 * time.Second)
+	f.report(t, 12)
+	if f.ended > maxEndedInCalm {
+		t.Errorf("%d backend servers ended, want at most %d", f.ended, maxEndedInCalm)
+	}
+	if f.quarantined*1000 > f.innocent {
+		t.Errorf("%d of %d innocent requests refused as suspects, want at most one in a thousand", f.quarantined, f.innocent)
+	}
+}
--- a/internal/node/instances.go
+++ b/internal/node/instances.go
@@ -34,6 +34,7 @@
 		n.stepAdmission(now, admission.Draining{Draining: true}, out)
 	}
 	n.stepRouting(now, routing.InstancesChanged{Instances: instances}, out)
+	n.stepQuarantine(now, n.listedPeers(list), out)
 }
 
 // updateBackend passes the listed state of the local backend server to admission.
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -1,14 +1,11 @@
 package node
 
 import (
-	"fmt"
 	"strconv"
-	"strings"
 	"time"
 
 	"heatherlift.example/heatherlift/internal/config"
 	"heatherlift.example/heatherlift/internal/member"
-	"heatherlift.example/heatherlift/internal/quarantine"
 )
 
 // journalCapacity is the number of entries kept in memory.
@@ -72,35 +69,6 @@
 	j.add(now, "protocol violation by "+strconv.Quote(from), cause)
 }
 
-// maxLoggedSuspects bounds the fingerprints in one entry.
-const maxLoggedSuspects = 8
-
-// addSuspects records the requests that are suspected of a crash.
-func (j *journal) addSuspects(now time.Time, r quarantine.Recorded) {
-	source := "told by another proxy"
-	if r.Local {
-		source = "seen here"
-	}
-	j.add(now, "requests suspected of a crash", fmt.Sprintf("incident %s, %s, fingerprints %s, up to %d crashes each, held for %v",
-		r.Incident.ID, source, formatFingerprints(r.Incident.Fingerprints), r.MostCrashes, max(0, r.QuarantinedUntil.Sub(now)).Round(time.Millisecond)))
-}
-
-// formatFingerprints lists fingerprints in hexadecimal, as the decision log does.
-func formatFingerprints(fingerprints []uint64) string {
-	var b strings.Builder
-	for i, f := range fingerprints {
-		if i == maxLoggedSuspects {
-			fmt.Fprintf(&b, " and %d more", len(fingerprints)-i)
-			break
-		}
-		if i > 0 {
-			b.WriteByte(' ')
-		}
-		b.WriteString(strconv.FormatUint(f, 16))
-	}
-	return b.String()
-}
-
 // list returns the entries in chronological order.
 func (j *journal) list() []JournalEntry {
 	out := make([]JournalEntry, 0, len(j.entries))
--- a/internal/node/network_test.go
+++ b/internal/node/network_test.go
@@ -12,6 +12,7 @@
 	"heatherlift.example/heatherlift/internal/config"
 	"heatherlift.example/heatherlift/internal/dist"
 	"heatherlift.example/heatherlift/internal/member"
+	"heatherlift.example/heatherlift/internal/quarantine"
 	"heatherlift.example/heatherlift/internal/routing"
 	"heatherlift.example/heatherlift/internal/source"
 )
@@ -153,7 +154,7 @@
 		Member: member.Config{
 			Self: member.Record{
 				ID: id, Incarnation: uint64(w.now.UnixNano()), AvailabilityZone: w.zones[id],
-				Service: "desk", PeerAddress: "127.0.0.1:1", ForwardAddress: "127.0.0.1:2", Slots: 10,
+				Service: "desk", PeerAddress: w.peerAddress(id), ForwardAddress: "127.0.0.1:2", Slots: 10,
 			},
 			Interval: time.Second, SuspectAfter: 3 * time.Second, ForgetAfter: 5 * time.Minute, Seed: seed,
 		},
@@ -166,6 +167,16 @@
 	}
 }
 
+// peerAddress returns the peer address of a proxy, and proxyAt the proxy of a peer
+// address.
+func (w *network) peerAddress(id string) string {
+	return fmt.Sprintf("127.0.0.1:%d", 1+slices.Index(w.order, id))
+}
+
+func (w *network) proxyAt(address string) string {
+	return w.order[slices.IndexFunc(w.order, func(id string) bool { return w.peerAddress(id) == address })]
+}
+
 func (w *network) list() []source.Instance {
 	var list []source.Instance
 	for _, id := range w.order {
@@ -221,6 +232,9 @@
 	for _, effect := range effects.Dist {
 		w.applyDistEffect(p, effect)
 	}
+	for _, effect := range effects.Quarantine {
+		w.applyQuarantineEffect(p, effect)
+	}
 }
 
 // check records a violation if the version of the proxy has decreased or its new
@@ -284,6 +298,18 @@
 	}
 }
 
+func (w *network) applyQuarantineEffect(p *simProxy, effect quarantine.Effect) {
+	switch e := effect.(type) {
+	case quarantine.Send:
+		w.call(p.id, w.proxyAt(e.Address),
+			func(call uint64) Event { return quarantine.Received{Call: call, Message: e.Message} },
+			func(reply any) { w.feed(p, quarantine.Replied{Send: e, Reply: reply.(quarantine.Message)}) },
+			func() { w.feed(p, quarantine.Failed{Send: e}) })
+	case quarantine.Reply:
+		w.replyHandlers[e.Call](e.Message)
+	}
+}
+
 func (w *network) applyDistEffect(p *simProxy, effect dist.Effect) {
 	switch e := effect.(type) {
 	case dist.Pull:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -65,6 +65,8 @@
 	Admission []admission.Effect
 	Dedupe    []dedupe.Effect
 	Limit     []limit.Effect
+	// Quarantine holds messages to and replies for other proxies.
+	Quarantine []quarantine.Effect
 	// Store holds the next calls to the store or to a proxy that relays it.
 	Store []source.Call
 	// Relay answers requests from proxies that follow the store through this
@@ -119,7 +121,7 @@
 		router:     routing.New(cfg.Routing),
 		admission:  admission.New(cfg.Admission),
 		dedupe:     dedupe.New(dedupe.Config{Self: self.ID, RunID: runID, Service: self.Service}),
-		quarantine: quarantine.New(quarantine.Config{RunID: runID}),
+		quarantine: quarantine.New(quarantine.Config{Seed: cfg.Dist.Seed}),
 		limiter:    limit.New(cfg.Limit),
 	}
 	n.router.SetLimiter(n.limiter)
@@ -261,6 +263,7 @@
 	n.stepDist(now, dist.MembershipChanged{Records: view}, out)
 	n.stepRouting(now, routing.InstancesChanged{Instances: routingInstances(view)}, out)
 	n.stepLimit(now, limit.MembersChanged{Members: limitOwners(view)}, out)
+	n.stepQuarantine(now, n.viewedPeers(view), out)
 }
 
 // routingInstances returns the ready instances of the view that are alive, leaving
--- a/internal/node/trace.go
+++ b/internal/node/trace.go
@@ -31,8 +31,7 @@
 // state machines to another, such as routing.SnapshotEnforced and
 // routing.InstancesChanged, are not recorded, as a replay generates them again.
 // Some types that occur only among these are accepted nevertheless:
-// member.Publish, dist.Published, admission.Draining, admission.Assigned and
-// quarantine.Learnt.
+// member.Publish, dist.Published, admission.Draining and admission.Assigned.
 var recordableEvents = eventTypes(
 	Tick{}, Leave{}, StoreListed{}, StoreChanged{}, StoreFailed{}, StoreRelayed{}, VersionsChanged{}, VersionsFailed{}, RelayReceived{},
 	member.Listed{}, member.Received{}, member.Answered{}, member.Failed{}, member.Publish{},
@@ -42,7 +41,7 @@
 	limit.Received{}, limit.Answered{}, limit.Failed{},
 	admission.Checked{}, admission.Loaded{}, admission.FenceReceived{},
 	dedupe.ClaimReceived{}, dedupe.ClaimAnswered{}, dedupe.Settled{}, dedupe.SyncReceived{}, dedupe.SyncAnswered{},
-	quarantine.Learnt{},
+	quarantine.Received{}, quarantine.Replied{}, quarantine.Failed{},
 )
 
 func eventTypes(events ...Event) map[string]reflect.Type {
--- a/internal/peer/calls.go
+++ b/internal/peer/calls.go
@@ -10,6 +10,7 @@
 	"heatherlift.example/heatherlift/internal/dist"
 	"heatherlift.example/heatherlift/internal/limit"
 	"heatherlift.example/heatherlift/internal/member"
+	"heatherlift.example/heatherlift/internal/quarantine"
 	"heatherlift.example/heatherlift/internal/source"
 )
 
@@ -37,6 +38,12 @@
 	return call[limit.Reply](ctx, t, address, methodRequestCredits, r)
 }
 
+// ExchangeCrashEvidence tells a peer of requests that crash backend servers and
+// returns what the peer knows.
+func (t *Transport) ExchangeCrashEvidence(ctx context.Context, address string, m quarantine.Message) (quarantine.Message, error) {
+	return call[quarantine.Message](ctx, t, address, methodCrashEvidence, m)
+}
+
 // Announce sends an announcement to a peer, which does not reply.
 func (t *Transport) Announce(ctx context.Context, address string, a dist.Announcement) error {
 	return t.notify(ctx, address, methodAnnounce, a)
--- a/internal/peer/handle.go
+++ b/internal/peer/handle.go
@@ -18,6 +18,8 @@
 		return serveCall(ctx, t, req, t.handler.Relay)
 	case methodRequestCredits:
 		return serveCall(ctx, t, req, t.handler.RequestCredits)
+	case methodCrashEvidence:
+		return serveCall(ctx, t, req, t.handler.ExchangeCrashEvidence)
 	case methodFence:
 		return serveCall(ctx, t, req, t.handler.Fence)
 	case methodClaim:
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -9,6 +9,7 @@
 	"heatherlift.example/heatherlift/internal/dist"
 	"heatherlift.example/heatherlift/internal/limit"
 	"heatherlift.example/heatherlift/internal/member"
+	"heatherlift.example/heatherlift/internal/quarantine"
 	"heatherlift.example/heatherlift/internal/source"
 )
 
@@ -19,6 +20,7 @@
 	methodPull           = "pull"
 	methodRelay          = "follow"
 	methodRequestCredits = "allow"
+	methodCrashEvidence  = "crashes"
 )
 
 // Handler handles messages received from peers.
@@ -30,6 +32,7 @@
 	Relay(ctx context.Context, r source.RelayRequest) (source.RelayReply, error)
 	Announce(a dist.Announcement)
 	RequestCredits(ctx context.Context, r limit.Request) (limit.Reply, error)
+	ExchangeCrashEvidence(ctx context.Context, m quarantine.Message) (quarantine.Message, error)
 	FenceAndClaimHandler
 }
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,18 +1,17 @@
 // Package quarantine refuses requests that are suspected of crashing backend
-// servers. The fingerprints of the requests in flight during a crash become
-// suspects, except those of recently answered requests; if all were answered
-// recently, all become suspects. All proxies refuse requests with the fingerprint
-// of a suspect for a limited time, which grows with the number of crashes that it
-// was involved in.
+// servers. The requests in flight during a crash become suspects. A request is
+// refused by all proxies once it was involved in several crashes in succession,
+// each of which is known to have happened before the next run began, and no run
+// was answered in between. The proxies exchange what they know of the suspects,
+// see Evidence.
 //
 // The package is a pure state machine: it does no I/O and reads no clock.
 package quarantine
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"net/http"
-	"slices"
-	"strconv"
 	"time"
 
 	"heatherlift.example/heatherlift/internal/outcome"
@@ -20,40 +19,43 @@
 
 // Config holds the parameters of the state machine.
 type Config struct {
-	// RunID prefixes incident IDs and is unique to this start of the process.
-	RunID string
+	// Seed seeds the choice of peers and the jitter of quarantines. It should
+	// differ between processes.
+	Seed uint64
 	// MaxSuspects is the maximum number of suspects; 0 means the default.
 	MaxSuspects int
 }
 
 const (
 	defaultMaxSuspects = 4096
-	// maxSuspectsPerCrash limits the fingerprints taken from one crash.
+	// maxSuspectsPerCrash limits the runs taken from one crash.
 	maxSuspectsPerCrash = 64
-	// maxIncidentsPerSuspect limits the incidents stored for one suspect.
-	maxIncidentsPerSuspect = 8
-	// incidentTTL is how long an incident is distributed. A suspect is dropped
-	// with all its incidents this long after the latest of them.
-	incidentTTL = 15 * time.Minute
 
-	// sharedCrashDuration is the quarantine duration after the first crash of a
-	// suspect if there were other suspects of that crash.
-	sharedCrashDuration = 2 * time.Second
-	// soleSuspectDuration is the duration after the first crash if there was no
-	// other suspect.
-	soleSuspectDuration = 10 * time.Second
-	// secondCrashDuration is the duration after the second crash.
-	secondCrashDuration = time.Minute
-	// maxDuration is the duration after the third and every further crash.
-	maxDuration = 10 * time.Minute
+	// refuseAfter is the number of unanswered crashes from which a suspect is
+	// refused.
+	refuseAfter = 2
+	// refuseAnsweredAfter applies instead to a suspect that was answered here
+	// recently: many callers send such requests, so that one is often in flight
+	// by chance.
+	refuseAnsweredAfter = 4
+
+	// firstDuration is the quarantine duration after refuseAfter crashes, in which
+	// an operator can react. It grows by durationGrowth with each further crash, up
+	// to maxDuration, so that trials end few backend servers.
+	firstDuration  = 5 * time.Minute
+	durationGrowth = 6
+	maxDuration    = 24 * time.Hour
+	// retention is how long a suspect is kept after its latest crash or its
+	// quarantine.
+	retention = 15 * time.Minute
 )
 
-// Incident is a crash of a backend server.
-type Incident struct {
-	// ID is unique in the fleet.
-	ID string `json:"id"`
-	// Fingerprints identify the requests that are suspected of the crash.
-	Fingerprints []uint64 `json:"fingerprints"`
+// Run describes one run of a request on a backend server.
+type Run struct {
+	Fingerprint uint64
+	// Known is the number of crashes of the fingerprint that were known when the
+	// request was admitted, see Quarantine.Known.
+	Known uint32
 }
 
 // Event is an input of the state machine.
@@ -61,72 +63,100 @@
 
 // Events.
 type (
-	// Crashed reports a crash of this proxy's backend server and the
-	// fingerprints of the requests that were in flight.
-	Crashed struct{ Fingerprints []uint64 }
-	// FingerprintAnswered reports that the backend server answered a request
-	// with the fingerprint. This proxy then drops the suspect; the other proxies
-	// keep it.
-	FingerprintAnswered struct{ Fingerprint uint64 }
-	// Learnt delivers an incident published by another proxy.
-	Learnt struct{ Incident Incident }
+	// Crashed reports runs that ended because a backend server crashed.
+	Crashed struct{ Runs []Run }
+	// Answered reports a run that a backend server answered.
+	Answered struct{ Run Run }
+	// PeersChanged replaces the peer addresses of the other proxies.
+	PeersChanged struct{ Addresses []string }
+	// Received delivers a message of another proxy; the effect Reply answers it.
+	Received struct {
+		Call    uint64
+		Message Message
+	}
+	// Replied delivers the reply to the message of a Send.
+	Replied struct {
+		Send  Send
+		Reply Message
+	}
+	// Failed reports that the message of a Send got no reply.
+	Failed struct{ Send Send }
 	// Tick triggers periodic work.
 	Tick struct{}
 )
 
-func (Crashed) quarantineEvent()             {}
-func (FingerprintAnswered) quarantineEvent() {}
-func (Learnt) quarantineEvent()              {}
-func (Tick) quarantineEvent()                {}
+func (Crashed) quarantineEvent()      {}
+func (Answered) quarantineEvent()     {}
+func (PeersChanged) quarantineEvent() {}
+func (Received) quarantineEvent()     {}
+func (Replied) quarantineEvent()      {}
+func (Failed) quarantineEvent()       {}
+func (Tick) quarantineEvent()         {}
 
 // Effect is an output of the state machine.
 type Effect interface{ quarantineEffect() }
 
-// Publish distributes an incident to all proxies; it expires after TTL.
-type Publish struct {
-	Incident Incident
-	TTL      time.Duration
-}
-
-// Recorded reports the suspects of a crash that were recorded, for the log.
-type Recorded struct {
-	Incident Incident
-	// Local reports that the crash is one of this proxy's backend server.
-	Local bool
-	// MostCrashes is the highest number of crashes of one of the suspects, and
-	// QuarantinedUntil the latest end of their quarantines.
-	MostCrashes      int
-	QuarantinedUntil time.Time
-}
+// Effects.
+type (
+	// Send sends a message to the proxy at the address; Replied or Failed reports
+	// the result.
+	Send struct {
+		Address string
+		Message Message
+		// Attempt is the number of peers tried with this message, from 1.
+		Attempt int
+	}
+	// Reply answers the Received with the same Call.
+	Reply struct {
+		Call    uint64
+		Message Message
+	}
+	// Recorded reports suspects whose number of crashes rose, for the log.
+	Recorded struct {
+		// Local reports that a crash was seen by this proxy. Otherwise another
+		// one told of it.
+		Local        bool
+		Fingerprints []uint64
+		// MostCrashes is the highest number of crashes of one of them, and
+		// QuarantinedUntil the latest end of their quarantines, zero if none is
+		// refused.
+		MostCrashes      uint32
+		QuarantinedUntil time.Time
+	}
+	// Cleared reports a suspect that is no longer refused because a run was
+	// answered, for the log.
+	Cleared struct {
+		Fingerprint uint64
+		Crashes     uint32
+	}
+)
 
-func (Publish) quarantineEffect()  {}
+func (Send) quarantineEffect()     {}
+func (Reply) quarantineEffect()    {}
 func (Recorded) quarantineEffect() {}
-
-// suspect is the state kept for one fingerprint.
-type suspect struct {
-	// incidents holds the IDs of the crashes during which a request with the
-	// fingerprint was in flight.
-	incidents        []string
-	lastIncident     time.Time
-	quarantinedUntil time.Time
-}
+func (Cleared) quarantineEffect()  {}
 
 // Quarantine is the state machine. The zero value is not usable.
 type Quarantine struct {
-	cfg            Config
-	suspects       map[uint64]*suspect
-	answered       answeredSet
-	publishedCount uint64
-	learntCount    uint64
-	refusedCount   uint64
-	lastSweep      time.Time
-	effects        []Effect
+	cfg       Config
+	rng       *rand.Rand
+	suspects  map[uint64]*suspect
+	answered  answeredSet
+	exchange  exchange
+	counters  Counters
+	lastSweep time.Time
+	effects   []Effect
 }
 
 // New returns a state machine without suspects.
 func New(cfg Config) *Quarantine {
 	cfg.MaxSuspects = cmp.Or(cfg.MaxSuspects, defaultMaxSuspects)
-	return &Quarantine{cfg: cfg, suspects: make(map[uint64]*suspect)}
+	return &Quarantine{
+		cfg:      cfg,
+		rng:      rand.New(rand.NewPCG(cfg.Seed, 0)),
+		suspects: make(map[uint64]*suspect),
+		exchange: newExchange(),
+	}
 }
 
 // Step applies an event at the given time and returns its effects.
@@ -134,26 +164,42 @@
 	q.effects = nil
 	switch e := e.(type) {
 	case Crashed:
-		q.recordCrash(now, e.Fingerprints)
-	case FingerprintAnswered:
-		q.answered.add(now, e.Fingerprint)
-		delete(q.suspects, e.Fingerprint)
-	case Learnt:
-		q.recordIncident(now, e.Incident, false)
+		q.recordCrash(now, e.Runs)
+	case Answered:
+		q.recordAnswer(now, e.Run)
+	case PeersChanged:
+		q.setPeers(now, e.Addresses)
+	case Received:
+		q.handleMessage(now, e)
+	case Replied:
+		q.handleReply(now, e)
+	case Failed:
+		q.handleFailure(now, e.Send)
 	case Tick:
 		q.expireSuspects(now)
+		q.compareWithPeers(now)
 	}
+	q.pushPending(now)
 	return q.effects
 }
 
+// Known returns the number of crashes known of a fingerprint. It is to be passed
+// back with the Run of a request that is admitted now.
+func (q *Quarantine) Known(fingerprint uint64) uint32 {
+	if s, ok := q.suspects[fingerprint]; ok {
+		return s.crashes
+	}
+	return 0
+}
+
 // Check reports whether the fingerprint is in quarantine, and if so returns the
 // refusal for the request.
 func (q *Quarantine) Check(now time.Time, fingerprint uint64) (outcome.Refusal, bool) {
 	s, ok := q.suspects[fingerprint]
-	if !ok || !now.Before(s.quarantinedUntil) {
+	if !ok || !q.refused(now, fingerprint, s) {
 		return outcome.Refusal{}, false
 	}
-	q.refusedCount++
+	q.counters.Refused++
 	return outcome.Refusal{
 		Outcome:    outcome.NotRun,
 		Reason:     outcome.Quarantined,
@@ -162,117 +208,64 @@
 	}, true
 }
 
-// recordCrash records a local crash and publishes its suspects.
-func (q *Quarantine) recordCrash(now time.Time, fingerprints []uint64) {
-	list := q.selectSuspects(now, fingerprints)
-	if len(list) == 0 {
-		return
-	}
-	q.publishedCount++
-	incident := Incident{ID: q.cfg.RunID + "/" + strconv.FormatUint(q.publishedCount, 36), Fingerprints: list}
-	q.effects = append(q.effects, Publish{Incident: incident, TTL: incidentTTL})
-	q.recordIncident(now, incident, true)
+func (q *Quarantine) refused(now time.Time, fingerprint uint64, s *suspect) bool {
+	unanswered := s.unanswered()
+	return unanswered >= refuseAfter && now.Before(s.quarantinedUntil) &&
+		(unanswered >= refuseAnsweredAfter || !q.answered.has(now, fingerprint))
 }
 
-// selectSuspects returns the fingerprints that were not answered recently, or
-// all of them if every one was, up to maxSuspectsPerCrash. It skips 0, which marks
-// a request without a fingerprint.
-func (q *Quarantine) selectSuspects(now time.Time, fingerprints []uint64) []uint64 {
-	candidates := make([]uint64, 0, len(fingerprints))
-	unanswered := make([]uint64, 0, len(fingerprints))
-	for _, f := range fingerprints {
-		if f == 0 {
+// recordCrash counts a crash seen by this proxy for each run that it ended, except
+// for those without a fingerprint. A crash that was known when a run began does not
+// count twice, nor do simultaneous crashes, such as a loss of power.
+func (q *Quarantine) recordCrash(now time.Time, runs []Run) {
+	var risen []uint64
+	for _, r := range runs[:min(len(runs), maxSuspectsPerCrash)] {
+		if r.Fingerprint == 0 {
 			continue
 		}
-		candidates = append(candidates, f)
-		if !q.answered.has(now, f) {
-			unanswered = append(unanswered, f)
+		e := Evidence{Fingerprint: r.Fingerprint, Crashes: min(r.Known, maxCrashes-1) + 1}
+		if q.merge(now, e) {
+			risen = append(risen, r.Fingerprint)
 		}
 	}
-	if len(unanswered) > 0 {
-		candidates = unanswered
+	if len(risen) > 0 {
+		q.counters.LocalCrashes++
 	}
-	return candidates[:min(len(candidates), maxSuspectsPerCrash)]
+	q.reportRisen(now, risen, true)
 }
 
-// recordIncident puts the fingerprints of an incident in quarantine. It skips
-// suspects for which the incident is already stored.
-func (q *Quarantine) recordIncident(now time.Time, incident Incident, local bool) {
-	fingerprints := incident.Fingerprints
-	recorded := Recorded{Incident: incident, Local: local}
-	for _, f := range fingerprints[:min(len(fingerprints), maxSuspectsPerCrash)] {
-		s, ok := q.suspects[f]
-		if ok && slices.Contains(s.incidents, incident.ID) {
-			continue
-		}
-		if !ok || now.Sub(s.lastIncident) > incidentTTL {
-			s = &suspect{}
-			q.suspects[f] = s
-			q.evictExcept(f)
-		}
-		s.incidents = append(s.incidents, incident.ID)
-		s.incidents = s.incidents[max(0, len(s.incidents)-maxIncidentsPerSuspect):]
-		s.lastIncident = now
-		s.quarantinedUntil = now.Add(quarantineDuration(len(s.incidents), len(fingerprints)))
-		recorded.MostCrashes = max(recorded.MostCrashes, len(s.incidents))
-		if s.quarantinedUntil.After(recorded.QuarantinedUntil) {
-			recorded.QuarantinedUntil = s.quarantinedUntil
-		}
-	}
-	if recorded.MostCrashes == 0 {
+// recordAnswer notes that a run was answered: the crashes that were known when it
+// began do not count any more.
+func (q *Quarantine) recordAnswer(now time.Time, r Run) {
+	if r.Fingerprint == 0 {
 		return
 	}
-	if !local {
-		q.learntCount++
-	}
-	q.effects = append(q.effects, recorded)
-}
-
-// quarantineDuration returns the quarantine duration for a fingerprint that was
-// involved in the given number of crashes, the latest of which had the given
-// number of suspects.
-func quarantineDuration(crashes, suspects int) time.Duration {
-	switch {
-	case crashes > 2:
-		return maxDuration
-	case crashes == 2:
-		return secondCrashDuration
-	case suspects == 1:
-		return soleSuspectDuration
-	default:
-		return sharedCrashDuration
-	}
-}
-
-// evictExcept drops one suspect if there are more than the limit: the one, other
-// than keep, whose quarantine ends first.
-func (q *Quarantine) evictExcept(keep uint64) {
-	if len(q.suspects) <= q.cfg.MaxSuspects {
+	q.answered.add(now, r.Fingerprint)
+	if r.Known == 0 {
 		return
 	}
-	var victim uint64
-	for f, s := range q.suspects {
-		if f == keep {
-			continue
-		}
-		current, ok := q.suspects[victim]
-		if !ok || s.quarantinedUntil.Before(current.quarantinedUntil) || (s.quarantinedUntil.Equal(current.quarantinedUntil) && f < victim) {
-			victim = f
-		}
+	if s, ok := q.suspects[r.Fingerprint]; ok {
+		q.merge(now, Evidence{Fingerprint: r.Fingerprint, Crashes: s.crashes, Answered: min(r.Known, s.crashes)})
 	}
-	delete(q.suspects, victim)
 }
 
-// expireSuspects drops suspects whose latest incident is older than incidentTTL.
-// It does so at most once a second.
-func (q *Quarantine) expireSuspects(now time.Time) {
-	if now.Sub(q.lastSweep) < time.Second {
+// reportRisen emits Recorded for suspects whose number of crashes rose, and marks
+// them for the other proxies.
+func (q *Quarantine) reportRisen(now time.Time, risen []uint64, local bool) {
+	if len(risen) == 0 {
 		return
 	}
-	q.lastSweep = now
-	for f, s := range q.suspects {
-		if now.Sub(s.lastIncident) > incidentTTL {
-			delete(q.suspects, f)
+	recorded := Recorded{Local: local, Fingerprints: risen}
+	for _, f := range risen {
+		q.exchange.add(f)
+		s, ok := q.suspects[f]
+		if !ok {
+			continue // evicted by a later one of the same step
+		}
+		recorded.MostCrashes = max(recorded.MostCrashes, s.crashes)
+		if q.refused(now, f, s) && s.quarantinedUntil.After(recorded.QuarantinedUntil) {
+			recorded.QuarantinedUntil = s.quarantinedUntil
 		}
 	}
+	q.effects = append(q.effects, recorded)
 }
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -45,7 +45,10 @@
 	// sentAt.
 	current *instance
 	sentAt  time.Time
-	tried   []*instance
+	// fingerprint and knownCrashes are those of the request's Arrived.
+	fingerprint  uint64
+	knownCrashes uint32
+	tried        []*instance
 	// triedBuf is the initial storage of tried.
 	triedBuf [3]*instance
 }
@@ -162,6 +165,7 @@
 		MaxWaitShare: maxWaitShare,
 		Attempt:      c.sends,
 		Retry:        c.retry,
+		KnownCrashes: c.knownCrashes,
 		Choice:       why,
 	})
 }
--- a/internal/routing/events.go
+++ b/internal/routing/events.go
@@ -50,6 +50,9 @@
 		Budget time.Duration
 		// Fingerprint is the same for equal requests.
 		Fingerprint uint64
+		// KnownCrashes is the number of crashes of backend servers that are
+		// known of the fingerprint.
+		KnownCrashes uint32
 		// Retry reports that the request was sent as a retry further up the call
 		// chain.
 		Retry bool
@@ -132,6 +135,8 @@
 		// Retry tells services further down the call chain not to retry the
 		// request again.
 		Retry bool
+		// KnownCrashes is that of the request's Arrived.
+		KnownCrashes uint32
 		// Choice records what was known about the instance when it was
 		// selected.
 		Choice Choice
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -133,6 +133,16 @@
 	return len(r.calls)
 }
 
+// Fingerprint returns the Fingerprint and KnownCrashes of a request in progress, or
+// false if there is no such request.
+func (r *Router) Fingerprint(id uint64) (fingerprint uint64, knownCrashes uint32, ok bool) {
+	c, ok := r.calls[id]
+	if !ok {
+		return 0, 0, false
+	}
+	return c.fingerprint, c.knownCrashes, true
+}
+
 func (r *Router) emit(e Effect) {
 	r.effects = append(r.effects, e)
 }
@@ -185,7 +195,7 @@
 	if e.Budget > 0 {
 		budget = min(budget, e.Budget)
 	}
-	c := &call{id: e.ID, org: org, match: match, group: r.split.nextGroup(match), version: r.table.Version, arrived: now, deadline: now.Add(budget), retry: e.Retry}
+	c := &call{id: e.ID, org: org, match: match, group: r.split.nextGroup(match), version: r.table.Version, arrived: now, deadline: now.Add(budget), retry: e.Retry, fingerprint: e.Fingerprint, knownCrashes: e.KnownCrashes}
 	c.priorElapsed = r.estimatePriorElapsed(match, e.Budget)
 	r.calls[e.ID] = c
 	org.InFlight++
