Divide retry budgets by the proxies of the last half minute

Cause: each proxy takes an equal part of the fleet's retry budget, by the length of the list of instances. Entries lapse when backend servers end, while the proxies beside them go on serving callers; the parts then add up to more than the budget (BUDGET). Change: a list that got shorter counts for the division after 30 s. Ruled out: other users of the list's length; there are none. Requests below repeated runs stay covered by the unspent half, as before.

--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -105,6 +105,7 @@
 		current[record.ID] = i
 	}
 	r.instances = current
+	r.fleet.update(now, len(list))
 	for _, p := range r.pools {
 		slices.SortFunc(p.instances, func(a, b *instance) int { return compareID(a.ID, b.ID) })
 		p.enforceEjectionLimit(now)
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -64,8 +64,10 @@
 	table     *Table
 	pools     map[string]*pool
 	instances map[string]*instance
-	orgs      map[string]*organisationState
-	calls     map[uint64]*call
+	// fleet is the number of proxies among which retry budgets are divided.
+	fleet fleetSize
+	orgs  map[string]*organisationState
+	calls map[uint64]*call
 	// retryBudget is the retry budget of this proxy, for all organisations.
 	retryBudget retryBucket
 	// serviceBudgets holds the retry budgets by service.
--- a/internal/routing/servicebudget.go
+++ b/internal/routing/servicebudget.go
@@ -84,3 +84,32 @@
 		b.requests[b.index()]++
 	}
 }
+
+// fleetSizeRetention is how long a longer list of instances determines the number
+// of proxies. Entries lapse while the proxies beside them still serve callers.
+const fleetSizeRetention = 30 * time.Second
+
+// fleetSize estimates the number of proxies from the list of instances.
+type fleetSize struct {
+	size, listed int
+	// shrunkAt is when the list became shorter than size, zero if it is not.
+	shrunkAt time.Time
+}
+
+func (f *fleetSize) update(now time.Time, listed int) {
+	f.current(now)
+	f.listed = listed
+	switch {
+	case listed >= f.size:
+		f.size, f.shrunkAt = listed, time.Time{}
+	case f.shrunkAt.IsZero():
+		f.shrunkAt = now
+	}
+}
+
+func (f *fleetSize) current(now time.Time) int {
+	if !f.shrunkAt.IsZero() && now.Sub(f.shrunkAt) >= fleetSizeRetention {
+		f.size, f.shrunkAt = f.listed, time.Time{}
+	}
+	return f.size
+}
