Count expired runs as crashed if the backend server was replaced

No suspect was recorded, so that the request ran on and on. Change: runs that expired are kept with the lost ones. They count as crashed if the list names another backend server within 5 s, or connections are refused within 2 s, and no later run was answered. At most 256 are kept. Evidence: TestReplacementConfirmsACrashThatWasSilent fails before. Ruled out: suspects by slowness alone: an answer to a later run clears them.

--- a/internal/admission/crash.go
+++ b/internal/admission/crash.go
@@ -14,6 +14,8 @@
 	// replacementWindow applies instead if the proof is that the platform lists
 	// another backend server, or a restart of the same one.
 	replacementWindow = 5 * time.Second
+	// maxLostRuns bounds the lost runs that are kept.
+	maxLostRuns = 256
 )
 
 // CrashedRun is a run that ended because the backend server crashed.
@@ -23,8 +25,8 @@
 	KnownCrashes uint32
 }
 
-// lostRun is a run whose connection to the backend server was lost, or that its
-// sender gave up.
+// lostRun is a run that ended without an answer: its connection to the backend server
+// was lost, its sender gave up or its deadline expired.
 type lostRun struct {
 	CrashedRun
 	at time.Time
@@ -39,7 +41,7 @@
 	reported map[uint64]bool
 }
 
-// recordLoss records a request whose connection was lost, unless the request has
+// recordLoss records a request that ended without an answer, unless the request has
 // no fingerprint or belongs to a crash that is already reported.
 func (c *crashDetector) recordLoss(now time.Time, r *request) {
 	if c.reported[r.ID] {
@@ -47,7 +49,7 @@
 		return
 	}
 	c.lost = slices.DeleteFunc(c.lost, func(l lostRun) bool { return now.Sub(l.at) > replacementWindow })
-	if r.Fingerprint != 0 {
+	if r.Fingerprint != 0 && len(c.lost) < maxLostRuns {
 		c.lost = append(c.lost, lostRun{CrashedRun: r.crashedRun(), at: now})
 	}
 }
--- a/internal/admission/fence_test.go
+++ b/internal/admission/fence_test.go
@@ -111,6 +111,21 @@
 	is.Equal(crashedFingerprints(h.stepAfter(replacementWindow+1, Assigned{Slots: 8, Restarted: true})), nil)
 }
 
+// A backend server that goes silent when it ends gives no sign before its runs expire.
+func TestReplacementConfirmsACrashThatWasSilent(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(Config{Slots: 8, QueueLength: 10})
+	expired, _ := h.arrive("1", 11)
+	h.end(expired, outcome.Unknown, outcome.DeadlineExpired)
+	is.Equal(crashedFingerprints(h.stepAfter(3*time.Second, Assigned{Slots: 8, Restarted: true})), []uint64{11})
+
+	expired, _ = h.arrive("2", 22)
+	h.end(expired, outcome.Unknown, outcome.DeadlineExpired)
+	h.now = h.now.Add(time.Millisecond)
+	is.True(h.serve("3")) // it was only slow
+	is.Equal(crashedFingerprints(h.stepAfter(time.Second, Assigned{Slots: 8, Restarted: true})), nil)
+}
+
 // The caller of a crashing request may leave just as it ends the backend server.
 func TestAbandonedRunIsSuspectedOfACrash(t *testing.T) {
 	is := is.New(t)
--- a/internal/admission/outcome.go
+++ b/internal/admission/outcome.go
@@ -49,6 +49,7 @@
 		a.monitor.recordFailure(now)
 	case e.Reason == outcome.DeadlineExpired:
 		a.serviceTime.recordTimeout(duration)
+		a.crashes.recordLoss(now, r)
 	case e.Reason == outcome.ConnectFailed:
 		a.monitor.recordFailure(now)
 		a.backendServerDown(now)
