Relay versions whose content is that of the version before

What callers saw: nothing yet; found by a simulated fleet that follows a store in virtual time: proxies that follow a reader stayed at version 8 for good while the reader enforced 9. Cause: a reader caches encoded deltas by the root hash of the content, which does not cover the version number. After a version with unchanged content it sent the delta to the version before; its followers dropped it and asked again at once. Ruled out: the followers' own check, which takes a delta without changes. Change: the cache is bound to version and root. Evidence: TestVersionWithUnchangedContentReachesFollowers fails before (8, want 9).

--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"heatherlift.example/heatherlift/internal/config"
+	"heatherlift.example/heatherlift/internal/dist"
 	"heatherlift.example/heatherlift/internal/source"
 )
 
@@ -29,10 +30,10 @@
 // relayState holds the pending long-poll requests.
 type relayState struct {
 	pending []pendingRelay
-	// deltas caches the encoded deltas to the version with the root deltaRoot,
-	// keyed by the root of the base version. Most proxies hold the same base
-	// version and so request the same delta.
-	deltaRoot config.Hash
+	// deltas caches the encoded deltas to the version deltaHead, keyed by the root of
+	// the base version. Most proxies hold the same base version and so request the
+	// same delta.
+	deltaHead dist.Head
 	deltas    map[config.Hash]json.RawMessage
 }
 
@@ -83,8 +84,8 @@
 	if held.Version <= r.Version {
 		return nil
 	}
-	if n.relay.deltaRoot != held.Root {
-		n.relay.deltaRoot = held.Root
+	if n.relay.deltaHead != held {
+		n.relay.deltaHead = held
 		n.relay.deltas = make(map[config.Hash]json.RawMessage)
 	}
 	if text, ok := n.relay.deltas[r.Root]; ok {
--- a/internal/node/store_test.go
+++ b/internal/node/store_test.go
@@ -179,3 +179,23 @@
 	is.True(!joining.Ready())
 	is.True(out.Store[0].List)
 }
+
+// A version with the same content as the one before must reach the proxies that follow
+// a reader; they would ask again at once without end otherwise.
+func TestVersionWithUnchangedContentReachesFollowers(t *testing.T) {
+	is := is.New(t)
+	reader, other := newStoreNode("desk-1"), newStoreNode("desk-2")
+	for _, n := range []*Node{reader, other} {
+		n.Step(storeStart, Tick{})
+		n.Step(storeStart, storeListing(t, 7))
+	}
+	for version := uint64(8); version < 11; version++ {
+		c := storeConfiguration(t, version)
+		is.Equal(c.Snapshot.Root, other.Head().Root)
+		reader.Step(storeStart, StoreChanged{Changes: source.Changes{Revision: version, Configuration: c}})
+		request := other.RelayRequest(source.Call{After: 5, Wait: time.Second})
+		reply := reader.Step(storeStart, RelayReceived{Call: version, Request: request}).Relay[0].Reply
+		other.Step(storeStart, StoreRelayed{Reader: "i-1", Reply: reply})
+		is.Equal(other.Head().Version, version)
+	}
+}
