Follow a store that is restored from an older copy

A store that is restored gives revisions out again. Cause: the follower compared bare revisions: it waited at one that the store did not reach for a while, dropped entries that were written again, took an old copy's word that an instance is live, and readers and followers on both sides of a restoration each held the other for stale. Ruled out: rolling versions back; they are ordered by their own number. A proxy that started during the restoration did enforce the copy's version. Change: positions are era and revision; the era is read from each answer in platform/. What a copy lacks is kept for 2 s, leaving is kept by process, removals are remembered for a minute, followers learn from readers, a starting proxy asks two others for their version, answers of an older era are dropped and counted. Status, page, metrics and log show the era. Both the soak and a simulated fleet restore the store. Evidence: tests of internal/source (restored_test.go, with random interleavings and a fuzz target), platform/era_test.go, node.TestRestoredStoreIsFollowedAtAnyFleetSize and node.TestRestorationsBesideCutsAndStarts; they use fields that the code before lacks, so that they were not run on it.

--- a/bench/soak/cluster.go
+++ b/bench/soak/cluster.go
@@ -43,6 +43,7 @@
 	observed     *observations
 	machines     []*machine
 	lastVersion  uint64
+	lastRoutes   []standin.Route
 	publishMu    sync.Mutex
 	// storeFaultMu serialises store faults, as the store has one at a time.
 	storeFaultMu sync.Mutex
@@ -135,6 +136,8 @@
 		c.injectStoreFault(s)
 	case kindCompact:
 		c.store.Compact()
+	case kindRestore:
+		c.restoreStore(s)
 	case kindLostAnswers, kindSlowBackend:
 		m.injectBackendFault(s)
 	case kindRelease:
@@ -255,6 +258,7 @@
 	for n := uint64(1); n <= c.lastVersion; n++ {
 		routes = append(routes, route(addedPath(n), services[0], true, 2))
 	}
+	c.lastRoutes = routes
 	v.sent = time.Now()
 	c.store.Publish(v.number, routes, services)
 	v.acked = time.Now()
--- a/bench/soak/machine.go
+++ b/bench/soak/machine.go
@@ -69,6 +69,9 @@
 	backend       atomic.Pointer[standin.Backend]
 	server        *http.Server
 	backendStarts int
+	// written is the entry in the store, and born the start of its backend server.
+	written writtenEntry
+	born    time.Time
 }
 
 func (c *cluster) newMachine(index int, service string) (*machine, error) {
@@ -206,7 +209,7 @@
 	m.backend.Store(b)
 	m.server = server
 	go func() { _ = server.Serve(l) }()
-	m.store.PutInstance(id, m.storeEntry(false))
+	m.putEntry(id, false)
 	return nil
 }
 
@@ -224,7 +227,7 @@
 	m.backendMu.Lock()
 	defer m.backendMu.Unlock()
 	id := m.backend.Load().ID
-	m.store.PutInstance(id, m.storeEntry(true))
+	m.putEntry(id, true)
 	m.observed.recordDeparture(id)
 	time.Sleep(drainDuration)
 	defer m.observed.recordDisturbance(m.index, kindRelease)()
@@ -257,7 +260,7 @@
 
 func (m *machine) replaceBackend(id string) {
 	_ = m.server.Close()
-	m.store.RemoveInstance(id)
+	m.removeEntry(id)
 	m.observed.recordDeparture(id)
 	if err := m.startBackend(); err != nil {
 		m.observed.recordFailure(err.Error())
--- a/bench/soak/main.go
+++ b/bench/soak/main.go
@@ -14,6 +14,8 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -55,6 +57,15 @@
 	flag.StringVar(&o.bin, "bin", "bin", "directory containing the built binaries")
 	flag.IntVar(&o.machines, "machines", defaultMachines, "number of proxies; from 24 on, they follow the store through proxies in the role reader")
 	flag.IntVar(&o.crashing, "crashing", 0, "number of requests that end each backend server that runs them and are sent throughout the run")
+	flag.Func("kinds", "comma-separated kinds of faults to draw from (default all)", func(text string) error {
+		for name := range strings.SplitSeq(text, ",") {
+			if !slices.ContainsFunc(allWeights, func(w kindWeight) bool { return w.kind == kind(name) }) {
+				return errors.Newf("unknown kind %q", name)
+			}
+			o.kinds = append(o.kinds, kind(name))
+		}
+		return nil
+	})
 	flag.BoolVar(&o.calm, "calm", false, "inject no faults")
 	flag.BoolVar(&o.keep, "keep", false, "keep the logs of every run")
 	flag.Parse()
@@ -100,6 +111,8 @@
 	seed     uint64
 	machines int
 	length   time.Duration
+	// kinds are the kinds of faults to draw from, empty for all.
+	kinds []kind
 	// calm leaves out the faults of the plan.
 	calm bool
 	// crashing is the number of requests that end each backend server that runs
@@ -123,7 +136,7 @@
 		l.Stop()
 		return report{}, errors.Wrapf(err, "seed %d", o.seed)
 	}
-	plan := newPlan(o.seed, o.length, o.machines)
+	plan := newPlan(o.seed, o.length, o.machines, o.kinds...)
 	if o.calm {
 		plan = nil
 	}
--- a/bench/soak/plan.go
+++ b/bench/soak/plan.go
@@ -27,11 +27,14 @@
 	kindStoreSilent  kind = "store-silent"  // the store does not answer while the fault lasts
 	kindStoreSlow    kind = "store-slow"    // the store delays its answers
 	kindStoreLoses   kind = "store-loses"   // the store closes connections instead of answering
-	kindCompact      kind = "compact"       // the store discards its change history
-	kindLostAnswers  kind = "lost-answers"  // a backend server closes some connections instead of answering
-	kindSlowBackend  kind = "slow-backend"  // a backend server takes longer for each request
-	kindRelease      kind = "release"       // a backend server drains and another takes its address
-	kindCrash        kind = "crash"         // a backend server closes without draining and is replaced
+	// kindRestore makes the store unavailable for a moment and restores it from a copy
+	// that is as old as the duration of the step; what was lost is written again.
+	kindRestore     kind = "restore"
+	kindCompact     kind = "compact"      // the store discards its change history
+	kindLostAnswers kind = "lost-answers" // a backend server closes some connections instead of answering
+	kindSlowBackend kind = "slow-backend" // a backend server takes longer for each request
+	kindRelease     kind = "release"      // a backend server drains and another takes its address
+	kindCrash       kind = "crash"        // a backend server closes without draining and is replaced
 	// kindCrashingRequest starts the sends of a request that ends each backend server
 	// that runs it. They go on until the run ends.
 	kindCrashingRequest kind = "crashing-request"
@@ -39,11 +42,14 @@
 	kindStorm           kind = "storm"  // several versions are published in quick succession
 )
 
-// weights gives the relative frequency of each kind.
-var weights = []struct {
+// kindWeight is the relative frequency of a kind.
+type kindWeight struct {
 	kind   kind
 	weight int
-}{
+}
+
+// allWeights holds all kinds.
+var allWeights = []kindWeight{
 	{kindStop, 8},
 	{kindKill, 4},
 	{kindKillAll, 1},
@@ -61,6 +67,7 @@
 	{kindStoreSlow, 2},
 	{kindStoreLoses, 2},
 	{kindCompact, 3},
+	{kindRestore, 3},
 	{kindLostAnswers, 3},
 	{kindSlowBackend, 2},
 	{kindRelease, 5},
@@ -96,18 +103,22 @@
 	seriesGap    = 700 * time.Millisecond
 )
 
-// newPlan generates the steps of a run in the order of their start. The plan
-// depends only on the arguments.
-func newPlan(seed uint64, length time.Duration, machines int) []step {
+// newPlan generates the steps of a run in the order of their start, of the given kinds
+// or, without any, of all. The plan depends only on the arguments.
+func newPlan(seed uint64, length time.Duration, machines int, kinds ...kind) []step {
 	rng := rand.New(rand.NewPCG(seed, 11))
 	total := 0
-	for _, w := range weights {
-		total += w.weight
+	var weights []kindWeight
+	for _, w := range allWeights {
+		if len(kinds) == 0 || slices.Contains(kinds, w.kind) {
+			weights = append(weights, w)
+			total += w.weight
+		}
 	}
 	var plan []step
 	gap := meanGapMin + time.Duration(rng.Int64N(int64(meanGapMax-meanGapMin)))
 	for at := meanGapMin; at < length; at += time.Duration(rng.ExpFloat64() * float64(gap)) {
-		s := step{At: at, Kind: kindAt(rng.IntN(total)), Machine: rng.IntN(machines), Duration: faultDurationMin + time.Duration(rng.Int64N(int64(faultDurationMax-faultDurationMin)))}
+		s := step{At: at, Kind: kindAt(weights, rng.IntN(total)), Machine: rng.IntN(machines), Duration: faultDurationMin + time.Duration(rng.Int64N(int64(faultDurationMax-faultDurationMin)))}
 		n := 1
 		if rng.Float64() < seriesShare {
 			n = seriesLength
@@ -124,7 +135,7 @@
 }
 
 // kindAt returns the kind at an offset in the cumulative weights.
-func kindAt(offset int) kind {
+func kindAt(weights []kindWeight, offset int) kind {
 	for _, w := range weights {
 		if offset -= w.weight; offset < 0 {
 			return w.kind
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -60,7 +60,7 @@
 			is.True(s.Machine < defaultMachines)
 		}
 	}
-	is.Equal(len(kinds), len(weights)) // every kind occurs
+	is.Equal(len(kinds), len(allWeights)) // every kind occurs
 }
 
 var testStart = time.Date(2026, 1, 1, 4, 0, 0, 0, time.UTC)
--- a/internal/cli/admin.go
+++ b/internal/cli/admin.go
@@ -136,6 +136,9 @@
 
 func (c *statusCommand) print(s node.Status) {
 	c.printFleet(s.Summary)
+	if s.Store != nil {
+		fmt.Fprintf(c.stdout, "store: %v, restored %d times\n", s.Store.Position, s.Store.Restorations)
+	}
 	if s.Refused != 0 {
 		fmt.Fprintf(c.stdout, "refused version %d:\n%v\n", s.Refused, s.Problems)
 	}
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -152,5 +152,5 @@
 // c to the store.
 func (n *Node) RelayRequest(c source.Call) source.RelayRequest {
 	held := n.dist.HeldHead()
-	return source.RelayRequest{After: c.After, List: n.follower.ListHash(), Version: held.Version, Root: held.Root, WaitMs: c.Wait.Milliseconds(), Force: c.Force, AllowStale: c.AllowStale}
+	return source.RelayRequest{Era: c.Era, After: c.After, List: n.follower.ListHash(), Version: held.Version, Root: held.Root, WaitMs: c.Wait.Milliseconds(), Force: c.Force, AllowStale: c.AllowStale}
 }
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -9,6 +9,7 @@
 	"heatherlift.example/heatherlift/internal/member"
 	"heatherlift.example/heatherlift/internal/quarantine"
 	"heatherlift.example/heatherlift/internal/routing"
+	"heatherlift.example/heatherlift/internal/source"
 )
 
 // Status is the state of this proxy and of the fleet as known to it.
@@ -24,6 +25,9 @@
 	ReadyCause string `json:"ready_cause,omitempty"`
 	// SourceError is the error of the last read of the configuration source.
 	SourceError string `json:"source_error,omitempty"`
+	// Store describes what this proxy has read of the store, nil if it does not
+	// follow one.
+	Store *source.EraStats `json:"store,omitempty"`
 	// Violations counts messages that violated the version protocol.
 	Violations uint64 `json:"violations,omitempty"`
 	Leaving    bool   `json:"leaving"`
@@ -56,6 +60,7 @@
 	s.ReadyCause = n.dist.ReadyCause()
 	s.SourceError = n.dist.SourceError()
 	s.Violations = n.dist.Violations()
+	s.Store = n.storeStats()
 	s.Refused, s.Problems = n.dist.RefusedVersion()
 	if current := n.dist.EnforcedSnapshot(); current != nil {
 		s.Rejected = current.Rejected
--- /dev/null
+++ b/internal/node/storefleet_test.go
@@ -0,0 +1,351 @@
+package node
+
+import (
+	"container/heap"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"heatherlift.example/heatherlift/internal/admission"
+	"heatherlift.example/heatherlift/internal/dist"
+	"heatherlift.example/heatherlift/internal/member"
+	"heatherlift.example/heatherlift/internal/routing"
+	"heatherlift.example/heatherlift/internal/source"
+)
+
+// storeContent is the content of the simulated store.
+type storeContent struct {
+	revision uint64
+	entries  map[string]source.Entry
+	version  uint64
+	// versionAt is the revision at which the version was written.
+	versionAt uint64
+}
+
+func (c storeContent) clone() storeContent {
+	c.entries = maps.Clone(c.entries)
+	return c
+}
+
+// storeFleet simulates proxies that follow one store, itself or through readers, in
+// virtual time. The store can be restored from an older copy.
+type storeFleet struct {
+	now     time.Time
+	timers  timerQueue
+	seq     int
+	rng     *rand.Rand
+	nodes   []*Node
+	content storeContent
+	history []source.Entry
+	era     uint64
+	down    bool
+	// cutOff holds the proxies that do not reach the store.
+	cutOff  map[int]bool
+	replies map[uint64]func(source.RelayReply)
+	nextID  uint64
+	// calls holds the times of the calls that the store answered.
+	calls []time.Time
+	// highest holds the highest version in force at each proxy.
+	highest   []uint64
+	violation string
+}
+
+const (
+	fleetZones  = 7
+	fleetDelay  = 2 * time.Millisecond
+	relayLimit  = 1500 * time.Millisecond
+	storeBudget = 6000 // calls a second
+)
+
+func newStoreFleet(seed uint64, n int) *storeFleet {
+	f := &storeFleet{
+		now: epoch, rng: rand.New(rand.NewPCG(seed, 2)), era: 1, cutOff: make(map[int]bool),
+		content: storeContent{entries: make(map[string]source.Entry)}, replies: make(map[uint64]func(source.RelayReply)),
+	}
+	for i := range n {
+		f.put(i, source.InstanceLive)
+	}
+	f.publish(5)
+	f.nodes, f.highest = make([]*Node, n), make([]uint64, n)
+	for i := range n {
+		f.start(i)
+	}
+	f.run(5 * time.Second)
+	return f
+}
+
+func (f *storeFleet) id(i int) string { return fmt.Sprintf("i-%d", i) }
+
+func (f *storeFleet) put(i int, state source.InstanceState) {
+	f.content.revision++
+	e := source.Entry{ID: f.id(i), Revision: f.content.revision, Instance: &source.Instance{
+		ID: f.id(i), Service: "desk", AvailabilityZone: fmt.Sprintf("z%d", i%fleetZones), State: state, Address: f.id(i),
+		PeerAddress: fmt.Sprint(i), BackendAddress: f.id(i), Slots: 8, Incarnation: 9,
+	}}
+	f.content.entries[e.ID] = e
+	f.history = append(f.history, e)
+}
+
+func (f *storeFleet) publish(version uint64) {
+	f.content.revision++
+	f.content.version, f.content.versionAt = version, f.content.revision
+}
+
+// restore begins a new era with an older copy.
+func (f *storeFleet) restore(c storeContent) {
+	f.era++
+	f.content = c.clone()
+	f.history = slices.DeleteFunc(f.history, func(e source.Entry) bool { return e.Revision > c.revision })
+}
+
+func (f *storeFleet) after(d time.Duration, callback func()) {
+	f.seq++
+	heap.Push(&f.timers, timer{at: f.now.Add(d), seq: f.seq, callback: callback})
+}
+
+func (f *storeFleet) run(d time.Duration) {
+	end := f.now.Add(d)
+	for len(f.timers) > 0 && !f.timers[0].at.After(end) {
+		next := heap.Pop(&f.timers).(timer)
+		f.now = next.at
+		next.callback()
+	}
+	f.now = end
+}
+
+func (f *storeFleet) start(i int) {
+	n := New(Config{
+		Member:         member.Config{Self: member.Record{ID: f.id(i), Service: "desk"}, Interval: time.Second},
+		Dist:           dist.Config{ID: f.id(i), AvailabilityZone: fmt.Sprintf("z%d", i%fleetZones), Followed: true, Seed: f.rng.Uint64()},
+		Routing:        routing.Config{AvailabilityZone: "z", MaxAttempts: 3},
+		Admission:      admission.Config{QueueLength: 10},
+		Listed:         true,
+		BackendAddress: f.id(i),
+	})
+	f.nodes[i], f.highest[i] = n, 0
+	var tick func()
+	tick = func() {
+		if f.nodes[i] == n {
+			f.step(i, n, Tick{})
+			f.after(testTickInterval, tick)
+		}
+	}
+	f.after(time.Duration(f.rng.Int64N(int64(testTickInterval))), tick)
+}
+
+func (f *storeFleet) step(i int, n *Node, e Event) {
+	if f.nodes[i] != n {
+		return
+	}
+	out := n.Step(f.now, e)
+	version := n.Head().Version
+	if version < f.highest[i] {
+		f.violation = fmt.Sprintf("%s went back from version %d to %d", f.id(i), f.highest[i], version)
+	}
+	f.highest[i] = version
+	for _, call := range out.Store {
+		f.after(max(0, call.At.Sub(f.now)), func() { f.call(i, n, call) })
+	}
+	for _, r := range out.Relay {
+		f.replies[r.Call](r.Reply)
+	}
+}
+
+func (f *storeFleet) call(i int, n *Node, c source.Call) {
+	if c.Reader != nil {
+		f.relay(i, n, c)
+		return
+	}
+	f.after(fleetDelay, func() { f.answer(i, n, c, f.now.Add(c.Wait)) })
+}
+
+// answer answers a call to the store, a watch once there is a change.
+func (f *storeFleet) answer(i int, n *Node, c source.Call, deadline time.Time) {
+	deliver := func(e Event) {
+		f.calls = append(f.calls, f.now)
+		f.after(fleetDelay, func() { f.step(i, n, e) })
+	}
+	fail := func(compacted bool, cause string) {
+		if c.Part == source.ConfigurationOnly {
+			deliver(VersionsFailed{Compacted: compacted, Cause: cause})
+			return
+		}
+		deliver(StoreFailed{Compacted: compacted, Cause: cause})
+	}
+	changes := source.Changes{Era: f.era, Revision: f.content.revision}
+	if f.content.version > 0 && (c.List || f.content.versionAt > c.After) && c.Part != source.InstancesOnly {
+		changes.Configuration = testConfigurationOf(f.content.version)
+	}
+	for _, e := range f.history {
+		if e.Revision > c.After && c.Part != source.ConfigurationOnly {
+			changes.Instances = append(changes.Instances, e)
+		}
+	}
+	switch {
+	case f.down || f.cutOff[i]:
+		fail(false, "unavailable")
+	case c.List && c.Part != source.ConfigurationOnly:
+		l := source.Listing{Era: f.era, Revision: f.content.revision, Configuration: changes.Configuration}
+		for _, id := range slices.Sorted(maps.Keys(f.content.entries)) {
+			l.Instances = append(l.Instances, f.content.entries[id])
+		}
+		deliver(StoreListed{Listing: l})
+	case !c.List && c.After > f.content.revision:
+		fail(true, "gone")
+	case c.Part == source.ConfigurationOnly && (changes.Configuration != nil || !f.now.Before(deadline)):
+		deliver(VersionsChanged{Changes: changes})
+	case c.Part != source.ConfigurationOnly && (len(changes.Instances) > 0 || changes.Configuration != nil || !f.now.Before(deadline)):
+		deliver(StoreChanged{Changes: changes})
+	default:
+		f.after(20*time.Millisecond, func() { f.answer(i, n, c, deadline) })
+	}
+}
+
+var configurations = make(map[uint64]*source.Configuration)
+
+func testConfigurationOf(version uint64) *source.Configuration {
+	if configurations[version] == nil {
+		copied := *crashConfiguration().Snapshot
+		copied.Version = version
+		configurations[version] = &source.Configuration{Version: version, Snapshot: &copied}
+	}
+	return configurations[version]
+}
+
+// relay sends a call to another proxy.
+func (f *storeFleet) relay(i int, n *Node, c source.Call) {
+	var reader int
+	_, _ = fmt.Sscan(c.Reader.PeerAddress, &reader)
+	f.nextID++
+	call, done := f.nextID, false
+	finish := func(e StoreRelayed) {
+		if !done {
+			done = true
+			e.Reader, e.AnyAge = c.Reader.ID, c.AllowStale
+			f.after(fleetDelay, func() { f.step(i, n, e) })
+		}
+	}
+	f.replies[call] = func(r source.RelayReply) { finish(StoreRelayed{Reply: r}) }
+	f.after(relayLimit, func() { finish(StoreRelayed{Err: "timeout"}) })
+	request := n.RelayRequest(c)
+	f.after(fleetDelay, func() { f.step(reader, f.nodes[reader], RelayReceived{Call: call, Request: request}) })
+}
+
+// difference reports the first difference between a proxy and the store.
+func (f *storeFleet) difference() string {
+	for i, n := range f.nodes {
+		if v := n.Head().Version; v != f.content.version {
+			return fmt.Sprintf("%s enforces version %d, want %d", f.id(i), v, f.content.version)
+		}
+		if s := n.storeStats().Position; s.Era != f.era {
+			return fmt.Sprintf("%s is at %v, want era %d", f.id(i), s, f.era)
+		}
+	}
+	return ""
+}
+
+// callsPerSecond returns the most calls that the store answered within a second.
+func (f *storeFleet) callsPerSecond(since time.Time) int {
+	most, first := 0, 0
+	for last, at := range f.calls {
+		for at.Sub(f.calls[first]) > time.Second || f.calls[first].Before(since) {
+			first++
+			if first > last {
+				break
+			}
+		}
+		if !at.Before(since) {
+			most = max(most, last-first+1)
+		}
+	}
+	return most
+}
+
+// A store that is restored from an older copy must make no proxy go back, and must not
+// be overrun by proxies that all read it again.
+func TestRestoredStoreIsFollowedAtAnyFleetSize(t *testing.T) {
+	for _, n := range []int{12, 75, 300} {
+		f := newStoreFleet(uint64(n), n)
+		older := f.content.clone()
+		f.publish(6)
+		f.put(1, source.InstanceLeaving)
+		f.run(4 * time.Second)
+		if d := f.difference(); d != "" {
+			t.Fatalf("%d proxies, before the restoration: %s", n, d)
+		}
+		f.down = true
+		f.run(300 * time.Millisecond)
+		f.restore(older)
+		f.down = false
+		restoredAt := f.now
+		f.run(500 * time.Millisecond)
+		for _, node := range f.nodes {
+			if node.Head().Version != 6 {
+				t.Errorf("%d proxies: version %d in force during the restoration, want 6", n, node.Head().Version)
+			}
+		}
+		f.publish(6) // written again
+		f.put(1, source.InstanceLeaving)
+		f.run(time.Second)
+		f.publish(7)
+		f.run(2 * time.Second)
+		if d := f.difference(); d != "" {
+			t.Errorf("%d proxies, 2 s after a version of the new era: %s", n, d)
+		}
+		calls := f.callsPerSecond(restoredAt)
+		t.Logf("%d proxies: at most %d calls of the store a second", n, calls)
+		if calls > storeBudget {
+			t.Errorf("%d proxies: %d calls of the store a second, allowed are %d", n, calls, storeBudget)
+		}
+		if f.violation != "" {
+			t.Error(f.violation)
+		}
+	}
+}
+
+// Proxies that are cut off from the store across restorations, and two restorations in a
+// row.
+func TestRestorationsBesideCutsAndStarts(t *testing.T) {
+	for seed := range uint64(12) {
+		n := []int{12, 40}[seed%2]
+		f := newStoreFleet(50+seed, n)
+		older := f.content.clone()
+		f.publish(6)
+		f.run(3 * time.Second)
+		for _, i := range []int{1, 2, 9} {
+			f.cutOff[i] = true
+		}
+		f.run(time.Second)
+		f.restore(older)
+		f.run(f.jitter(800 * time.Millisecond))
+		f.start(3) // starts while the store serves the older copy
+		f.run(time.Second)
+		if v := f.nodes[3].Head().Version; v != 6 {
+			t.Errorf("seed %d: the proxy that started enforces version %d, want 6", seed, v)
+		}
+		f.publish(6)
+		second := f.content.clone()
+		f.publish(8)
+		f.run(f.jitter(2 * time.Second))
+		f.restore(second)
+		f.run(f.jitter(time.Second))
+		f.publish(8)
+		f.cutOff = make(map[int]bool)
+		f.run(3 * time.Second)
+		f.publish(9)
+		f.run(3 * time.Second)
+		if d := f.difference(); d != "" {
+			t.Errorf("seed %d, %d proxies: %s", seed, n, d)
+		}
+		if f.violation != "" {
+			t.Errorf("seed %d: %s", seed, f.violation)
+		}
+	}
+}
+
+func (f *storeFleet) jitter(d time.Duration) time.Duration {
+	return time.Duration(f.rng.Int64N(int64(d)))
+}
--- a/internal/source/configurationwatch.go
+++ b/internal/source/configurationwatch.go
@@ -12,11 +12,18 @@
 // within a shorter time and must not be delayed by the transfer of a version.
 type configurationWatchState struct {
 	inFlight bool
-	revision uint64
+	position Position
 	next     Call
 	failures int
 }
 
+// advance moves the position forward.
+func (s *configurationWatchState) advance(to Position) {
+	if s.position.Before(to) {
+		s.position = to
+	}
+}
+
 // isLargeFleet reports whether the fleet is so large that proxies follow the
 // store through readers, and readers follow instances and configuration by
 // separate calls.
@@ -46,7 +53,7 @@
 	if call.Part != ConfigurationOnly || call.At.Before(now) {
 		call.At = now
 	}
-	call.Part, call.After = ConfigurationOnly, f.configurationWatch.revision
+	call.Part, call.Era, call.After = ConfigurationOnly, f.configurationWatch.position.Era, f.configurationWatch.position.Revision
 	if f.configurationWatch.failures == 0 {
 		call.Wait = watchWait
 	}
@@ -55,9 +62,20 @@
 
 // HandleConfiguration handles the result of a configuration call.
 func (f *Follower) HandleConfiguration(now time.Time, c Changes) Update {
+	if cause, ok := f.checkEra(c.Era); !ok {
+		return f.HandleConfigurationFailure(now, false, cause)
+	}
 	var v Update
-	f.configurationWatch = configurationWatchState{revision: max(f.configurationWatch.revision, c.Revision)}
+	previous := f.configurationWatch.position
+	f.configurationWatch = configurationWatchState{position: previous}
+	f.configurationWatch.advance(c.Position())
 	f.acceptConfiguration(c.Configuration, &v)
+	if previous.Era != 0 && c.Era > previous.Era {
+		// Versions may have been written in this era before its revision reached
+		// the one of the call.
+		f.configurationWatch.next = Call{Part: ConfigurationOnly, At: now.Add(f.restorationJitter()), List: true}
+		return v
+	}
 	if v.Configuration != nil {
 		f.configurationWatch.next = Call{Part: ConfigurationOnly, At: now.Add(configurationBatchDelay), List: f.recordVersion(now)}
 	}
@@ -76,7 +94,7 @@
 		wait = 0
 	}
 	f.configurationWatch = configurationWatchState{
-		revision: f.configurationWatch.revision,
+		position: f.configurationWatch.position,
 		failures: failures,
 		next:     Call{Part: ConfigurationOnly, At: now.Add(wait), List: true},
 	}
--- a/internal/source/feed.go
+++ b/internal/source/feed.go
@@ -40,15 +40,18 @@
 
 // Listing is the complete content of the store.
 type Listing struct {
-	// Revision is a revision from which a watch misses no change.
+	// Era and Revision are a position from which a watch misses no change.
+	Era      uint64 `json:"era,omitempty"`
 	Revision uint64 `json:"revision"`
 	// Configuration is nil if the store holds none.
 	Configuration *Configuration `json:"configuration,omitempty"`
 	Instances     []Entry        `json:"instances"`
 }
 
-// Changes holds the changes up to a revision.
+// Changes holds the changes up to a position. They are incomplete if their era is
+// newer than that of the position from which they were requested.
 type Changes struct {
+	Era           uint64         `json:"era,omitempty"`
 	Revision      uint64         `json:"revision"`
 	Configuration *Configuration `json:"configuration,omitempty"`
 	Instances     []Entry        `json:"instances,omitempty"`
@@ -56,7 +59,9 @@
 
 // Entry is the state of an instance's entry at a revision.
 type Entry struct {
-	ID       string `json:"id"`
+	ID string `json:"id"`
+	// Era is the era of the answer that held the entry. The follower sets it.
+	Era      uint64 `json:"era,omitempty"`
 	Revision uint64 `json:"revision"`
 	// Instance is nil if the entry was removed or is invalid.
 	Instance *Instance `json:"instance,omitempty"`
--- a/internal/source/follow.go
+++ b/internal/source/follow.go
@@ -50,8 +50,10 @@
 	At time.Time
 	// List requests the complete content of Part; otherwise the call watches
 	// for changes after the revision After.
-	List  bool
-	Part  Part
+	List bool
+	Part Part
+	// Era is the era in which After was read.
+	Era   uint64
 	After uint64
 	Wait  time.Duration
 	// Reader is the proxy to call instead of the store, nil for the store
@@ -83,7 +85,9 @@
 	rng *rand.Rand
 	// known holds the entries of the list of instances by ID.
 	known    map[string]Entry
-	revision uint64
+	position Position
+	// restored holds what is kept across a restoration of the store.
+	restored restoredState
 	// version is the highest version of the configuration returned so far.
 	version uint64
 	// listed reports that a complete list was read from the store or a seed
@@ -147,6 +151,7 @@
 		confirmed:      make(map[string]bool),
 		known:          make(map[string]Entry),
 		retained:       make(map[string]bool),
+		restored:       newRestoredState(),
 	}
 }
 
@@ -157,32 +162,49 @@
 
 // HandleListing handles the result of a complete read and returns the next call.
 func (f *Follower) HandleListing(now time.Time, l Listing) (Update, Call) {
+	if cause, ok := f.checkEra(l.Era); !ok {
+		return f.HandleFailure(now, false, cause)
+	}
 	var v Update
 	f.noteRecovery(now, &v)
+	f.enterEra(now, l.Era, &v)
 	afterOutage := now.Before(f.graceUntil)
-	f.revision = l.Revision
-	f.replaceEntries(l.Instances, func(id string) { f.handleRemoval(now, id, afterOutage, &v) })
+	f.position = l.Position()
+	f.replaceEntries(now, inEra(l.Instances, l.Era), func(id string) { f.handleRemoval(now, id, afterOutage, &v) })
 	f.listed = true
-	f.configurationWatch.revision = max(f.configurationWatch.revision, l.Revision)
+	f.configurationWatch.advance(l.Position())
 	f.setInstances(&v)
+	if call, ok := f.confirmFirst(now, l.Configuration); ok {
+		return v, call
+	}
 	f.acceptConfiguration(l.Configuration, &v)
 	return v, f.nextCall(now)
 }
 
 // HandleChanges handles the result of a watch and returns the next call.
 func (f *Follower) HandleChanges(now time.Time, c Changes) (Update, Call) {
+	if cause, ok := f.checkEra(c.Era); !ok {
+		return f.HandleFailure(now, false, cause)
+	}
 	var v Update
 	f.noteRecovery(now, &v)
-	f.revision = max(f.revision, c.Revision)
-	for _, e := range c.Instances {
-		if e.Revision < f.known[e.ID].Revision {
+	if c.Era > f.position.Era {
+		// The changes are those since a revision of another history.
+		f.acceptConfiguration(c.Configuration, &v)
+		return v, Call{At: now.Add(f.restorationJitter()), List: true}
+	}
+	f.position.Revision = max(f.position.Revision, c.Revision)
+	for _, e := range inEra(c.Instances, c.Era) {
+		if e.Position().Before(f.known[e.ID].Position()) {
 			continue
 		}
+		last := f.lastEntry(e.ID)
+		f.restored.forget(e.ID)
 		if e.Instance == nil {
 			f.handleRemoval(now, e.ID, now.Before(f.graceUntil), &v)
 			continue
 		}
-		f.putEntry(e)
+		f.putEntry(keepLeaving(e, last))
 	}
 	if len(c.Instances) > 0 {
 		f.setInstances(&v)
@@ -204,7 +226,7 @@
 func (f *Follower) HandleFailure(now time.Time, compacted bool, cause string) (Update, Call) {
 	var v Update
 	if compacted {
-		v.addNote("store history discarded", fmt.Sprintf("after revision %d", f.revision))
+		v.addNote("store history discarded", fmt.Sprintf("after %v", f.position))
 		f.listed = false
 		return v, Call{At: now, List: true}
 	}
@@ -244,7 +266,15 @@
 // Tick deletes retained entries after the end of the grace period.
 func (f *Follower) Tick(now time.Time) Update {
 	var v Update
-	if len(f.retained) == 0 || f.failures > 0 || now.Before(f.graceUntil) {
+	f.restored.expire(now)
+	if f.acceptDoubted(now) {
+		f.setInstances(&v)
+	}
+	if f.failures > 0 || now.Before(f.graceUntil) {
+		return v
+	}
+	f.restored.grace = false
+	if len(f.retained) == 0 {
 		return v
 	}
 	for _, id := range slices.Sorted(maps.Keys(f.retained)) {
@@ -256,7 +286,7 @@
 
 // nextCall returns a watch of the store, or of the reader to call instead.
 func (f *Follower) nextCall(now time.Time) Call {
-	call := Call{At: now, After: f.revision, Wait: watchWait}
+	call := Call{At: now, Era: f.position.Era, After: f.position.Revision, Wait: watchWait}
 	call.Reader, call.Force = f.selectReader(now)
 	if f.isLargeFleet() {
 		call.Part, call.Wait = InstancesOnly, largeFleetWatchWait
@@ -276,12 +306,13 @@
 
 // replaceEntries stores a complete list and calls onAbsent, in the order of
 // identifiers, for each known instance that the list lacks.
-func (f *Follower) replaceEntries(entries []Entry, onAbsent func(id string)) {
+func (f *Follower) replaceEntries(now time.Time, entries []Entry, onAbsent func(id string)) {
 	present := make(map[string]bool, len(entries))
+	f.restored.dropAbsent(entries)
 	for _, e := range entries {
-		if e.Instance != nil {
+		if e.Instance != nil && !f.restored.doubts(now, e) {
 			present[e.ID] = true
-			f.putEntry(e)
+			f.putEntry(keepLeaving(e, f.known[e.ID]))
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(f.known)) {
@@ -308,6 +339,7 @@
 		f.retained[id] = true
 		return
 	}
+	f.restored.recordRemoval(now, e)
 	f.deleteEntry(id, "entry removed", v)
 }
 
@@ -334,6 +366,9 @@
 	for _, e := range f.sortedEntries() {
 		v.Instances = append(v.Instances, *e.Instance)
 		fmt.Fprintf(hash, "%s %d\n", e.ID, e.Revision)
+		if e.Era > 0 {
+			fmt.Fprintf(hash, "%d %s\n", e.Era, e.Instance.State)
+		}
 	}
 	f.listHash = hash.Sum64()
 }
--- a/internal/source/relay.go
+++ b/internal/source/relay.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"maps"
 	"slices"
 	"time"
 
@@ -36,8 +37,9 @@
 // RelayRequest asks a reader for changes or, with AllowStale, a seed for its
 // state.
 type RelayRequest struct {
-	// After and List are the revision and the hash of the list that the
+	// Era, After and List are the position and the hash of the list that the
 	// requester holds.
+	Era   uint64 `json:"era,omitempty"`
 	After uint64 `json:"after"`
 	List  uint64 `json:"list"`
 	// Version and Root identify the version that the requester holds, 0 and
@@ -61,11 +63,15 @@
 	Stale bool `json:"stale,omitempty"`
 	// Declined reports that the proxy's link is too slow for a reader.
 	Declined bool `json:"declined,omitempty"`
-	// Revision is the revision of the list.
+	// Era and Revision are the position of the list.
+	Era      uint64 `json:"era,omitempty"`
 	Revision uint64 `json:"revision"`
 	// Instances is the complete list, nil if it need not replace the
 	// requester's.
 	Instances []Entry `json:"instances,omitempty"`
+	// Retained holds the identifiers of listed instances that a restored copy of
+	// the store lacks and that may be written again.
+	Retained []string `json:"retained,omitempty"`
 	// Delta is an encoded config.Delta from the version that the requester
 	// holds, empty if there is no newer version.
 	Delta json.RawMessage `json:"delta,omitempty"`
@@ -151,12 +157,19 @@
 // its delta produces, and returns the next call. Entries that may have expired
 // need no further check: a reader in doubt about an entry replies with Stale.
 func (f *Follower) HandleRelayReply(now time.Time, id string, r RelayReply, c *Configuration) (Update, Call) {
+	if cause, ok := f.checkEra(r.Era); !ok {
+		return f.HandleReaderFailure(now, id, cause)
+	}
 	var v Update
 	f.confirmed[id] = true
 	f.noteRecovery(now, &v)
-	f.revision = max(f.revision, r.Revision)
+	f.enterEra(now, r.Era, &v)
+	if f.position.Before(r.Position()) {
+		f.position = r.Position()
+	}
 	if r.Instances != nil {
-		f.replaceEntries(r.Instances, func(id string) { f.deleteEntry(id, "entry removed", &v) })
+		f.replaceEntries(now, r.Instances, func(id string) { f.removeEntry(now, id, &v) })
+		f.retain(now, r.Retained)
 		f.setInstances(&v)
 	}
 	f.acceptConfiguration(c, &v)
@@ -165,6 +178,22 @@
 	return v, f.nextCall(now)
 }
 
+// removeEntry deletes an instance that the complete list of a reader lacks.
+func (f *Follower) removeEntry(now time.Time, id string, v *Update) {
+	f.restored.recordRemoval(now, f.known[id])
+	f.deleteEntry(id, "entry removed", v)
+}
+
+// retain marks instances that a reader retains across a restoration.
+func (f *Follower) retain(now time.Time, ids []string) {
+	for _, id := range ids {
+		if _, ok := f.known[id]; ok {
+			f.retained[id] = true
+			f.graceUntil = now.Add(reregistrationGrace)
+		}
+	}
+}
+
 // HandleReaderFailure records that a reader did not reply or that its state may
 // be out of date. It returns the next call, to another reader or to the store.
 func (f *Follower) HandleReaderFailure(now time.Time, id, cause string) (Update, Call) {
@@ -180,14 +209,17 @@
 
 // inSync reports whether the local state is known to match the store. Entries
 // that may have expired while the store was unreachable are retained for this
-// proxy only, since other proxies may have seen their removal.
-func (f *Follower) inSync() bool { return f.Reachable() && len(f.retained) == 0 }
+// proxy only, since other proxies may have seen their removal. Those that a restored
+// copy lacks are shared: a proxy that has seen their removal remembers it.
+func (f *Follower) inSync() bool {
+	return f.Reachable() && (len(f.retained) == 0 || f.restored.grace)
+}
 
 // CanReplyNow reports whether a request is to be answered immediately: there is
 // a change to report, the request allows stale state, this proxy declines it, or
 // this proxy's state may be out of date.
 func (f *Follower) CanReplyNow(r RelayRequest) bool {
-	return r.AllowStale || f.shouldDecline(r) || !f.inSync() || f.listDiffers(r) || f.version > r.Version
+	return r.AllowStale || f.shouldDecline(r) || !f.inSync() || f.behind(r) || f.listDiffers(r) || f.version > r.Version
 }
 
 // shouldDecline reports whether another proxy with a faster link should answer
@@ -196,11 +228,14 @@
 	return f.hasSlowLink() && !r.Force && !r.AllowStale
 }
 
+// behind reports whether the requester knows of a newer era than this proxy.
+func (f *Follower) behind(r RelayRequest) bool { return f.position.Era < r.Era }
+
 // listDiffers reports whether the local list replaces the one that the
 // requester holds. The lists may differ at the same revision, since expired
 // entries are deleted some time after the store has recovered.
 func (f *Follower) listDiffers(r RelayRequest) bool {
-	return f.revision >= r.After && f.listHash != r.List
+	return !f.position.Before(r.Position()) && f.listHash != r.List
 }
 
 // ListHash returns a hash of the local list.
@@ -211,7 +246,7 @@
 	if f.shouldDecline(r) {
 		return RelayReply{Declined: true}
 	}
-	reply := RelayReply{Stale: !f.inSync(), Revision: f.revision}
+	reply := RelayReply{Stale: !f.inSync() || f.behind(r), Era: f.position.Era, Revision: f.position.Revision}
 	if r.AllowStale {
 		// A seed that included entries which may have expired would hide their
 		// removal from the requester for good.
@@ -219,6 +254,7 @@
 	}
 	if r.AllowStale || f.listDiffers(r) {
 		reply.Instances = f.sortedEntries()
+		reply.Retained = slices.Sorted(maps.Keys(f.retained))
 	}
 	return reply
 }
--- a/internal/source/seed.go
+++ b/internal/source/seed.go
@@ -16,17 +16,24 @@
 	return &Instance{ID: "seed " + address, PeerAddress: address}
 }
 
-// HandleSeedReply handles the reply of a seed, with the configuration that its
+// HandleSeedReply handles the reply of a seed, or of a proxy that was asked to confirm
+// a version, with the configuration that its
 // delta produces, and returns the next call. The store remains unreachable
 // until a call to it succeeds.
 func (f *Follower) HandleSeedReply(now time.Time, id string, r RelayReply, c *Configuration) (Update, Call) {
-	if r.Revision < f.revision {
-		return f.HandleSeedFailure(now, id, "revision is older than that of this proxy")
+	if f.restored.unconfirmed != nil {
+		var v Update
+		next := f.confirm(now, c, &v)
+		return v, next
+	}
+	if r.Position().Before(f.position) {
+		return f.HandleSeedFailure(now, id, fmt.Sprintf("%v is older than %v of this proxy", r.Position(), f.position))
 	}
 	var v Update
-	v.addNote("state loaded from seed", fmt.Sprintf("list at revision %d; the store is unreachable", r.Revision))
-	f.revision, f.listed = r.Revision, true
-	f.replaceEntries(r.Instances, func(id string) { f.deleteEntry(id, "not in the list of the seed", &v) })
+	v.addNote("state loaded from seed", fmt.Sprintf("list at %v; the store is unreachable", r.Position()))
+	f.enterEra(now, r.Era, &v)
+	f.position, f.listed = r.Position(), true
+	f.replaceEntries(now, r.Instances, func(id string) { f.deleteEntry(id, "not in the list of the seed", &v) })
 	f.configurationWatch.next = Call{Part: ConfigurationOnly, List: true}
 	f.setInstances(&v)
 	f.acceptConfiguration(c, &v)
@@ -37,6 +44,10 @@
 // which is to the store.
 func (f *Follower) HandleSeedFailure(now time.Time, id, cause string) (Update, Call) {
 	var v Update
+	if f.restored.unconfirmed != nil {
+		next := f.confirm(now, nil, &v)
+		return v, next
+	}
 	v.addNote("seed failed", id+": "+cause)
 	return v, f.retryCall(now)
 }
