--- /dev/null
+++ b/internal/node/crashcalls_test.go
@@ -0,0 +1,246 @@
+package node
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"heatherlift.example/heatherlift/internal/admission"
+	"heatherlift.example/heatherlift/internal/outcome"
+	"heatherlift.example/heatherlift/internal/routing"
+	"heatherlift.example/heatherlift/internal/source"
+)
+
+// crashRequest is one request of a caller; done reports what became of it.
+type crashRequest struct {
+	*crashFleet
+	id          uint64
+	entry       *crashProxy
+	service     int
+	fingerprint uint64
+	generation  int
+	done        func(outcome.Outcome, outcome.Reason)
+}
+
+// call sends a request to a proxy.
+func (f *crashFleet) call(entry *crashProxy, service int, fingerprint uint64, done func(outcome.Outcome, outcome.Reason)) {
+	f.nextID++
+	ended := false
+	r := &crashRequest{f, f.nextID, entry, service, fingerprint, entry.generation, func(o outcome.Outcome, reason outcome.Reason) {
+		if !ended {
+			ended = true
+			done(o, reason)
+		}
+	}}
+	if !entry.up {
+		f.after(callTimeout/10, func() { r.done(outcome.NotRun, outcome.ConnectFailed) })
+		return
+	}
+	f.after(callTimeout, func() { r.done(outcome.Unknown, outcome.DeadlineExpired) })
+	f.deliver(entry, func() {
+		f.routes[r.id] = r.routed
+		f.step(entry, routing.Arrived{
+			ID: r.id, Organisation: "a.example", Method: "GET", Path: fmt.Sprintf("/s-%d/x", service),
+			Budget: 2 * time.Second, Fingerprint: fingerprint,
+		})
+	})
+}
+
+func (r *crashRequest) routed(effect routing.Effect) {
+	switch e := effect.(type) {
+	case routing.Refuse:
+		delete(r.routes, r.id)
+		r.done(e.Refusal.Outcome, e.Refusal.Reason)
+	case routing.Send:
+		i, _ := strconv.Atoi(e.Address)
+		target := r.proxies[i]
+		r.send(r.entry, target, func() { r.admit(target, e) }, func() { r.ended(outcome.Unknown, outcome.ConnectionLost) })
+	}
+}
+
+func (r *crashRequest) admit(target *crashProxy, s routing.Send) {
+	r.nextID++
+	run := r.nextID
+	r.runs[run] = func(effect admission.Effect) {
+		switch e := effect.(type) {
+		case admission.Refuse:
+			delete(r.runs, run)
+			r.reply(target, e.Refusal.Outcome, e.Refusal.Reason)
+		case admission.Run:
+			delete(r.runs, run)
+			r.execute(target, run, s.Instance)
+		}
+	}
+	r.step(target, r.arrival(run, s))
+}
+
+// execute runs the request on the backend server beside the proxy.
+func (r *crashRequest) execute(p *crashProxy, run uint64, instance string) {
+	if !p.backendUp || instance != p.instance() {
+		reason := outcome.OtherInstance
+		if !p.backendUp {
+			reason = outcome.ConnectFailed
+		}
+		r.after(time.Millisecond, func() {
+			r.step(p, admission.Ended{ID: run, Outcome: outcome.NotRun, Reason: reason})
+			r.reply(p, outcome.NotRun, reason)
+		})
+		return
+	}
+	backend, proxy := p.backendGeneration, p.generation
+	p.running[run] = func(ended bool) {
+		delete(p.running, run)
+		if p.generation != proxy {
+			return
+		}
+		r.deliver(p, func() {
+			o, reason := outcome.Answered, outcome.Reason("")
+			if ended {
+				o, reason = outcome.Unknown, outcome.ConnectionLost
+				if !p.backendUp {
+					reason = outcome.BackendServerCrashed
+				}
+			}
+			r.step(p, admission.Ended{ID: run, Outcome: o, Reason: reason})
+			r.reply(p, o, reason)
+		})
+	}
+	if r.fingerprint == crashingFingerprint {
+		r.recordCrash()
+		r.endBackend(p)
+		return
+	}
+	r.after(20*time.Millisecond+r.jitter(80*time.Millisecond), func() {
+		if end, ok := p.running[run]; ok && p.backendGeneration == backend && p.backendUp {
+			end(false)
+		}
+	})
+}
+
+// recordCrash counts an arrival of the crashing request at a backend server.
+func (r *crashRequest) recordCrash() {
+	r.crashFleet.ended++
+	if r.crashFleet.ended == 3 {
+		r.thirdAt = r.now
+	}
+	if r.crashFleet.ended > 3 && r.now.Sub(r.thirdAt) > contactTime && r.inTouch(r.entry) {
+		r.late++
+	}
+}
+
+// inTouch reports whether a proxy was undisturbed for contactTime.
+func (f *crashFleet) inTouch(p *crashProxy) bool {
+	return p.up && !p.cut && !p.paused && f.now.Sub(p.undisturbedSince) >= contactTime
+}
+
+// endBackend ends a backend server with its runs and replaces it.
+func (f *crashFleet) endBackend(p *crashProxy) {
+	p.backendUp = false
+	ids := make([]uint64, 0, len(p.running))
+	for id := range p.running {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		end := p.running[id]
+		f.after(time.Millisecond+f.jitter(3*time.Millisecond), func() { end(true) })
+	}
+	f.after(backendReturn, func() { f.replaceBackend(p) })
+}
+
+func (f *crashFleet) replaceBackend(p *crashProxy) {
+	f.revision++
+	old := source.Entry{ID: p.instance(), Revision: f.revision}
+	p.backendGeneration++
+	p.backendUp = true
+	f.storeChanged(old, f.entry(p))
+}
+
+func (r *crashRequest) reply(target *crashProxy, o outcome.Outcome, reason outcome.Reason) {
+	r.send(target, r.entry, func() { r.ended(o, reason) }, func() { r.ended(outcome.Unknown, outcome.ConnectionLost) })
+}
+
+// ended reports the end of an attempt to the entry proxy.
+func (r *crashRequest) ended(o outcome.Outcome, reason outcome.Reason) {
+	if r.entry.generation != r.generation || !r.entry.up {
+		delete(r.routes, r.id)
+		r.done(outcome.Unknown, outcome.ConnectionLost)
+		return
+	}
+	e := routing.AttemptEnded{ID: r.id, Outcome: o, Reason: reason, Latency: time.Millisecond}
+	if o == outcome.Answered {
+		delete(r.routes, r.id)
+		e.Status = 200
+		r.step(r.entry, e)
+		r.done(o, "")
+		return
+	}
+	r.deliver(r.entry, func() { r.step(r.entry, e) })
+}
+
+// arrival returns the event by which the request reaches the proxy beside the
+// backend server.
+func (r *crashRequest) arrival(run uint64, s routing.Send) admission.Arrived {
+	return admission.Arrived{
+		ID: run, Repeatable: s.Repeatable, Fingerprint: r.fingerprint, Deadline: s.Deadline, Instance: s.Instance,
+		Target: s.Target, Route: s.Route, Patience: s.MaxWaitShare, KnownCrashes: s.KnownCrashes,
+	}
+}
+
+// sendCrashing sends the crashing request to random proxies until the given time.
+func (f *crashFleet) sendCrashing(until time.Time) {
+	if f.now.After(until) {
+		return
+	}
+	entry := f.proxies[f.rng.IntN(len(f.proxies))]
+	f.call(entry, 0, crashingFingerprint, func(outcome.Outcome, outcome.Reason) {})
+	f.after(250*time.Millisecond+f.jitter(750*time.Millisecond), func() { f.sendCrashing(until) })
+}
+
+// sendInnocent sends requests of one caller of a proxy until the given time. A third
+// of them share few fingerprints, the others have one of their own.
+func (f *crashFleet) sendInnocent(p *crashProxy, until time.Time) {
+	if f.now.After(until) {
+		return
+	}
+	fingerprint := 1<<20 + f.rng.Uint64N(1<<40)
+	if f.rng.IntN(3) == 0 {
+		fingerprint = 100 + f.rng.Uint64N(popularTargets)
+	}
+	service := f.rng.IntN(crashServices)
+	f.innocent++
+	var attempt func(tries int)
+	attempt = func(tries int) {
+		f.call(p, service, fingerprint, func(o outcome.Outcome, reason outcome.Reason) {
+			switch {
+			case o == outcome.Answered:
+				f.served++
+			case tries > 0:
+				f.after(20*time.Millisecond, func() { attempt(tries - 1) })
+				return
+			case reason == outcome.Quarantined:
+				f.quarantined++
+			}
+			f.after(time.Duration(f.rng.ExpFloat64()*float64(callPause)), func() { f.sendInnocent(p, until) })
+		})
+	}
+	attempt(callRetries)
+}
+
+// start starts the crashing request and the given number of innocent callers a proxy.
+func (f *crashFleet) start(length time.Duration, callers int) {
+	until := f.now.Add(length)
+	for _, p := range f.proxies {
+		for range callers {
+			f.after(f.jitter(time.Second), func() { f.sendInnocent(p, until) })
+		}
+	}
+	f.after(time.Second, func() { f.sendCrashing(until) })
+}
+
+func (f *crashFleet) report(t *testing.T, n int) {
+	t.Logf("%d proxies: %d backend servers ended, %d sends late; %d of %d innocent requests served, %d refused as suspects; %d messages",
+		n, f.ended, f.late, f.served, f.innocent, f.quarantined, f.messages)
+}
--- a/internal/source/restored.go
+++ b/internal/source/restored.go
@@ -87,10 +87,7 @@
 // enterEra begins a new era: entries that the restored copy lacks are retained until
 // they must have been written again. The first era that is seen is no restoration.
 func (f *Follower) enterEra(now time.Time, era uint64, v *Update) {
-	if era <= f.position.Era {
-		return
-	}
-	if f.position.Era == 0 {
+	if era <= f.position.Era || f.position.Era == 0 {
 		return
 	}
 	f.restored.restorations++
--- a/internal/source/restored_test.go
+++ b/internal/source/restored_test.go
@@ -356,3 +356,23 @@
 	update, _ = f.HandleListing(testStart, list)
 	is.Equal(update.Configuration.Version, uint64(6))
 }
+
+// The separate configuration call of a large fleet must not bring the copy's version
+// while others are asked.
+func TestConfigurationIsNotReadWhileOthersAreAsked(t *testing.T) {
+	is := is.New(t)
+	f := NewFollower(FollowerConfig{RandSeed: 1, AvailabilityZone: "z"})
+	list := Listing{Era: 4, Revision: 90, Configuration: &Configuration{Version: 6}}
+	for i := range uint64(relayMinInstances) {
+		e := entry(string('a'+rune(i)), i+1, InstanceLive)
+		e.Instance.AvailabilityZone = "other"
+		list.Instances = append(list.Instances, e)
+	}
+	f.HandleListing(testStart, list)
+	_, due := f.NextConfigurationCall(testStart)
+	is.True(!due)
+	f.HandleSeedFailure(testStart, "a", "starting")
+	f.HandleSeedFailure(testStart, "b", "starting")
+	_, due = f.NextConfigurationCall(testStart)
+	is.True(due)
+}
