Log how a restored copy of the store was corrected

One line follows the change of era: entries kept that the copy lacks, listed ones that are not used, instances that stay leaving. No decision changed.

--- a/internal/source/follow.go
+++ b/internal/source/follow.go
@@ -167,11 +167,14 @@
 	}
 	var v Update
 	f.noteRecovery(now, &v)
-	f.enterEra(now, l.Era, &v)
+	entered := f.enterEra(now, l.Era, &v)
 	afterOutage := now.Before(f.graceUntil)
 	f.position = l.Position()
 	f.replaceEntries(now, inEra(l.Instances, l.Era), func(id string) { f.handleRemoval(now, id, afterOutage, &v) })
 	f.listed = true
+	if entered {
+		f.noteKept(&v)
+	}
 	f.configurationWatch.advance(l.Position())
 	f.setInstances(&v)
 	if call, ok := f.confirmFirst(now, l.Configuration); ok {
@@ -312,7 +315,11 @@
 	for _, e := range entries {
 		if e.Instance != nil && !f.restored.doubts(now, e) {
 			present[e.ID] = true
-			f.putEntry(keepLeaving(e, f.known[e.ID]))
+			kept := keepLeaving(e, f.known[e.ID])
+			if kept.Instance != e.Instance {
+				f.restored.keptLeaving++
+			}
+			f.putEntry(kept)
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(f.known)) {
--- a/internal/source/relay.go
+++ b/internal/source/relay.go
@@ -163,7 +163,7 @@
 	var v Update
 	f.confirmed[id] = true
 	f.noteRecovery(now, &v)
-	f.enterEra(now, r.Era, &v)
+	entered := f.enterEra(now, r.Era, &v)
 	if f.position.Before(r.Position()) {
 		f.position = r.Position()
 	}
@@ -172,6 +172,9 @@
 		f.retain(now, r.Retained)
 		f.setInstances(&v)
 	}
+	if entered {
+		f.noteKept(&v)
+	}
 	f.acceptConfiguration(c, &v)
 	// If the readers fail, only the newest version needs to be read.
 	f.configurationWatch.next = Call{Part: ConfigurationOnly, List: true}
--- a/internal/source/restored.go
+++ b/internal/source/restored.go
@@ -41,6 +41,9 @@
 	doubted map[string]doubtedEntry
 	// grace reports that entries are retained because a restored copy lacks them.
 	grace bool
+	// keptLeaving counts the instances that the copy of this era lists as live and
+	// that stay leaving.
+	keptLeaving int
 	// restorations counts the new eras, lateAnswers the answers of an older era
 	// and missingEras those without an era after one was named.
 	restorations, lateAnswers, missingEras uint64
@@ -84,16 +87,25 @@
 	return fmt.Sprintf("answer of era %d is older than era %d", era, f.position.Era), false
 }
 
-// enterEra begins a new era: entries that the restored copy lacks are retained until
-// they must have been written again. The first era that is seen is no restoration.
-func (f *Follower) enterEra(now time.Time, era uint64, v *Update) {
+// enterEra begins a new era and reports whether it is a restoration: entries that the
+// restored copy lacks are then retained until they must have been written again. The
+// first era that is seen is no restoration.
+func (f *Follower) enterEra(now time.Time, era uint64, v *Update) bool {
 	if era <= f.position.Era || f.position.Era == 0 {
-		return
+		return false
 	}
+	f.restored.keptLeaving = 0
 	f.restored.restorations++
 	f.restored.grace = true
 	f.graceUntil = now.Add(reregistrationGrace)
 	v.addNote("store restored from an older copy", fmt.Sprintf("era %d after %v; %d instances and version %d kept", era, f.position, len(f.known), f.version))
+	return true
+}
+
+// noteKept logs how the restored copy was corrected.
+func (f *Follower) noteKept(v *Update) {
+	v.addNote("restored copy corrected", fmt.Sprintf("%d instances that it lacks are kept for now, %d that were removed are not used, %d stay leaving",
+		len(f.retained), len(f.restored.doubted), f.restored.keptLeaving))
 }
 
 // restorationJitter returns the delay before the listing after a restoration.
--- a/internal/source/restored_test.go
+++ b/internal/source/restored_test.go
@@ -67,6 +67,7 @@
 	update, _ := f.HandleListing(testStart, restored)
 	is.Equal(update.Instances[0].State, InstanceLeaving)
 	is.Equal(update.Instances[1].State, InstanceLive)
+	is.True(strings.Contains(notes(update), "1 stay leaving"))
 	restored.Era = 5 // a second restoration
 	update, _ = f.HandleListing(testStart, restored)
 	is.Equal(update.Instances[0].State, InstanceLeaving)
