Find the crashing request among more runs than are recorded of a crash

Of more than 64 runs in flight the first 64 by fingerprint were recorded, the same choice at each crash, so that a request with a high fingerprint was never suspected at a backend server with many slots. Change: 256 runs of a crash, those with known crashes first, the others at random. Evidence: TestCrashingRequestIsFoundAmongManyRuns, 1,000 other runs in flight: not found in 100 crashes before, within 30 now.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -12,6 +12,7 @@
 	"cmp"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"heatherlift.example/heatherlift/internal/outcome"
@@ -29,7 +30,7 @@
 const (
 	defaultMaxSuspects = 4096
 	// maxSuspectsPerCrash limits the runs taken from one crash.
-	maxSuspectsPerCrash = 64
+	maxSuspectsPerCrash = 256
 
 	// refuseAfter is the number of unanswered crashes from which a suspect is
 	// refused.
@@ -219,7 +220,7 @@
 // count twice, nor do simultaneous crashes, such as a loss of power.
 func (q *Quarantine) recordCrash(now time.Time, runs []Run) {
 	var risen []uint64
-	for _, r := range runs[:min(len(runs), maxSuspectsPerCrash)] {
+	for _, r := range q.limitRuns(runs) {
 		if r.Fingerprint == 0 {
 			continue
 		}
@@ -234,6 +235,18 @@
 	q.reportRisen(now, risen, true)
 }
 
+// limitRuns returns at most maxSuspectsPerCrash runs: those of requests with known
+// crashes first, then others at random, so that none escapes at every crash.
+func (q *Quarantine) limitRuns(runs []Run) []Run {
+	if len(runs) <= maxSuspectsPerCrash {
+		return runs
+	}
+	runs = slices.Clone(runs)
+	q.rng.Shuffle(len(runs), func(i, j int) { runs[i], runs[j] = runs[j], runs[i] })
+	slices.SortStableFunc(runs, func(a, b Run) int { return cmp.Compare(b.Known, a.Known) })
+	return runs[:maxSuspectsPerCrash]
+}
+
 // recordAnswer notes that a run was answered: the crashes that were known when it
 // began do not count any more.
 func (q *Quarantine) recordAnswer(now time.Time, r Run) {
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -120,6 +121,25 @@
 	is.True(quarantined(q, epoch, 1))
 }
 
+// A backend server with many slots runs more requests than are taken from one crash. The
+// crashing one must not be left out each time.
+func TestCrashingRequestIsFoundAmongManyRuns(t *testing.T) {
+	is := is.New(t)
+	q := New(Config{})
+	const crashing, inFlight = 1 << 40, 1000
+	crashes := 0
+	for ; !quarantined(q, epoch, crashing) && crashes < 100; crashes++ {
+		runs := []uint64{crashing}
+		for n := range uint64(inFlight) {
+			runs = append(runs, uint64(crashes*inFlight)+n+1)
+		}
+		slices.Reverse(runs)
+		crash(q, epoch, runs...)
+	}
+	is.True(crashes < 30)
+	is.Equal(len(q.limitRuns(make([]Run, inFlight))), maxSuspectsPerCrash)
+}
+
 func TestRequestWithoutFingerprintIsNeverSuspected(t *testing.T) {
 	is := is.New(t)
 	q := New(Config{})
