Show that three restarts of the whole fleet break the bound for a slow request

Cause: nothing lasts on the machines. After a restart of all proxies a crashing request ends two more backend servers before it is refused again. If it comes every 4 s, they are ended by proxies in touch. Ruled out: refusing after one crash in a fleet that has just started, which refuses the innocent requests that were in flight. Conclusion: open.

--- a/internal/node/crashcalls_test.go
+++ b/internal/node/crashcalls_test.go
@@ -199,6 +199,15 @@
 	f.after(250*time.Millisecond+f.jitter(750*time.Millisecond), func() { f.sendCrashing(until) })
 }
 
+// sendCrashingEvery sends the crashing request at a fixed pace.
+func (f *crashFleet) sendCrashingEvery(pace time.Duration, until time.Time) {
+	if f.now.After(until) {
+		return
+	}
+	f.call(f.proxies[f.rng.IntN(len(f.proxies))], 0, crashingFingerprint, func(outcome.Outcome, outcome.Reason) {})
+	f.after(pace, func() { f.sendCrashingEvery(pace, until) })
+}
+
 // sendInnocent sends requests of one caller of a proxy until the given time. A third
 // of them share few fingerprints, the others have one of their own.
 func (f *crashFleet) sendInnocent(p *crashProxy, until time.Time) {
--- a/internal/node/crashing_test.go
+++ b/internal/node/crashing_test.go
@@ -93,3 +93,22 @@
 		t.Errorf("%d of %d innocent requests refused as suspects, want at most one in a thousand", f.quarantined, f.innocent)
 	}
 }
+
+// A restart of the whole fleet forgets the suspects. A request that comes so slowly that
+// it ends the next two backend servers when all proxies are in touch again breaks the
+// bound after three such restarts.
+func TestSlowCrashingRequestIsNotSentOnBesideRestartsOfTheFleet(t *testing.T) {
+	const pace, restarts = 4 * time.Second, 3
+	for seed := range uint64(4) {
+		f := newCrashFleet(300+seed, 12)
+		f.sendCrashingEvery(pace, f.now.Add(70*time.Second))
+		for i := range restarts {
+			f.after(time.Duration(15+18*i)*time.Second, func() { crashFaults["restart of the fleet"](f, 0) })
+		}
+		f.run(75 * time.Second)
+		f.report(t, 12)
+		if f.late > maxLateSends {
+			t.Errorf("seed %d: %d sends late, want at most %d", seed, f.late, maxLateSends)
+		}
+	}
+}
