Share the virtual time of the simulated fleets

Cause: three test fleets of package node had the same timer loop. Change: one type, embedded by all three.

--- a/internal/node/crashfleet_test.go
+++ b/internal/node/crashfleet_test.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"strconv"
@@ -67,9 +66,7 @@
 // crashFleet simulates proxies that follow one store, in virtual time. One request
 // ends every backend server that runs it.
 type crashFleet struct {
-	now      time.Time
-	timers   timerQueue
-	seq      int
+	virtualTime
 	rng      *rand.Rand
 	proxies  []*crashProxy
 	revision uint64
@@ -91,7 +88,7 @@
 
 func newCrashFleet(seed uint64, n int) *crashFleet {
 	f := &crashFleet{
-		now: epoch, rng: rand.New(rand.NewPCG(seed, 1)), revision: 1,
+		virtualTime: virtualTime{now: epoch}, rng: rand.New(rand.NewPCG(seed, 1)), revision: 1,
 		routes: make(map[uint64]func(routing.Effect)), runs: make(map[uint64]func(admission.Effect)),
 		replies: make(map[uint64]func(quarantine.Message)),
 	}
@@ -105,21 +102,6 @@
 	return f
 }
 
-func (f *crashFleet) after(d time.Duration, callback func()) {
-	f.seq++
-	heap.Push(&f.timers, timer{at: f.now.Add(d), seq: f.seq, callback: callback})
-}
-
-func (f *crashFleet) run(d time.Duration) {
-	end := f.now.Add(d)
-	for len(f.timers) > 0 && !f.timers[0].at.After(end) {
-		next := heap.Pop(&f.timers).(timer)
-		f.now = next.at
-		next.callback()
-	}
-	f.now = end
-}
-
 // jitter returns a random time of up to d.
 func (f *crashFleet) jitter(d time.Duration) time.Duration {
 	return time.Duration(f.rng.Int64N(int64(d)))
--- a/internal/node/network_test.go
+++ b/internal/node/network_test.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"regexp"
@@ -32,32 +31,6 @@
 // epoch is the start of virtual time.
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-// timer is a callback scheduled in virtual time.
-type timer struct {
-	at       time.Time
-	seq      int
-	callback func()
-}
-
-// timerQueue is a heap of timers, ordered by time and then by creation.
-type timerQueue []timer
-
-func (a timerQueue) Len() int { return len(a) }
-func (a timerQueue) Less(i, j int) bool {
-	if a[i].at.Equal(a[j].at) {
-		return a[i].seq < a[j].seq
-	}
-	return a[i].at.Before(a[j].at)
-}
-func (a timerQueue) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *timerQueue) Push(x any)   { *a = append(*a, x.(timer)) }
-func (a *timerQueue) Pop() any {
-	old := *a
-	last := old[len(old)-1]
-	*a = old[:len(old)-1]
-	return last
-}
-
 // simProxy is one proxy of the simulated network.
 type simProxy struct {
 	id   string
@@ -81,9 +54,7 @@
 
 // network simulates a fleet with a fake source in virtual time.
 type network struct {
-	now     time.Time
-	timers  timerQueue
-	seq     int
+	virtualTime
 	rng     *rand.Rand
 	proxies map[string]*simProxy
 	order   []string
@@ -108,7 +79,7 @@
 
 func newNetwork(seed uint64, n, zones int) *network {
 	w := &network{
-		now:           epoch,
+		virtualTime:   virtualTime{now: epoch},
 		rng:           rand.New(rand.NewPCG(seed, 0)),
 		proxies:       make(map[string]*simProxy),
 		zones:         make(map[string]string),
@@ -187,22 +158,6 @@
 	return list
 }
 
-func (w *network) after(d time.Duration, callback func()) {
-	w.seq++
-	heap.Push(&w.timers, timer{at: w.now.Add(d), seq: w.seq, callback: callback})
-}
-
-// run advances virtual time and runs the timers that expire.
-func (w *network) run(d time.Duration) {
-	end := w.now.Add(d)
-	for len(w.timers) > 0 && !w.timers[0].at.After(end) {
-		a := heap.Pop(&w.timers).(timer)
-		w.now = a.at
-		a.callback()
-	}
-	w.now = end
-}
-
 // feed steps a proxy with an event. A paused proxy gets the event when it resumes,
 // a dead one never.
 func (w *network) feed(p *simProxy, e Event) {
--- a/internal/node/storefleet_test.go
+++ b/internal/node/storefleet_test.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"container/heap"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -33,9 +32,7 @@
 // storeFleet simulates proxies that follow one store, itself or through readers, in
 // virtual time. The store can be restored from an older copy.
 type storeFleet struct {
-	now     time.Time
-	timers  timerQueue
-	seq     int
+	virtualTime
 	rng     *rand.Rand
 	nodes   []*Node
 	content storeContent
@@ -62,7 +59,7 @@
 
 func newStoreFleet(seed uint64, n int) *storeFleet {
 	f := &storeFleet{
-		now: epoch, rng: rand.New(rand.NewPCG(seed, 2)), era: 1, cutOff: make(map[int]bool),
+		virtualTime: virtualTime{now: epoch}, rng: rand.New(rand.NewPCG(seed, 2)), era: 1, cutOff: make(map[int]bool),
 		content: storeContent{entries: make(map[string]source.Entry)}, replies: make(map[uint64]func(source.RelayReply)),
 	}
 	for i := range n {
@@ -101,21 +98,6 @@
 	f.history = slices.DeleteFunc(f.history, func(e source.Entry) bool { return e.Revision > c.revision })
 }
 
-func (f *storeFleet) after(d time.Duration, callback func()) {
-	f.seq++
-	heap.Push(&f.timers, timer{at: f.now.Add(d), seq: f.seq, callback: callback})
-}
-
-func (f *storeFleet) run(d time.Duration) {
-	end := f.now.Add(d)
-	for len(f.timers) > 0 && !f.timers[0].at.After(end) {
-		next := heap.Pop(&f.timers).(timer)
-		f.now = next.at
-		next.callback()
-	}
-	f.now = end
-}
-
 func (f *storeFleet) start(i int) {
 	n := New(Config{
 		Member:         member.Config{Self: member.Record{ID: f.id(i), Service: "desk"}, Interval: time.Second},
