--- a/bench/soak/machine.go
+++ b/bench/soak/machine.go
@@ -69,9 +69,8 @@
 	backend       atomic.Pointer[standin.Backend]
 	server        *http.Server
 	backendStarts int
-	// written is the entry in the store, and born the start of its backend server.
+	// written is the entry in the store.
 	written writtenEntry
-	born    time.Time
 }
 
 func (c *cluster) newMachine(index int, service string) (*machine, error) {
--- a/bench/soak/restore.go
+++ b/bench/soak/restore.go
@@ -28,12 +28,12 @@
 func (m *machine) putEntry(id string, leaving bool) {
 	m.written.mu.Lock()
 	defer m.written.mu.Unlock()
-	m.written.id, m.written.entry, m.written.removed = id, m.storeEntry(leaving), false
+	entry := m.storeEntry(leaving)
 	if leaving {
-		m.written.entry.Born = m.born
+		entry.Born = m.written.entry.Born
 	}
-	m.born = m.written.entry.Born
-	m.store.PutInstance(id, m.written.entry)
+	m.written.id, m.written.entry, m.written.removed = id, entry, false
+	m.store.PutInstance(id, entry)
 }
 
 // removeEntry removes the entry of a backend server.
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -94,7 +94,7 @@
 		}
 	}
 	for a, listedAt := range x.peers {
-		if now.Sub(listedAt) > peerRetention && !slices.Contains(addresses, a) {
+		if now.Sub(listedAt) > peerRetention {
 			delete(x.peers, a)
 			delete(x.failedAt, a)
 		}
--- a/internal/source/restored.go
+++ b/internal/source/restored.go
@@ -130,7 +130,7 @@
 // was leaving before: it does not take work again, but what it wrote before that may be
 // written again after a restoration. A store without eras is never restored.
 func keepLeaving(e, known Entry) Entry {
-	if e.Era == 0 || known.Instance == nil || known.Instance.State != InstanceLeaving || known.Instance.Incarnation != e.Instance.Incarnation {
+	if e.Era == 0 || e.Instance.State == InstanceLeaving || known.Instance == nil || known.Instance.State != InstanceLeaving || known.Instance.Incarnation != e.Instance.Incarnation {
 		return e
 	}
 	if e.Instance.Incarnation == 0 && known.Era == e.Era && known.Revision < e.Revision {
--- a/internal/source/seed.go
+++ b/internal/source/seed.go
@@ -17,9 +17,9 @@
 }
 
 // HandleSeedReply handles the reply of a seed, or of a proxy that was asked to confirm
-// a version, with the configuration that its
-// delta produces, and returns the next call. The store remains unreachable
-// until a call to it succeeds.
+// a version, with the configuration that its delta produces, and returns the next
+// call. After the reply of a seed the store remains unreachable until a call to it
+// succeeds.
 func (f *Follower) HandleSeedReply(now time.Time, id string, r RelayReply, c *Configuration) (Update, Call) {
 	if f.restored.unconfirmed != nil {
 		var v Update
@@ -45,6 +45,7 @@
 func (f *Follower) HandleSeedFailure(now time.Time, id, cause string) (Update, Call) {
 	var v Update
 	if f.restored.unconfirmed != nil {
+		v.addNote("version not confirmed", id+": "+cause)
 		next := f.confirm(now, nil, &v)
 		return v, next
 	}
