Log and count what backend servers state about themselves in responses

Backend servers name a rate limit (Server-Limit) and announce their end (Server-Leaving). The proxies passed both on unread, so that logs and metrics could not tell whether a limit arrived, when and with which value.

The dialect names both headers; the proxy beside the backend server reads them, logs changes (one a second at most), counts them and shows them in metrics and the state dump. A limit that is raised or ended counts only from a response whose request started after the lower one was learnt, as responses may arrive out of order. No decision about a request changes yet.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -53,8 +53,12 @@
 	limiter     concurrencyLimiter
 	serviceTime serviceTimeEstimator
 	crashes     crashDetector
-	requests    *requestTable
-	queue       *fairQueue
+	rate        rateLimiter
+	// reportedLeaving means that the backend server has stated that it is about to
+	// end.
+	reportedLeaving bool
+	requests        *requestTable
+	queue           *fairQueue
 	// awaitingClaim holds the requests whose claim is not decided yet.
 	awaitingClaim   map[uint64]*request
 	waiting         map[uint64]*request
@@ -109,6 +113,8 @@
 	case Loaded:
 		a.monitor.recordLoadReport(now, e.Draining)
 		a.limiter.setReportedSlots(now, e.Slots)
+	case Reported:
+		a.handleReported(now, e)
 	case FenceReceived:
 		a.handleFence(now, e)
 	case Tick:
@@ -254,6 +260,7 @@
 		a.reportCrash(now, replacementWindow)
 		a.monitor = healthMonitor{}
 		a.serviceTime = serviceTimeEstimator{}
+		a.rate, a.reportedLeaving = rateLimiter{}, false
 	}
 }
 
--- a/internal/admission/events.go
+++ b/internal/admission/events.go
@@ -84,6 +84,20 @@
 		// Draining reports that the backend server wants no new requests.
 		Draining bool
 	}
+	// Reported is what the backend server states about itself in its response to a
+	// running request. A response without such a statement is not reported.
+	Reported struct {
+		// ID is that of the request.
+		ID uint64
+		// RateLimit is the rate limit that it names, in requests per second, valid
+		// if RateLimited is set.
+		RateLimit   float64
+		RateLimited bool
+		// Leaving means that the backend server is about to end.
+		Leaving bool
+		// Invalid means that a statement could not be read.
+		Invalid bool
+	}
 	// FenceReceived delivers a fence from a peer; the effect ReplyFence is the
 	// response.
 	FenceReceived struct {
@@ -103,6 +117,7 @@
 func (Draining) admissionEvent()      {}
 func (Checked) admissionEvent()       {}
 func (Loaded) admissionEvent()        {}
+func (Reported) admissionEvent()      {}
 func (FenceReceived) admissionEvent() {}
 func (Tick) admissionEvent()          {}
 
@@ -140,6 +155,15 @@
 	}
 	// Crashed reports that the backend server crashed, and what it ran.
 	Crashed struct{ Runs []CrashedRun }
+	// RateLimitChanged reports that the backend server names another rate limit
+	// than before, in requests per second, or none any more if Limited is not set.
+	RateLimitChanged struct {
+		Limited   bool
+		PerSecond float64
+	}
+	// LeavingReported reports that the backend server states in its responses that
+	// it is about to end.
+	LeavingReported struct{}
 	// FingerprintAnswered reports that the backend server answered a request
 	// with the fingerprint and the KnownCrashes of its Arrived.
 	FingerprintAnswered struct {
@@ -155,3 +179,5 @@
 func (ReplyFence) admissionEffect()          {}
 func (Crashed) admissionEffect()             {}
 func (FingerprintAnswered) admissionEffect() {}
+func (RateLimitChanged) admissionEffect()    {}
+func (LeavingReported) admissionEffect()     {}
--- a/internal/admission/outcome.go
+++ b/internal/admission/outcome.go
@@ -19,6 +19,7 @@
 	if !r.Repeatable {
 		a.requests.set(now, r.Request, endState(ran), 0)
 	}
+	a.recordUnlimited(r, e)
 	a.recordOutcome(now, r, e)
 }
 
--- a/internal/admission/state.go
+++ b/internal/admission/state.go
@@ -21,6 +21,12 @@
 	FencesProvenNotRun uint64 `json:"fences_proven"`
 	// Crashes counts the emitted Crashed effects.
 	Crashes uint64 `json:"crashes"`
+	// RateLimitReports counts the responses that name a rate limit, LeavingReports
+	// those that announce the end of the backend server, InvalidReports those with
+	// a statement that could not be read.
+	RateLimitReports uint64 `json:"rate_limit_reports"`
+	LeavingReports   uint64 `json:"leaving_reports"`
+	InvalidReports   uint64 `json:"invalid_reports"`
 }
 
 func (c *Counters) countRefusal(reason outcome.Reason) {
@@ -55,6 +61,12 @@
 	HealthOverruled bool `json:"health_overruled"`
 	// Slots is the current concurrency limit.
 	Slots int `json:"slots"`
+	// RateLimit is the rate limit that the backend server names, in requests per
+	// second, nil if it names none.
+	RateLimit *float64 `json:"rate_limit,omitempty"`
+	// ReportedLeaving reports that the backend server states that it is about to
+	// end.
+	ReportedLeaving bool `json:"reported_leaving"`
 	// Running, Waiting and AwaitingClaim count the requests that run, wait for a
 	// slot and wait for a claim.
 	Running       int `json:"running"`
@@ -79,6 +91,7 @@
 		Draining:        a.monitor.listedAsDraining,
 		Unhealthy:       a.monitor.suspended,
 		HealthOverruled: a.monitor.overruled,
+		ReportedLeaving: a.reportedLeaving,
 		Slots:           a.concurrencyLimit(now),
 		Running:         len(a.running),
 		Waiting:         len(a.waiting),
@@ -88,6 +101,10 @@
 		ServiceMargin:   a.serviceTime.margin,
 		Counters:        a.Counters(),
 	}
+	if a.rate.limited {
+		limit := a.rate.perSecond
+		s.RateLimit = &limit
+	}
 	for name, queue := range a.queue.organisations {
 		s.Organisations = append(s.Organisations, OrganisationState{
 			Organisation: name,
--- a/internal/forward/dialect.go
+++ b/internal/forward/dialect.go
@@ -30,6 +30,13 @@
 	// CallerServiceHeader is the header with the service of the instance at
 	// which the request entered.
 	CallerServiceHeader string
+	// RateLimitHeader is the header in which a backend server names the requests
+	// per second that it accepts from all proxies together, for as long as its
+	// responses carry it.
+	RateLimitHeader string
+	// LeavingHeader is the header, with the value 1, by which a backend server
+	// states in its responses that it is about to end.
+	LeavingHeader string
 	// StatusIndicatesExecution makes the status code state whether a request
 	// was run: 503 and 429 guarantee that it was not, 502 and 504 guarantee
 	// nothing.
--- a/internal/forward/ingress.go
+++ b/internal/forward/ingress.go
@@ -226,8 +226,9 @@
 // the function that reports the end of the attempt; the reported latency is
 // that until the header.
 func (c *callerRequest) reportResponse(d routing.Send, resp *http.Response, start time.Time) func() {
-	c.logAttempt(d, start, resp.StatusCode >= http.StatusInternalServerError || d.Attempt > 1,
-		"outcome", outcome.Answered, "status", resp.StatusCode)
+	report, _ := c.dialect.backendReport(resp.Header) // the proxy beside the backend server logs invalid ones
+	fields := append([]any{"outcome", outcome.Answered, "status", resp.StatusCode}, report.fields()...)
+	c.logAttempt(d, start, resp.StatusCode >= http.StatusInternalServerError || d.Attempt > 1, fields...)
 	e := routing.AttemptEnded{
 		ID:      c.id,
 		Outcome: outcome.Answered,
--- a/internal/forward/local.go
+++ b/internal/forward/local.go
@@ -155,7 +155,11 @@
 		c.reportEnd(refusal.Outcome, refusal.Reason)
 		return c.refuse(refusal)
 	}
-	if reason, ok := c.notRunReason(x.Response); ok {
+	reason, refused := c.notRunReason(x.Response)
+	if reason != outcome.OtherInstance {
+		c.passReport(x.Response.Header)
+	}
+	if refused {
 		refusal := notRun(reason, http.StatusServiceUnavailable)
 		refusal.RetryAfter = parseRetryAfter(x.Response.Header)
 		x.Close(false)
--- a/internal/host/admissionmetrics.go
+++ b/internal/host/admissionmetrics.go
@@ -15,6 +15,7 @@
 	host *Host
 
 	requests, refused, running, waiting, slots *prometheus.Desc
+	rateLimit, leaving, reports                *prometheus.Desc
 	claims, keys, suspects                     *prometheus.Desc
 	incidents, quarantined, evidence           *prometheus.Desc
 }
@@ -30,6 +31,9 @@
 		running:     desc("running", "Requests running on the backend server."),
 		waiting:     desc("waiting", "Requests waiting for a slot of the backend server or for the result of the claim on their idempotency key."),
 		slots:       desc("slots", "Current limit on concurrent requests to the backend server."),
+		rateLimit:   desc("rate_limit", "Rate limit that the local backend server names in its responses, in requests per second; absent if it names none."),
+		leaving:     desc("reported_leaving", "1 if the local backend server states in its responses that it is about to end, 0 otherwise."),
+		reports:     desc("reports_total", "Responses in which the local backend server states something about itself, by what.", "what"),
 		claims:      desc("claims_total", "Claims by this proxy on idempotency keys, by result.", "result"),
 		keys:        desc("keys", "Idempotency keys that this proxy stores as one of their owners."),
 		suspects:    desc("suspects", "Fingerprints of requests suspected of crashing backend servers."),
@@ -72,6 +76,17 @@
 	gauge(m.running, a.Running)
 	gauge(m.waiting, a.Waiting+a.AwaitingClaim)
 	gauge(m.slots, a.Slots)
+	if a.RateLimit != nil {
+		c <- prometheus.MustNewConstMetric(m.rateLimit, prometheus.GaugeValue, *a.RateLimit)
+	}
+	leaving := 0
+	if a.ReportedLeaving {
+		leaving = 1
+	}
+	gauge(m.leaving, leaving)
+	counter(m.reports, a.Counters.RateLimitReports, "rate-limit")
+	counter(m.reports, a.Counters.LeavingReports, "leaving")
+	counter(m.reports, a.Counters.InvalidReports, "invalid")
 	gauge(m.keys, d.Keys)
 	gauge(m.suspects, len(q.Suspects))
 	counter(m.incidents, q.Counters.LocalCrashes, "local")
--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -35,6 +35,10 @@
 		case admission.Crashed:
 			n.journal.add(now, "backend server crashed", "with requests in flight")
 			n.recordCrashedRuns(now, effect.Runs, out)
+		case admission.RateLimitChanged:
+			n.addRateLimit(now, effect)
+		case admission.LeavingReported:
+			n.journal.add(now, "backend server reports that it leaves", n.backend.ID)
 		case admission.FingerprintAnswered:
 			n.stepQuarantine(now, quarantine.Answered{Run: quarantine.Run{Fingerprint: effect.Fingerprint, Known: effect.KnownCrashes}}, out)
 		case admission.Run:
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"heatherlift.example/heatherlift/internal/admission"
 	"heatherlift.example/heatherlift/internal/config"
 	"heatherlift.example/heatherlift/internal/member"
 )
@@ -14,6 +15,9 @@
 // violationInterval is the minimum time between two recorded violations.
 const violationInterval = 10 * time.Second
 
+// rateLimitInterval is the minimum time between two recorded rate limits.
+const rateLimitInterval = time.Second
+
 // JournalEntry records an event or a decision of the proxy.
 type JournalEntry struct {
 	At time.Time `json:"at"`
@@ -29,6 +33,8 @@
 	next    int
 	// stepEntries holds the entries added in the current step.
 	stepEntries []JournalEntry
+	// lastRateLimit is when a rate limit was last recorded.
+	lastRateLimit time.Time
 	// lastViolation is when a violation was last recorded.
 	lastViolation time.Time
 }
@@ -69,6 +75,21 @@
 	j.add(now, "protocol violation by "+strconv.Quote(from), cause)
 }
 
+// addRateLimit records at most one rate limit per rateLimitInterval, since a backend
+// server may name another one with each response.
+func (n *Node) addRateLimit(now time.Time, e admission.RateLimitChanged) {
+	j := &n.journal
+	if !j.lastRateLimit.IsZero() && now.Sub(j.lastRateLimit) < rateLimitInterval {
+		return
+	}
+	j.lastRateLimit = now
+	if !e.Limited {
+		j.add(now, "backend server names no rate limit any more", n.backend.ID)
+		return
+	}
+	j.add(now, "backend server names a rate limit", n.backend.ID+": "+strconv.FormatFloat(e.PerSecond, 'f', -1, 64)+" requests a second")
+}
+
 // list returns the entries in chronological order.
 func (j *journal) list() []JournalEntry {
 	out := make([]JournalEntry, 0, len(j.entries))
--- a/internal/node/trace.go
+++ b/internal/node/trace.go
@@ -39,7 +39,7 @@
 	routing.Arrived{}, routing.AttemptEnded{}, routing.Abandoned{},
 	admission.Arrived{}, admission.Ended{}, admission.Abandoned{}, admission.Draining{}, admission.Assigned{},
 	limit.Received{}, limit.Answered{}, limit.Failed{},
-	admission.Checked{}, admission.Loaded{}, admission.FenceReceived{},
+	admission.Checked{}, admission.Loaded{}, admission.Reported{}, admission.FenceReceived{},
 	dedupe.ClaimReceived{}, dedupe.ClaimAnswered{}, dedupe.Settled{}, dedupe.SyncReceived{}, dedupe.SyncAnswered{},
 	quarantine.Received{}, quarantine.Replied{}, quarantine.Failed{},
 )
