Soak: draw the IDs of callers and crashing requests from different streams

bin/soak -seed 1 -machines 12 -calm -crashing 2 reported 19 violations (refused, unasked) of a fleet without a fault.

Cause: the generator of a caller is seeded with the seed of the run and the number of the caller, that of a crashing request with its number and 0. Crashing request 1 and the first caller of a run with the seed 1 draw the same numbers, so that two requests bear one ID and the checks take the one for the other. The proxies did nothing wrong.

Each kind of source now has its own streams, all seeded by the run; the draws of callers differ from before for the same seed, plans do not.

--- a/bench/soak/cluster.go
+++ b/bench/soak/cluster.go
@@ -32,6 +32,8 @@
 // cluster is a fleet with its store, links and backend servers.
 type cluster struct {
 	lab *lab.Lab
+	// seed is the seed of the run.
+	seed uint64
 	// ctx is done when the callers are to end.
 	ctx context.Context
 	// secondOctet is the second byte of all addresses. It is derived from the
@@ -54,9 +56,9 @@
 }
 
 // newCluster starts a fleet and waits until every proxy is ready.
-func newCluster(ctx context.Context, l *lab.Lab, machines int) (*cluster, error) {
+func newCluster(ctx context.Context, l *lab.Lab, seed uint64, machines int) (*cluster, error) {
 	c := &cluster{
-		lab: l, ctx: ctx, secondOctet: 10 + os.Getpid()%200, store: standin.NewStore(), observed: &observations{},
+		lab: l, seed: seed, ctx: ctx, secondOctet: 10 + os.Getpid()%200, store: standin.NewStore(), observed: &observations{},
 	}
 	c.storeAddress = address(fmt.Sprintf("127.%d.0.1", c.secondOctet), storePort)
 	listener, err := net.Listen("tcp", c.storeAddress)
--- a/bench/soak/crashing.go
+++ b/bench/soak/crashing.go
@@ -39,7 +39,7 @@
 // until c.ctx is done, each time to a random proxy. It ignores Retry-After. Requests
 // with different numbers differ.
 func (c *cluster) startCrashingRequest(number uint64) {
-	c.callers.Go(func() { c.sendCrashingRequest(formatHex(number), rand.New(rand.NewPCG(number, 0))) })
+	c.callers.Go(func() { c.sendCrashingRequest(formatHex(number), c.newRand(crashingStream, number)) })
 }
 
 func (c *cluster) sendCrashingRequest(name string, rng *rand.Rand) {
--- a/bench/soak/main.go
+++ b/bench/soak/main.go
@@ -12,7 +12,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"math/rand/v2"
 	"os"
 	"slices"
 	"strings"
@@ -131,7 +130,7 @@
 	l.LogToFiles = true
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	c, err := newCluster(ctx, l, o.machines)
+	c, err := newCluster(ctx, l, o.seed, o.machines)
 	if err != nil {
 		l.Stop()
 		return report{}, errors.Wrapf(err, "seed %d", o.seed)
@@ -142,7 +141,7 @@
 	}
 	for _, m := range c.machines {
 		for n := range max(1, defaultCallers/o.machines) {
-			rng := rand.New(rand.NewPCG(o.seed, uint64(m.index*defaultCallers+n)))
+			rng := c.newRand(callerStream, uint64(m.index*defaultCallers+n))
 			c.callers.Go(func() { m.runCaller(ctx, rng, (m.index+n)%2 == 0) })
 		}
 	}
--- a/bench/soak/plan.go
+++ b/bench/soak/plan.go
@@ -106,7 +106,7 @@
 // newPlan generates the steps of a run in the order of their start, of the given kinds
 // or, without any, of all. The plan depends only on the arguments.
 func newPlan(seed uint64, length time.Duration, machines int, kinds ...kind) []step {
-	rng := rand.New(rand.NewPCG(seed, 11))
+	rng := rand.New(rand.NewPCG(seed, planStream))
 	total := 0
 	var weights []kindWeight
 	for _, w := range allWeights {
