Reproduce the named limits and announced ends that are not heeded

In virtual time (internal/node) and with processes (bench/soak), both beside all other faults: backend servers name rate limits that rise, fall, end and return, one, many or all of a service, restart under new identifiers, and announce their end before the store lists it or without; responses are lost or overtake each other.

The checks have the users' rule beside faults (1.5 times the limit and 5, from 3 s on) and the limit itself and 5 in an undisturbed fleet and in virtual time. Cases in which each new check must report are in TestChecksDetectEachViolation.

--- a/bench/soak/check.go
+++ b/bench/soak/check.go
@@ -74,6 +74,7 @@
 	c.checkLostAnswers()
 	c.checkRetryBudget()
 	c.checkCrashingRequests()
+	c.checkStatements()
 	return c.violations
 }
 
--- a/bench/soak/cluster.go
+++ b/bench/soak/cluster.go
@@ -47,6 +47,9 @@
 	lastVersion  uint64
 	lastRoutes   []standin.Route
 	publishMu    sync.Mutex
+	// rateLimit is the rate limit that a third of the backend servers name throughout
+	// the run, in requests per second, 0 for none.
+	rateLimit float64
 	// storeFaultMu serialises store faults, as the store has one at a time.
 	storeFaultMu sync.Mutex
 	// runningSteps waits for the steps of the plan that have not ended.
@@ -56,9 +59,9 @@
 }
 
 // newCluster starts a fleet and waits until every proxy is ready.
-func newCluster(ctx context.Context, l *lab.Lab, seed uint64, machines int) (*cluster, error) {
+func newCluster(ctx context.Context, l *lab.Lab, o options) (*cluster, error) {
 	c := &cluster{
-		lab: l, seed: seed, ctx: ctx, secondOctet: 10 + os.Getpid()%200, store: standin.NewStore(), observed: &observations{},
+		lab: l, seed: o.seed, rateLimit: o.rateLimit, ctx: ctx, secondOctet: 10 + os.Getpid()%200, store: standin.NewStore(), observed: &observations{},
 	}
 	c.storeAddress = address(fmt.Sprintf("127.%d.0.1", c.secondOctet), storePort)
 	listener, err := net.Listen("tcp", c.storeAddress)
@@ -68,7 +71,7 @@
 	c.storeServer = &http.Server{Handler: c.store, ReadHeaderTimeout: time.Minute}
 	go func() { _ = c.storeServer.Serve(listener) }()
 	c.publish()
-	for i := range machines {
+	for i := range o.machines {
 		m, err := c.newMachine(i, services[i/zones%len(services)])
 		if err != nil {
 			return nil, err
@@ -146,6 +149,12 @@
 		m.redeployBackend()
 	case kindCrash:
 		m.crashBackend()
+	case kindLimit:
+		m.varyLimit(s)
+	case kindLimitService:
+		c.limitService(s)
+	case kindAnnouncedEnd:
+		m.announceEnd(s)
 	case kindCrashingRequest:
 		c.startCrashingRequest(uint64(s.At))
 	case kindChange:
--- a/bench/soak/machine.go
+++ b/bench/soak/machine.go
@@ -69,6 +69,10 @@
 	backend       atomic.Pointer[standin.Backend]
 	server        *http.Server
 	backendStarts int
+	// stated is what the backend server statedBy states in its responses.
+	statementMu sync.Mutex
+	stated      standin.Statement
+	statedBy    string
 	// written is the entry in the store.
 	written writtenEntry
 }
@@ -205,6 +209,10 @@
 		_ = server.Close()
 		go m.replaceCrashedBackend(id)
 	}
+	b.Stated = func(s standin.Statement) { m.recordStated(id, s) }
+	if m.rateLimit > 0 && m.index%limitedShare == 0 {
+		b.State(standin.Statement{Limited: true, RateLimit: m.rateLimit})
+	}
 	m.backend.Store(b)
 	m.server = server
 	go func() { _ = server.Serve(l) }()
--- a/bench/soak/main.go
+++ b/bench/soak/main.go
@@ -41,6 +41,7 @@
 	// the refused ones were reported as not run.
 	attempts, served, refused int
 	crashes                   []crashes
+	statements                statementSummary
 	violations                []string
 	// plannedSteps counts the faults and operations of the plan.
 	plannedSteps int
@@ -56,6 +57,7 @@
 	flag.StringVar(&o.bin, "bin", "bin", "directory containing the built binaries")
 	flag.IntVar(&o.machines, "machines", defaultMachines, "number of proxies; from 24 on, they follow the store through proxies in the role reader")
 	flag.IntVar(&o.crashing, "crashing", 0, "number of requests that end each backend server that runs them and are sent throughout the run")
+	flag.Float64Var(&o.rateLimit, "limit", 0, "rate limit that a third of the backend servers name throughout the run, in requests per second; 0 for none")
 	flag.Func("kinds", "comma-separated kinds of faults to draw from (default all)", func(text string) error {
 		for name := range strings.SplitSeq(text, ",") {
 			if !slices.ContainsFunc(allWeights, func(w kindWeight) bool { return w.kind == kind(name) }) {
@@ -92,6 +94,7 @@
 	for _, s := range r.crashes {
 		text += fmt.Sprintf("\n  %s ended %d backend servers, sent late %d times", s.path, s.ended, s.late)
 	}
+	text += r.statements.String()
 	for i, b := range r.violations {
 		if i == 10 {
 			return text + "\n  ..."
@@ -117,7 +120,10 @@
 	// crashing is the number of requests that end each backend server that runs
 	// them.
 	crashing int
-	keep     bool
+	// rateLimit is the rate limit that a third of the backend servers name
+	// throughout the run, in requests per second, 0 for none.
+	rateLimit float64
+	keep      bool
 }
 
 // runSeed performs one run. The logs are kept if keep is set or the run has
@@ -130,7 +136,7 @@
 	l.LogToFiles = true
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	c, err := newCluster(ctx, l, o.seed, o.machines)
+	c, err := newCluster(ctx, l, o)
 	if err != nil {
 		l.Stop()
 		return report{}, errors.Wrapf(err, "seed %d", o.seed)
@@ -177,7 +183,9 @@
 func (r *report) summarise(o *observations) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	r.crashes = newChecker(o, time.Now()).crashesByPath()
+	c := newChecker(o, time.Now())
+	r.crashes = c.crashesByPath()
+	r.statements = c.summariseStatements()
 	for _, a := range o.attempts {
 		switch {
 		case isCrashing(a.Path):
--- a/bench/soak/observations.go
+++ b/bench/soak/observations.go
@@ -72,6 +72,16 @@
 	acked    time.Time
 }
 
+// limitChange is a change of the rate limit that a backend server names, in requests per
+// second. A limit that ends or rises counts from then on, any other from the first
+// response that names it.
+type limitChange struct {
+	instance  string
+	at        time.Time
+	limited   bool
+	perSecond float64
+}
+
 // observations are what callers and backend servers observed in a run, with the
 // published versions and the disturbances. Its methods are safe for concurrent use.
 type observations struct {
@@ -81,6 +91,7 @@
 	versions     []version
 	disturbances []*disturbance
 	departures   []departure
+	limits       []limitChange
 	// failures describes unexpected exits, unclean stops and failed starts.
 	failures []string
 }
@@ -109,6 +120,12 @@
 	o.departures = append(o.departures, departure{instance: instance, acked: time.Now()})
 }
 
+func (o *observations) recordLimit(l limitChange) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.limits = append(o.limits, l)
+}
+
 // recordDisturbance records a disturbance that starts now and returns a function
 // that ends it.
 func (o *observations) recordDisturbance(machine int, k kind) (end func()) {
--- a/bench/soak/plan.go
+++ b/bench/soak/plan.go
@@ -38,8 +38,13 @@
 	// kindCrashingRequest starts the sends of a request that ends each backend server
 	// that runs it. They go on until the run ends.
 	kindCrashingRequest kind = "crashing-request"
-	kindChange          kind = "change" // a new version is published
-	kindStorm           kind = "storm"  // several versions are published in quick succession
+	kindLimit           kind = "limit"         // a backend server names a rate limit that changes, ends and returns
+	kindLimitService    kind = "limit-service" // all backend servers of a service name a rate limit
+	// kindAnnouncedEnd lets a backend server announce its end in its responses, before
+	// the store lists it as leaving or without that.
+	kindAnnouncedEnd kind = "announced-end"
+	kindChange       kind = "change" // a new version is published
+	kindStorm        kind = "storm"  // several versions are published in quick succession
 )
 
 // kindWeight is the relative frequency of a kind.
@@ -73,6 +78,9 @@
 	{kindRelease, 5},
 	{kindCrash, 2},
 	{kindCrashingRequest, 2},
+	{kindLimit, 5},
+	{kindLimitService, 1},
+	{kindAnnouncedEnd, 4},
 	{kindChange, 8},
 	{kindStorm, 3},
 }
--- a/bench/soak/random.go
+++ b/bench/soak/random.go
@@ -5,9 +5,10 @@
 // Streams of random numbers of a run. Each source of numbers has a stream of its own,
 // since two of the same stream would draw the same request IDs.
 const (
-	planStream     uint64 = 11
-	callerStream   uint64 = 1 << 40
-	crashingStream uint64 = 2 << 40
+	planStream      uint64 = 11
+	callerStream    uint64 = 1 << 40
+	crashingStream  uint64 = 2 << 40
+	statementStream uint64 = 3 << 40
 )
 
 // newRand returns the generator of one source, which has a number below 1<<40 among
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -135,6 +135,20 @@
 				copyRun(o, func(*standin.Arrival) {})
 			}
 		},
+		"limit": func(o *observations, a *attempt, r *standin.Arrival) {
+			a.answer.Instance, a.answer.Limited = r.Instance, true
+			o.limits = []limitChange{{instance: r.Instance, at: testStart, limited: true, perSecond: 1}}
+			for i := range 12 {
+				copyRun(o, func(r *standin.Arrival) { r.At = a.ended.Add(limitGrace + time.Duration(i)*time.Millisecond) })
+			}
+		},
+		"leaving": func(o *observations, a *attempt, r *standin.Arrival) {
+			a.answer.Instance, a.answer.Leaving = r.Instance, true
+			later := *a
+			later.ID, later.sent = "later", a.ended.Add(drainBound+time.Millisecond)
+			o.attempts = append(o.attempts, &later)
+			copyRun(o, func(r *standin.Arrival) { r.Request, r.At = "later", later.sent.Add(time.Millisecond) })
+		},
 		"lost": func(o *observations, a *attempt, _ *standin.Arrival) {
 			a.result = connectionClosed
 			o.disturbances = []*disturbance{{kind: kindStop, from: testStart.Add(-time.Second), to: testStart.Add(time.Minute)}}
@@ -218,3 +232,47 @@
 		t.Error(r)
 	}
 }
+
+// A backend server that named a rate limit got as much as before.
+func TestNamedLimitsAreKept(t *testing.T) {
+	r, err := runSeed(options{bin: buildProxy(t), seed: 1, machines: 12, length: 6 * time.Second, calm: true, rateLimit: 8})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Log(r)
+	if len(r.violations) > 0 || r.statements.windows == 0 {
+		t.Error(r)
+	}
+}
+
+// A backend server got requests from machines that had passed on that it leaves.
+func TestAnnouncedEndsAreHeeded(t *testing.T) {
+	r, err := runSeed(options{bin: buildProxy(t), seed: 1, machines: 12, length: 6 * time.Second, kinds: []kind{kindAnnouncedEnd}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Log(r)
+	if len(r.violations) > 0 {
+		t.Error(r)
+	}
+}
+
+// Windows are judged by the highest limit in force in them, and not at all if there was
+// none for a time.
+func TestLimitOfAWindowIsTheHighestInForce(t *testing.T) {
+	is := is.New(t)
+	at := func(s int) time.Time { return testStart.Add(time.Duration(s) * time.Second) }
+	c := newChecker(&observations{limits: []limitChange{
+		{"i", at(10), true, 8}, {"other", at(10), true, 99}, {"i", at(20), true, 20}, {"i", at(30), true, 5}, {"i", at(40), false, 0}, {"i", at(50), true, 2},
+	}}, at(100))
+	for _, w := range []struct {
+		from, to int
+		limit    float64
+	}{{0, 9, -1}, {6, 11, 8}, {12, 16, 8}, {18, 21, 20}, {28, 31, 20}, {32, 36, 5}, {38, 41, -1}, {45, 49, -1}, {48, 52, 2}} {
+		limit, _, ok := c.limitIn("i", at(w.from), at(w.to))
+		if !ok {
+			limit = -1
+		}
+		is.Equal(limit, w.limit)
+	}
+}
--- a/internal/node/crashcalls_test.go
+++ b/internal/node/crashcalls_test.go
@@ -21,14 +21,16 @@
 	service     int
 	fingerprint uint64
 	generation  int
-	done        func(outcome.Outcome, outcome.Reason)
+	// sentAt is when the caller sent the request.
+	sentAt time.Time
+	done   func(outcome.Outcome, outcome.Reason)
 }
 
 // call sends a request to a proxy.
 func (f *crashFleet) call(entry *crashProxy, service int, fingerprint uint64, done func(outcome.Outcome, outcome.Reason)) {
 	f.nextID++
 	ended := false
-	r := &crashRequest{f, f.nextID, entry, service, fingerprint, entry.generation, func(o outcome.Outcome, reason outcome.Reason) {
+	r := &crashRequest{f, f.nextID, entry, service, fingerprint, entry.generation, f.now, func(o outcome.Outcome, reason outcome.Reason) {
 		if !ended {
 			ended = true
 			done(o, reason)
@@ -56,7 +58,7 @@
 	case routing.Send:
 		i, _ := strconv.Atoi(e.Address)
 		target := r.proxies[i]
-		r.send(r.entry, target, func() { r.admit(target, e) }, func() { r.ended(outcome.Unknown, outcome.ConnectionLost) })
+		r.send(r.entry, target, func() { r.admit(target, e) }, func() { r.ended(lostResult()) })
 	}
 }
 
@@ -67,7 +69,7 @@
 		switch e := effect.(type) {
 		case admission.Refuse:
 			delete(r.runs, run)
-			r.reply(target, e.Refusal.Outcome, e.Refusal.Reason)
+			r.reply(target, attemptResult{Refusal: e.Refusal})
 		case admission.Run:
 			delete(r.runs, run)
 			r.execute(target, run, s.Instance)
@@ -85,28 +87,13 @@
 		}
 		r.after(time.Millisecond, func() {
 			r.step(p, admission.Ended{ID: run, Outcome: outcome.NotRun, Reason: reason})
-			r.reply(p, outcome.NotRun, reason)
+			r.reply(p, attemptResult{Refusal: outcome.Refusal{Outcome: outcome.NotRun, Reason: reason}})
 		})
 		return
 	}
-	backend, proxy := p.backendGeneration, p.generation
-	p.running[run] = func(ended bool) {
-		delete(p.running, run)
-		if p.generation != proxy {
-			return
-		}
-		r.deliver(p, func() {
-			o, reason := outcome.Answered, outcome.Reason("")
-			if ended {
-				o, reason = outcome.Unknown, outcome.ConnectionLost
-				if !p.backendUp {
-					reason = outcome.BackendServerCrashed
-				}
-			}
-			r.step(p, admission.Ended{ID: run, Outcome: o, Reason: reason})
-			r.reply(p, o, reason)
-		})
-	}
+	backend := p.backendGeneration
+	r.statements.arrived(r, p)
+	p.running[run] = r.respond(p, run)
 	if r.fingerprint == crashingFingerprint {
 		r.recordCrash()
 		r.endBackend(p)
@@ -119,6 +106,47 @@
 	})
 }
 
+// respond returns the function that ends a run at the backend server: with a response
+// or, if lost is set, with the loss of its connection.
+func (r *crashRequest) respond(p *crashProxy, run uint64) func(lost bool) {
+	proxy := p.generation
+	return func(lost bool) {
+		delete(p.running, run)
+		result := attemptResult{Refusal: outcome.Refusal{Outcome: outcome.Answered}}
+		if lost = lost || r.statements.loses(r.rng); !lost {
+			result.instance, result.stated = p.instance(), p.stated
+			r.statements.responded(r.now, p)
+		}
+		finish := func() {
+			if lost {
+				result.Outcome, result.Reason = outcome.Unknown, outcome.ConnectionLost
+				if !p.backendUp {
+					result.Reason = outcome.BackendServerCrashed
+				}
+			}
+			if result.stated != (statement{}) {
+				r.step(p, result.stated.reported(run))
+			}
+			r.step(p, admission.Ended{ID: run, Outcome: result.Outcome, Reason: result.Reason})
+			r.reply(p, result)
+		}
+		r.afterDelay(r.statements.delay, func() {
+			if p.generation == proxy {
+				r.deliver(p, finish)
+			}
+		})
+	}
+}
+
+// afterDelay calls back after a random time of up to limit, at once if that is 0.
+func (f *crashFleet) afterDelay(limit time.Duration, callback func()) {
+	if limit == 0 {
+		callback()
+		return
+	}
+	f.after(f.jitter(limit), callback)
+}
+
 // recordCrash counts an arrival of the crashing request at a backend server.
 func (r *crashRequest) recordCrash() {
 	r.crashFleet.ended++
@@ -154,27 +182,42 @@
 	f.revision++
 	old := source.Entry{ID: p.instance(), Revision: f.revision}
 	p.backendGeneration++
-	p.backendUp = true
+	p.backendUp, p.listedLeaving, p.stated = true, false, statement{}
 	f.storeChanged(old, f.entry(p))
 }
 
-func (r *crashRequest) reply(target *crashProxy, o outcome.Outcome, reason outcome.Reason) {
-	r.send(target, r.entry, func() { r.ended(o, reason) }, func() { r.ended(outcome.Unknown, outcome.ConnectionLost) })
+// attemptResult is the result of an attempt, with what the backend server states in its
+// response.
+type attemptResult struct {
+	outcome.Refusal
+	instance string
+	stated   statement
+}
+
+func lostResult() attemptResult {
+	return attemptResult{Refusal: outcome.Refusal{Outcome: outcome.Unknown, Reason: outcome.ConnectionLost}}
+}
+
+func (r *crashRequest) reply(target *crashProxy, result attemptResult) {
+	r.send(target, r.entry, func() { r.ended(result) }, func() { r.ended(lostResult()) })
 }
 
 // ended reports the end of an attempt to the entry proxy.
-func (r *crashRequest) ended(o outcome.Outcome, reason outcome.Reason) {
+func (r *crashRequest) ended(result attemptResult) {
 	if r.entry.generation != r.generation || !r.entry.up {
 		delete(r.routes, r.id)
 		r.done(outcome.Unknown, outcome.ConnectionLost)
 		return
 	}
-	e := routing.AttemptEnded{ID: r.id, Outcome: o, Reason: reason, Latency: time.Millisecond}
-	if o == outcome.Answered {
+	e := routing.AttemptEnded{
+		ID: r.id, Outcome: result.Outcome, Reason: result.Reason, RetryAfter: result.RetryAfter, Latency: time.Millisecond,
+	}
+	if result.Outcome == outcome.Answered {
 		delete(r.routes, r.id)
 		e.Status = 200
+		r.statements.passedOn(r.now, r.entry, result)
 		r.step(r.entry, e)
-		r.done(o, "")
+		r.done(result.Outcome, "")
 		return
 	}
 	r.deliver(r.entry, func() { r.step(r.entry, e) })
--- a/internal/node/crashfaults_test.go
+++ b/internal/node/crashfaults_test.go
@@ -87,11 +87,15 @@
 // injectFaults injects faults of the named kinds until the given time, one every
 // pause on average, each on up to a quarter of the proxies.
 func (f *crashFleet) injectFaults(until time.Time, pause time.Duration, kinds ...string) {
+	f.injectFaultsOf(crashFaults, until, pause, kinds...)
+}
+
+func (f *crashFleet) injectFaultsOf(faults map[string]func(f *crashFleet, share int), until time.Time, pause time.Duration, kinds ...string) {
 	f.after(time.Duration(f.rng.ExpFloat64()*float64(pause)), func() {
 		if f.now.After(until) {
 			return
 		}
-		crashFaults[kinds[f.rng.IntN(len(kinds))]](f, 1+f.rng.IntN(max(1, len(f.proxies)/4)))
-		f.injectFaults(until, pause, kinds...)
+		faults[kinds[f.rng.IntN(len(kinds))]](f, 1+f.rng.IntN(max(1, len(f.proxies)/4)))
+		f.injectFaultsOf(faults, until, pause, kinds...)
 	})
 }
--- a/internal/node/crashfleet_test.go
+++ b/internal/node/crashfleet_test.go
@@ -57,6 +57,10 @@
 	backendUp         bool
 	backendGeneration int
 	running           map[uint64]func(ended bool)
+	// stated is what the backend server states in its responses.
+	stated statement
+	// listedLeaving means that the store lists the backend server as leaving.
+	listedLeaving bool
 }
 
 func (p *crashProxy) service() string  { return fmt.Sprintf("s-%d", p.index%crashServices) }
@@ -84,13 +88,16 @@
 	// Counts of the innocent requests: all of them, served ones, and those for
 	// which the last answer was a refusal of a suspect.
 	innocent, served, quarantined int
+	// statements observes the requests to backend servers that state something about
+	// themselves.
+	statements statementObserver
 }
 
 func newCrashFleet(seed uint64, n int) *crashFleet {
 	f := &crashFleet{
 		virtualTime: virtualTime{now: epoch}, rng: rand.New(rand.NewPCG(seed, 1)), revision: 1,
 		routes: make(map[uint64]func(routing.Effect)), runs: make(map[uint64]func(admission.Effect)),
-		replies: make(map[uint64]func(quarantine.Message)),
+		replies: make(map[uint64]func(quarantine.Message)), statements: newStatementObserver(),
 	}
 	for i := range n {
 		f.proxies = append(f.proxies, &crashProxy{index: i, backendUp: true, running: make(map[uint64]func(bool))})
@@ -173,8 +180,12 @@
 }
 
 func (f *crashFleet) entry(p *crashProxy) source.Entry {
+	state := source.InstanceLive
+	if p.listedLeaving {
+		state = source.InstanceLeaving
+	}
 	return source.Entry{ID: p.instance(), Revision: f.revision, Instance: &source.Instance{
-		ID: p.instance(), Service: p.service(), AvailabilityZone: "z", State: source.InstanceLive, Address: p.address(),
+		ID: p.instance(), Service: p.service(), AvailabilityZone: "z", State: state, Address: p.address(),
 		PeerAddress: p.address(), BackendAddress: p.address(), Slots: crashSlots,
 	}}
 }
