Keep to the rate limit that a backend server names

Cause: no part of the proxy evaluated the header; it was passed on to callers like any other.

Change: admission, in the proxy beside the backend server, enforces the limit with a token bucket, since all requests of all proxies pass there: nothing has to be divided or agreed among them. A request is refused at once (backend-server-limited, Retry-After from the tokens) if its token comes too late for its deadline, while others of the service may have room for its patience, and while the limit is contended for its target. Accepted requests keep their place. Routing goes on to instances without a limit, also in other availability zones, before it asks limited ones, two at most. Sends carry the limit that the entry proxy has learnt, which a restarted proxy beside the backend server adopts until it has a response.

--- a/bench/soak/statements.go
+++ b/bench/soak/statements.go
@@ -184,7 +184,8 @@
 				s.firstLate = fmt.Sprintf("%v arrived at %s, which had announced its end %v before", a, r.Instance, a.sent.Sub(first).Round(time.Millisecond))
 			}
 		}
-		if at, ok := limited.last(r.Instance, a.machine, r.At.Add(-toldAfter)); ok && c.heeds(a.machine, at, r.At) {
+		_, since, inForce := c.limitIn(r.Instance, r.At, r.At)
+		if at, ok := limited.last(r.Instance, a.machine, r.At.Add(-toldAfter)); ok && inForce && !at.Before(since) && c.heeds(a.machine, at, r.At) {
 			counted[r.Instance] = append(counted[r.Instance], r.At)
 			c.judgeWindow(&s, r.Instance, counted[r.Instance])
 		}
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -54,6 +54,8 @@
 	serviceTime serviceTimeEstimator
 	crashes     crashDetector
 	rate        rateLimiter
+	// wakeAt is the time of the latest WakeAt.
+	wakeAt time.Time
 	// reportedLeaving means that the backend server has stated that it is about to
 	// end.
 	reportedLeaving bool
@@ -125,6 +127,7 @@
 	}
 	a.expire(now)
 	a.dispatch(now)
+	a.wakeForToken(now)
 	return a.effects
 }
 
@@ -171,6 +174,7 @@
 func (a *Admission) handleArrived(now time.Time, e Arrived) {
 	a.counters.Arrived++
 	r := &request{Arrived: e, arrivedAt: now}
+	a.adoptRateLimit(now, e)
 	if !e.Repeatable {
 		if entry, ok := a.requests.entries[e.Request]; ok && (entry.state != FenceNotRun || entry.inProgress()) {
 			a.refuseDuplicate(r, entry.state)
@@ -187,8 +191,10 @@
 		a.refuse(now, r, outcome.DeadlineExpired)
 	case a.shouldRedirect(now, r):
 		a.redirect(now, r)
+	case a.exceedsRate(now, r, a.waitingForToken(r)):
+		a.refuse(now, r, outcome.BackendServerLimited)
 	case a.likelyToMissDeadlineInQueue(now, r), a.missesTargetInSaturatedQueue(now, r):
-		a.refuse(now, r, outcome.Overload)
+		a.refuse(now, r, a.overloadReason(now))
 	case a.cfg.ClaimKeys && e.Key != "" && !e.Repeatable:
 		a.requestClaim(now, r)
 	default:
@@ -231,10 +237,10 @@
 	a.queue.push(now, r)
 	a.waiting[r.ID] = r
 	if r.queue.waiting.Len() > a.cfg.OrganisationQueueLength {
-		a.drop(now, r.queue.waiting.last(), outcome.Overload)
+		a.drop(now, r.queue.waiting.last(), a.overloadReason(now))
 	}
 	if a.queue.len() > a.cfg.QueueLength {
-		a.drop(now, a.queue.evictionCandidate(), outcome.Overload)
+		a.drop(now, a.queue.evictionCandidate(), a.overloadReason(now))
 	}
 }
 
@@ -264,7 +270,7 @@
 	}
 }
 
-// dispatch starts waiting requests while slots are free. It drops or demotes
+// dispatch starts waiting requests while slots are free and the rate limit allows. It drops or demotes
 // requests that can no longer meet their target, and drops those that would
 // probably not be answered before their deadline.
 func (a *Admission) dispatch(now time.Time) {
@@ -275,9 +281,12 @@
 			continue
 		}
 		if a.likelyToMissDeadline(now, r, 0) {
-			a.drop(now, r, outcome.Overload)
+			a.drop(now, r, a.overloadReason(now))
 			continue
 		}
+		if !a.rate.take(now) {
+			return
+		}
 		a.start(now, a.queue.pop(now, a.serviceTime.mean))
 	}
 }
@@ -299,6 +308,7 @@
 func (a *Admission) sweep(now time.Time) {
 	a.requests.expire(now)
 	a.sweepLate(now)
+	a.dropBeyondRate(now)
 	if now.Sub(a.lastIdleRemoval) >= idleOrganisationRetention {
 		a.lastIdleRemoval = now
 		a.queue.removeIdle(now.Add(-idleOrganisationRetention))
--- a/internal/admission/events.go
+++ b/internal/admission/events.go
@@ -45,6 +45,11 @@
 		// its sender can try another instance. 0 means that the sender has no
 		// other instance to try.
 		Patience float64
+		// RateLimit is the rate limit that the backend server named in the latest
+		// response that the sender passed on, in requests per second, valid if
+		// RateLimited is set.
+		RateLimit   float64
+		RateLimited bool
 	}
 	// Claimed is the response to the effect Claim.
 	Claimed struct {
@@ -155,6 +160,9 @@
 	}
 	// Crashed reports that the backend server crashed, and what it ran.
 	Crashed struct{ Runs []CrashedRun }
+	// WakeAt asks for a Tick at the given time, when the rate limit lets a waiting
+	// request start.
+	WakeAt struct{ At time.Time }
 	// RateLimitChanged reports that the backend server names another rate limit
 	// than before, in requests per second, or none any more if Limited is not set.
 	RateLimitChanged struct {
@@ -179,5 +187,6 @@
 func (ReplyFence) admissionEffect()          {}
 func (Crashed) admissionEffect()             {}
 func (FingerprintAnswered) admissionEffect() {}
+func (WakeAt) admissionEffect()              {}
 func (RateLimitChanged) admissionEffect()    {}
 func (LeavingReported) admissionEffect()     {}
--- a/internal/admission/invariant_test.go
+++ b/internal/admission/invariant_test.go
@@ -54,6 +54,9 @@
 		c.Fatalf("%d requests run in %d slots", len(c.running), c.admission.cfg.Slots)
 	}
 	running, waiting := c.admission.InFlight()
+	if waits := c.admission.rate.wait(c.now, 1); waits > 0 && c.admission.queue.len() > 0 && c.admission.waitsForTokens(c.now) && !c.admission.wakeAt.After(c.now) {
+		c.Fatalf("requests wait for a token in %v and nothing wakes them", waits)
+	}
 	if running != len(c.running) || waiting != len(c.undecided) {
 		c.Fatalf("%d requests running and %d waiting, want %d and %d", running, waiting, len(c.running), len(c.undecided))
 	}
@@ -109,6 +112,14 @@
 		Repeatable:   request[0] == '1',
 		Deadline:     c.now.Add(time.Duration(rapid.IntRange(-10, 3000).Draw(c.T, "budget")) * time.Millisecond),
 	}
+	if rapid.Bool().Draw(c.T, "target") {
+		e.Target = c.now.Add(time.Duration(rapid.IntRange(-10, 1000).Draw(c.T, "time to target")) * time.Millisecond)
+		e.Patience = rapid.SampledFrom([]float64{0, 0.25, 1}).Draw(c.T, "patience")
+		e.Priority = rapid.IntRange(0, 2).Draw(c.T, "priority")
+	}
+	if rapid.Bool().Draw(c.T, "limit known") {
+		e.RateLimited, e.RateLimit = true, c.drawLimit()
+	}
 	if rapid.Bool().Draw(c.T, "keyed") {
 		e.Key = request
 	}
@@ -158,6 +169,14 @@
 	c.step(end)
 }
 
+func (c *checker) drawLimit() float64 {
+	return rapid.SampledFrom([]float64{0, 0.5, 3, 20, 1000}).Draw(c.T, "limit")
+}
+
+func (c *checker) reportLimit(*rapid.T) {
+	c.step(Reported{ID: pickID(c, c.running), RateLimited: true, RateLimit: c.drawLimit(), Invalid: rapid.Bool().Draw(c.T, "invalid")})
+}
+
 func (c *checker) abandon(*rapid.T) {
 	id := pickID(c, c.undecided)
 	delete(c.undecided, id)
@@ -218,7 +237,7 @@
 		c := newChecker(t)
 		t.Repeat(map[string]func(*rapid.T){
 			"arrive": c.arrive, "arrive again": c.arrive, "claim": c.decideClaim, "end": c.end,
-			"abandon": c.abandon, "fence": c.fence, "pass": c.advance, "signal": c.reportHealth,
+			"limit": c.reportLimit, "abandon": c.abandon, "fence": c.fence, "pass": c.advance, "signal": c.reportHealth,
 		})
 		c.checkAllDecided()
 	})
--- a/internal/admission/refusal.go
+++ b/internal/admission/refusal.go
@@ -19,6 +19,9 @@
 
 // refuse refuses a request that was not run.
 func (a *Admission) refuse(now time.Time, r *request, reason outcome.Reason) {
+	if reason == outcome.BackendServerLimited && r.Patience == 0 {
+		a.rate.contendedAt = now
+	}
 	a.refuseWith(now, r, outcome.Refusal{
 		Outcome:    outcome.NotRun,
 		Reason:     reason,
@@ -105,20 +108,32 @@
 // estimateWait estimates how long a new request would wait for a slot. A request
 // with a target overtakes those of lower priority and those that are late.
 func (a *Admission) estimateWait(now time.Time, r *request) time.Duration {
+	ahead := a.waitingBefore(r)
+	return max(a.estimateSlotWait(now, r, ahead), a.tokenWait(now, r))
+}
+
+// waitingBefore estimates how many waiting requests run before a new one.
+func (a *Admission) waitingBefore(r *request) int {
 	if r.Target.IsZero() {
-		return a.queueingDelay(now, a.requestsAhead(r.Organisation))
-	}
-	limit := a.concurrencyLimit(now)
-	if len(a.running)+a.queue.len() < limit {
-		return 0
+		return a.requestsAhead(r.Organisation)
 	}
-	requestsAhead := 0
 	if queue, ok := a.queue.organisations[r.Organisation]; ok {
-		requestsAhead = a.queue.countBefore(queue, r)
+		return a.queue.countBefore(queue, r)
+	}
+	return 0
+}
+
+// estimateSlotWait estimates how long a new request behind others would wait for a slot.
+func (a *Admission) estimateSlotWait(now time.Time, r *request, ahead int) time.Duration {
+	switch {
+	case r.Target.IsZero():
+		return a.queueingDelay(now, ahead)
+	case len(a.running)+a.queue.len() < a.concurrencyLimit(now):
+		return 0
 	}
 	// With all slots busy, the next one becomes free after the mean service
 	// time divided by the number of slots.
-	return a.queueingDelay(now, requestsAhead+1)
+	return a.queueingDelay(now, ahead+1)
 }
 
 // shouldRedirect reports whether to refuse a request so that its sender tries
@@ -128,11 +143,14 @@
 	if r.Patience <= 0 || !r.Target.After(now) {
 		return false
 	}
+	slack := r.Target.Sub(now) - a.serviceTime.expected(r.Route)
+	if float64(a.tokenWait(now, r)) > r.Patience*float64(max(0, slack)) {
+		return true
+	}
 	if a.stalled(now) || a.missesTarget(now, r, 0) {
 		return !a.serviceTime.stale(now, r.Route)
 	}
-	wait := a.estimateWait(now, r)
-	slack := r.Target.Sub(now) - a.serviceTime.expected(r.Route)
+	wait := a.estimateSlotWait(now, r, a.waitingBefore(r))
 	return float64(wait) > r.Patience*float64(slack)
 }
 
@@ -152,6 +170,10 @@
 // redirect refuses a request so that its sender tries another instance. The retry
 // delay is the expected wait and service time at this instance.
 func (a *Admission) redirect(now time.Time, r *request) {
+	if a.tokenWait(now, r) > 0 {
+		a.refuse(now, r, outcome.BackendServerLimited)
+		return
+	}
 	a.refuseWith(now, r, outcome.Refusal{
 		Outcome:    outcome.NotRun,
 		Reason:     outcome.InstanceBusy,
@@ -166,28 +188,40 @@
 	return !r.Target.IsZero() && now.Add(wait+a.serviceTime.expected(r.Route)).After(r.Target)
 }
 
-// queueSaturated reports whether at least as many requests wait as may run. Late
+// queueSaturated reports whether at least as many requests wait as may run, or the rate
+// limit is contended. Late
 // requests then have no chance before their deadline, since others overtake them:
 // they are refused at once, which leaves their callers time to retry.
 func (a *Admission) queueSaturated(now time.Time) bool {
-	return a.queue.len() >= a.concurrencyLimit(now)
+	return a.rate.contended(now) || a.queue.len() >= a.concurrencyLimit(now)
 }
 
 // missesTargetInSaturatedQueue reports whether the queue is saturated and a new
 // request would miss its target behind the requests that wait.
 func (a *Admission) missesTargetInSaturatedQueue(now time.Time, r *request) bool {
-	return a.queueSaturated(now) && a.missesTarget(now, r, a.estimateWait(now, r))
+	if !a.queueSaturated(now) {
+		return false
+	}
+	if wait := a.tokenWait(now, r); wait > 0 && !r.Target.IsZero() {
+		slack := r.Target.Sub(now) - a.serviceTime.expected(r.Route)
+		if float64(wait) > tokenWaitShare*float64(max(0, slack)) {
+			return true
+		}
+	}
+	return a.missesTarget(now, r, a.estimateWait(now, r))
 }
 
 // dropOrDemoteLate checks whether a waiting request can still meet its target. If
 // not, it drops the request when the queue is saturated, or else moves it behind
-// those that can. It reports whether the request was dropped or moved.
+// those that can. It reports whether the request was dropped or moved. Requests that
+// wait for tokens keep their place: those that came later were accepted for later
+// tokens.
 func (a *Admission) dropOrDemoteLate(now time.Time, r *request) bool {
-	if r.late || !a.missesTarget(now, r, 0) {
+	if r.late || !a.missesTarget(now, r, 0) || a.waitsForTokens(now) {
 		return false
 	}
 	if a.queueSaturated(now) {
-		a.drop(now, r, outcome.Overload)
+		a.drop(now, r, a.overloadReason(now))
 		return true
 	}
 	a.queue.markLate(r)
@@ -220,8 +254,9 @@
 	return a.serviceTime.mean * time.Duration(n) / time.Duration(max(1, a.concurrencyLimit(now)))
 }
 
-// retryAfter returns the time in which the queue is expected to empty, bounded by
-// MinRetryAfter and maxRetryAfter.
+// retryAfter returns the time in which the queue is expected to empty and the rate limit
+// to allow another request, bounded by MinRetryAfter and maxRetryAfter.
 func (a *Admission) retryAfter(now time.Time) time.Duration {
-	return min(max(a.cfg.MinRetryAfter, a.queueingDelay(now, a.queue.len())), maxRetryAfter)
+	wait := max(a.queueingDelay(now, a.queue.len()), a.rate.wait(now, a.queue.len()+1))
+	return min(max(a.cfg.MinRetryAfter, wait), maxRetryAfter)
 }
--- a/internal/forward/backendreport.go
+++ b/internal/forward/backendreport.go
@@ -31,11 +31,8 @@
 // of a response. Invalid values are left out and returned as errBackendReport.
 func (d *Dialect) backendReport(h http.Header) (r backendReport, err error) {
 	if text := fieldValue(h, d.RateLimitHeader); text != "" {
-		limit, parseErr := strconv.ParseFloat(text, 64)
-		if parseErr != nil || !(limit >= 0) || math.IsInf(limit, 0) {
+		if r.rateLimit, r.rateLimited = parseRateLimit(text); !r.rateLimited {
 			err = errors.Wrapf(errBackendReport, "%s: %q", d.RateLimitHeader, text)
-		} else {
-			r.rateLimit, r.rateLimited = limit, true
 		}
 	}
 	if text := fieldValue(h, d.LeavingHeader); text != "" {
@@ -47,6 +44,16 @@
 	return r, err
 }
 
+// parseRateLimit parses a rate limit in requests per second. It reports false unless
+// that is a finite number of at least 0.
+func parseRateLimit(text string) (perSecond float64, ok bool) {
+	perSecond, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(perSecond >= 0) || math.IsInf(perSecond, 0) {
+		return 0, false
+	}
+	return perSecond, true
+}
+
 // fields returns the report as fields of a log line.
 func (r backendReport) fields() (fields []any) {
 	if r.rateLimited {
--- a/internal/forward/backendreport_test.go
+++ b/internal/forward/backendreport_test.go
@@ -1,11 +1,17 @@
 package forward
 
 import (
+	"bufio"
+	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
+
+	"heatherlift.example/heatherlift/internal/admission"
+	"heatherlift.example/heatherlift/internal/routing"
 )
 
 func TestBackendReportIsReadFromHeader(t *testing.T) {
@@ -46,3 +52,45 @@
 		})
 	}
 }
+
+func TestHopHeaderCarriesTheRateLimit(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	parse := func(hop string) (admission.Arrived, bool) {
+		return parseHop(now, http.Header{http.CanonicalHeaderKey(hopHeader): {hop}})
+	}
+	a, ok := parse(formatHop(routing.Send{Repeatable: true, RateLimited: true, RateLimit: 23.4}, "q", 7, now))
+	is.True(ok)
+	is.True(a.RateLimited)
+	is.Equal(a.RateLimit, 23.4)
+	a, ok = parse(formatHop(routing.Send{Repeatable: true}, "q", 7, now))
+	is.True(ok)
+	is.True(!a.RateLimited)
+	for _, invalid := range []string{"NaN", "-1", "x"} {
+		_, ok = parse("f=7&s=1&l=" + invalid)
+		is.True(!ok)
+	}
+}
+
+// What a backend server states reaches admission beside it and routing at the entry, and
+// the caller gets the headers unchanged.
+func TestBackendReportReachesAdmissionAndRouting(t *testing.T) {
+	is := is.New(t)
+	g := &rig{runs: &runCounter{}, dialect: fullDialect()}
+	g.dialect.RateLimitHeader, g.dialect.LeavingHeader = "X-Limit", "X-Leaving"
+	g.start(t, rawServer(t, func(c net.Conn, r *bufio.Reader) {
+		respondOnce(c, r, signedResponse("r1", "X-Limit: 7.5\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n"))
+	}))
+	resp, _, err := dialRaw(t, g.callersAddr).exchange(t, signedGet)
+	is.NoErr(err)
+	is.Equal(resp.Header.Get("X-Limit"), "7.5")
+	is.Equal(resp.Header.Get("X-Leaving"), "1")
+	g.core.mu.Lock()
+	defer g.core.mu.Unlock()
+	state := g.core.admission.State(time.Now())
+	is.Equal(*state.RateLimit, 7.5)
+	is.True(state.ReportedLeaving)
+	ended := g.core.endedAttempts[len(g.core.endedAttempts)-1]
+	is.True(ended.RateLimited)
+	is.Equal(ended.RateLimit, 7.5)
+}
--- a/internal/forward/hop.go
+++ b/internal/forward/hop.go
@@ -25,6 +25,7 @@
 	hopTarget       = "t" // milliseconds until routing.Send.Target
 	hopRoute        = "r"
 	hopKnownCrashes = "c"
+	hopRateLimit    = "l" // requests per second
 	hopMaxWaitShare = "w" // becomes admission.Arrived.Patience
 )
 
@@ -54,6 +55,9 @@
 	if d.MaxWaitShare > 0 {
 		v.Set(hopMaxWaitShare, strconv.FormatFloat(d.MaxWaitShare, 'f', 2, 64))
 	}
+	if d.RateLimited {
+		v.Set(hopRateLimit, strconv.FormatFloat(d.RateLimit, 'f', -1, 64))
+	}
 	return v.Encode()
 }
 
@@ -94,6 +98,11 @@
 		}
 		a.KnownCrashes = uint32(n)
 	}
+	if text := v.Get(hopRateLimit); text != "" {
+		if a.RateLimit, a.RateLimited = parseRateLimit(text); !a.RateLimited {
+			return admission.Arrived{}, false
+		}
+	}
 	if text := v.Get(hopMaxWaitShare); text != "" {
 		if a.Patience, err = strconv.ParseFloat(text, 64); err != nil {
 			return admission.Arrived{}, false
--- a/internal/forward/ingress.go
+++ b/internal/forward/ingress.go
@@ -175,6 +175,8 @@
 		Target:       d.Target,
 		Route:        d.Route,
 		Patience:     d.MaxWaitShare,
+		RateLimit:    d.RateLimit,
+		RateLimited:  d.RateLimited,
 	})
 	c.outgoing.expectContinue = true
 	if result.exchange == nil {
@@ -236,6 +238,9 @@
 		Status:  resp.StatusCode,
 		Load:    parseLoad(resp.Header),
 		Bytes:   resp.ContentLength,
+
+		RateLimit:   report.rateLimit,
+		RateLimited: report.rateLimited,
 	}
 	return func() { c.core.Route(e) }
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -191,6 +191,8 @@
 		h.admitEffects.deliver(e.ID, e)
 	case admission.Refuse:
 		h.admitEffects.deliver(e.ID, e)
+	case admission.WakeAt:
+		time.AfterFunc(time.Until(e.At), func() { h.Admit(admission.Tick{}) })
 	case admission.ReplyFence:
 		h.replies.deliver(e.Call, e.Reply)
 	}
--- a/internal/node/crashcalls_test.go
+++ b/internal/node/crashcalls_test.go
@@ -215,6 +215,7 @@
 	if result.Outcome == outcome.Answered {
 		delete(r.routes, r.id)
 		e.Status = 200
+		e.RateLimit, e.RateLimited = result.stated.perSecond, result.stated.limited
 		r.statements.passedOn(r.now, r.entry, result)
 		r.step(r.entry, e)
 		r.done(result.Outcome, "")
@@ -229,6 +230,7 @@
 	return admission.Arrived{
 		ID: run, Repeatable: s.Repeatable, Fingerprint: r.fingerprint, Deadline: s.Deadline, Instance: s.Instance,
 		Target: s.Target, Route: s.Route, Patience: s.MaxWaitShare, KnownCrashes: s.KnownCrashes,
+		RateLimit: s.RateLimit, RateLimited: s.RateLimited,
 	}
 }
 
--- a/internal/node/crashfleet_test.go
+++ b/internal/node/crashfleet_test.go
@@ -251,11 +251,23 @@
 			f.runs[effect.ID](effect)
 		case admission.Refuse:
 			f.runs[effect.ID](effect)
+		case admission.WakeAt:
+			f.tickAdmission(p, effect.At)
 		}
 	}
 	f.stepPeers(p, out)
 }
 
+// tickAdmission ticks admission at the given time.
+func (f *crashFleet) tickAdmission(p *crashProxy, at time.Time) {
+	generation := p.generation
+	f.after(at.Sub(f.now), func() {
+		if p.generation == generation {
+			f.deliver(p, func() { f.step(p, admission.Tick{}) })
+		}
+	})
+}
+
 // stepPeers carries out the messages between proxies.
 func (f *crashFleet) stepPeers(p *crashProxy, out Effects) {
 	for _, effect := range out.Quarantine {
--- a/internal/node/statements_test.go
+++ b/internal/node/statements_test.go
@@ -114,6 +114,7 @@
 		s.limits = append(s.limits, limitChange{at: f.now, limited: next.limited, perSecond: next.perSecond})
 		if !next.limited {
 			s.stated.limited = false
+			clear(s.toldLimit)
 		}
 	}
 	p.stated = next
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -36,11 +36,14 @@
 	Overload Reason = "overload"
 	// InstanceBusy means that the expected wait at an instance is longer than the
 	// sender allows while it has other instances to try.
-	InstanceBusy    Reason = "instance-busy"
-	DeadlineExpired Reason = "deadline-expired"
-	InstanceLeaving Reason = "instance-leaving"
-	ConnectFailed   Reason = "connect-failed"
-	ConnectionLost  Reason = "connection-lost"
+	InstanceBusy Reason = "instance-busy"
+	// BackendServerLimited means that the rate limit that the backend server names
+	// in its responses leaves no room for the request in time.
+	BackendServerLimited Reason = "backend-server-limited"
+	DeadlineExpired      Reason = "deadline-expired"
+	InstanceLeaving      Reason = "instance-leaving"
+	ConnectFailed        Reason = "connect-failed"
+	ConnectionLost       Reason = "connection-lost"
 	// BackendServerShed means that the backend server itself refused the request
 	// without running it.
 	BackendServerShed Reason = "backend-server-shed"
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -15,6 +15,9 @@
 	// minRetryTimeShare is the share of the expected latency that must be left
 	// before the deadline for a retry.
 	minRetryTimeShare = 0.5
+	// minLimitedRetryAfter is the shortest Retry-After of a request that rate limits
+	// leave no room for.
+	minLimitedRetryAfter = 50 * time.Millisecond
 )
 
 // call is a request in progress.
@@ -33,6 +36,8 @@
 	// server (all of them if the route has no target), and remoteOffers the
 	// offers to instances in other availability zones.
 	attempts, sends, remoteOffers int
+	// limitedSends counts the sends to instances in the state Limited.
+	limitedSends int
 	// retry reports that the request is a retry, by this proxy or further up
 	// the call chain.
 	retry bool
@@ -112,8 +117,12 @@
 
 // refusalWithoutInstance returns the refusal of a request for which no instance
 // is left: last, or, if the request was not sent yet, an overload that lasts
-// until the first held instance becomes usable.
+// until the first held instance becomes usable. If rate limits leave no room, the
+// retry delay is that of the instance that has room first.
 func (r *Router) refusalWithoutInstance(now time.Time, c *call, last outcome.Refusal) outcome.Refusal {
+	if end := r.candidates.earliestLimitEnd; !end.IsZero() && (c.sends == 0 || last.Reason == outcome.BackendServerLimited) {
+		return notRunRefusal(outcome.BackendServerLimited, http.StatusServiceUnavailable, max(end.Sub(now), minLimitedRetryAfter))
+	}
 	if c.sends > 0 || r.candidates.earliestHoldEnd.IsZero() {
 		return last
 	}
@@ -166,6 +175,8 @@
 		Attempt:      c.sends,
 		Retry:        c.retry,
 		KnownCrashes: c.knownCrashes,
+		RateLimit:    chosen.rateLimit,
+		RateLimited:  chosen.rateLimited,
 		Choice:       why,
 	})
 }
@@ -202,6 +213,12 @@
 	refused := e.Outcome == outcome.NotRun && isOverload(e.Reason)
 	i.recordLoad(now, e.Load)
 	i.applyRetryAfter(now, e)
+	if e.Outcome == outcome.Answered {
+		i.rateLimit, i.rateLimited = e.RateLimit, e.RateLimited
+	}
+	if e.Outcome == outcome.NotRun && e.Reason == outcome.BackendServerLimited {
+		r.recordLimited(now, i, e.RetryAfter)
+	}
 	if c.hasTarget() {
 		r.startBackoff(now, i, e)
 		if e.Outcome == outcome.NotRun && e.Reason != outcome.BackendServerShed && e.Reason != outcome.OtherInstance {
--- a/internal/routing/events.go
+++ b/internal/routing/events.go
@@ -74,6 +74,10 @@
 		Load float64
 		// Bytes is the length of the response body, -1 if it is unknown.
 		Bytes int64
+		// RateLimit is the rate limit that the backend server names in its
+		// response, in requests per second, valid if RateLimited is set.
+		RateLimit   float64
+		RateLimited bool
 	}
 	// Abandoned reports that the caller no longer waits for the response.
 	Abandoned struct{ ID uint64 }
@@ -137,6 +141,11 @@
 		Retry bool
 		// KnownCrashes is that of the request's Arrived.
 		KnownCrashes uint32
+		// RateLimit is the rate limit that the backend server named in the latest
+		// response, in requests per second, valid if RateLimited is set. The
+		// proxy beside it may have been restarted since.
+		RateLimit   float64
+		RateLimited bool
 		// Choice records what was known about the instance when it was
 		// selected.
 		Choice Choice
--- a/internal/routing/instance.go
+++ b/internal/routing/instance.go
@@ -64,6 +64,12 @@
 	// busyUntil it is a candidate only for the fallback.
 	reportedWaitAt, busyUntil time.Time
 	reportedWait              time.Duration
+	// rateLimit is the rate limit that the backend server named in the latest
+	// response, in requests per second, valid if rateLimited is set. Until
+	// limitedUntil the limit leaves no room for a request.
+	rateLimit    float64
+	rateLimited  bool
+	limitedUntil time.Time
 	// downUntil is the time until which no request is sent to the instance's
 	// proxy.
 	downUntil time.Time
--- a/internal/routing/offer.go
+++ b/internal/routing/offer.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"heatherlift.example/heatherlift/internal/outcome"
@@ -36,6 +38,13 @@
 	// availability zone gets no offers after such a refusal. It is longer
 	// because each refused offer costs cross-zone traffic.
 	remoteBusyBackoff = time.Second
+	// maxLimitedBackoff caps the time for which an instance in the local
+	// availability zone gets no offers after it refused a request because of the
+	// rate limit of its backend server, since the limit may end sooner.
+	maxLimitedBackoff = time.Second
+	// maxLimitedSends limits the sends of a request to instances whose rate limit
+	// is known to leave no room for it soon.
+	maxLimitedSends = 2
 	// unreachableBackoff is how long an instance is skipped after its proxy was
 	// unreachable or refused a request with InstanceLeaving. It is short because a
 	// refused connection costs only a fraction of a millisecond.
@@ -82,7 +91,7 @@
 
 // fallback returns the instance to which the request is sent without a wait
 // limit after all offers: the local one with the shortest known wait, otherwise
-// a remote or an ejected one, nil if there is none.
+// a remote, a limited or an ejected one, nil if there is none.
 func (r *Router) fallback(now time.Time, c *call, local, remote *instance) *instance {
 	best := local
 	for _, i := range r.candidates.busy {
@@ -100,12 +109,22 @@
 		return remote
 	case len(r.candidates.busy) > 0:
 		return r.pickOfTwo(now, r.candidates.busy)
+	case len(r.candidates.limited) > 0 && c.limitedSends < maxLimitedSends:
+		c.limitedSends++
+		return shortestWait(now, r.candidates.limited)
 	case len(r.candidates.ejected) > 0:
 		return r.pickOfTwo(now, r.candidates.ejected)
 	}
 	return nil
 }
 
+// shortestWait returns the instance with the shortest known wait.
+func shortestWait(now time.Time, list []*instance) *instance {
+	return slices.MinFunc(list, func(a, b *instance) int {
+		return cmp.Compare(a.remainingWait(now), b.remainingWait(now))
+	})
+}
+
 // remainingWait returns what is left of the wait that the instance reported.
 func (i *instance) remainingWait(now time.Time) time.Duration {
 	return max(0, i.reportedWait-now.Sub(i.reportedWaitAt))
@@ -122,6 +141,17 @@
 	i.busyUntil = now.Add(backoff)
 }
 
+// recordLimited stores the wait until the rate limit of an instance's backend server
+// leaves room, and takes the instance out of the candidates for a time.
+func (r *Router) recordLimited(now time.Time, i *instance, wait time.Duration) {
+	i.reportedWaitAt, i.reportedWait = now, wait
+	backoff := min(wait, maxLimitedBackoff)
+	if i.AvailabilityZone != r.cfg.AvailabilityZone {
+		backoff = remoteBusyBackoff
+	}
+	i.limitedUntil = now.Add(backoff)
+}
+
 // transferCost returns the expected cost of transferring the response between
 // availability zones, relative to what a response within the target is worth.
 func (r *Router) transferCost(c *call) float64 {
--- a/internal/routing/selection.go
+++ b/internal/routing/selection.go
@@ -28,6 +28,9 @@
 	Down State = "down"
 	// Held instances asked for a pause with Retry-After.
 	Held State = "held-by-retry-after"
+	// Limited instances have recently refused a request because of the rate limit
+	// that their backend server names. They are used if no other one is usable.
+	Limited State = "limited"
 	// Leaving instances get no new requests.
 	Leaving State = "leaving"
 	// OutsideGroup instances are in an availability zone that the group
@@ -42,6 +45,11 @@
 	// busy holds usable instances that recently refused this or another request
 	// because of a long wait or a full queue.
 	busy []*instance
+	// limited holds the instances in the state Limited.
+	limited []*instance
+	// earliestLimitEnd is the earliest time at which an instance in the state
+	// Limited may have room, also of those that the call has tried.
+	earliestLimitEnd time.Time
 	// earliestHoldEnd is the earliest time at which a held instance becomes
 	// usable.
 	earliestHoldEnd time.Time
@@ -53,6 +61,8 @@
 	c.ejected = c.ejected[:0]
 	c.suspect = c.suspect[:0]
 	c.busy = c.busy[:0]
+	c.limited = c.limited[:0]
+	c.earliestLimitEnd = time.Time{}
 	c.earliestHoldEnd = time.Time{}
 }
 
@@ -74,6 +84,8 @@
 		return Suspect
 	case now.Before(i.ejectedUntil):
 		return Ejected
+	case now.Before(i.limitedUntil):
+		return Limited
 	default:
 		return Usable
 	}
@@ -90,6 +102,9 @@
 	}
 	for _, i := range p.instances {
 		s := i.state(now, c.group)
+		if s == Limited {
+			r.candidates.addLimitEnd(i.reportedWaitAt.Add(i.reportedWait))
+		}
 		switch {
 		case s == Usable && now.Before(i.busyUntil):
 			r.candidates.busy = append(r.candidates.busy, i)
@@ -99,6 +114,12 @@
 	}
 }
 
+func (c *candidates) addLimitEnd(end time.Time) {
+	if c.earliestLimitEnd.IsZero() || end.Before(c.earliestLimitEnd) {
+		c.earliestLimitEnd = end
+	}
+}
+
 func (c *candidates) add(i *instance, s State, zone string) {
 	switch s {
 	case Usable:
@@ -107,6 +128,8 @@
 		} else {
 			c.remote = append(c.remote, i)
 		}
+	case Limited:
+		c.limited = append(c.limited, i)
 	case Ejected:
 		c.ejected = append(c.ejected, i)
 	case Suspect:
