Send nothing new to a backend server that announces its end in a response

What backend servers saw: one that said that it leaves, in each of its responses, got requests until the store listed it as leaving or dropped it.

Cause: the header was passed on unread, like that of the rate limit; the list of the store was the only source of leaving.

Change: the proxy beside the backend server refuses what waits and what comes for that instance (instance-leaving, so that it goes to another), from the header of the response on. The entry proxy takes the instance out of its choice, also while the list names it as live, and remembers it for 10 minutes after the list has dropped it, since entries come back. Both hold until the process ends: another identifier or start time.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -56,11 +56,10 @@
 	rate        rateLimiter
 	// wakeAt is the time of the latest WakeAt.
 	wakeAt time.Time
-	// reportedLeaving means that the backend server has stated that it is about to
-	// end.
-	reportedLeaving bool
-	requests        *requestTable
-	queue           *fairQueue
+	// departure is set once the backend server has stated that it is about to end.
+	departure *departure
+	requests  *requestTable
+	queue     *fairQueue
 	// awaitingClaim holds the requests whose claim is not decided yet.
 	awaitingClaim   map[uint64]*request
 	waiting         map[uint64]*request
@@ -184,8 +183,8 @@
 	}
 	switch {
 	// InstanceLeaving is also the reason while the backend server is listed as
-	// draining, suspended or busy with a probe.
-	case a.acceptMode(now) == acceptNone, a.acceptMode(now) == acceptProbes && len(a.running) > 0:
+	// draining, suspended or busy with a probe, or has announced its end.
+	case a.acceptMode(now) == acceptNone, a.acceptMode(now) == acceptProbes && len(a.running) > 0, a.departure.concerns(r):
 		a.refuse(now, r, outcome.InstanceLeaving)
 	case !now.Before(e.Deadline):
 		a.refuse(now, r, outcome.DeadlineExpired)
@@ -266,7 +265,7 @@
 		a.reportCrash(now, replacementWindow)
 		a.monitor = healthMonitor{}
 		a.serviceTime = serviceTimeEstimator{}
-		a.rate, a.reportedLeaving = rateLimiter{}, false
+		a.rate, a.departure = rateLimiter{}, nil
 	}
 }
 
--- a/internal/admission/ratelimiter.go
+++ b/internal/admission/ratelimiter.go
@@ -94,29 +94,6 @@
 	return true
 }
 
-// handleReported records what the backend server states about itself.
-func (a *Admission) handleReported(now time.Time, e Reported) {
-	r, ok := a.running[e.ID]
-	if !ok {
-		return
-	}
-	if e.Invalid {
-		a.counters.InvalidReports++
-	}
-	if e.Leaving {
-		a.counters.LeavingReports++
-		if !a.reportedLeaving {
-			a.reportedLeaving = true
-			a.emit(LeavingReported{})
-		}
-	}
-	if e.RateLimited {
-		a.counters.RateLimitReports++
-		r.namedLimit = true
-		a.setRateLimit(now, r, e.RateLimit)
-	}
-}
-
 // setRateLimit applies the rate limit that the response to r names. Responses may
 // arrive out of order: a higher limit applies only if the request started after the
 // lower one was learnt.
--- a/internal/admission/state.go
+++ b/internal/admission/state.go
@@ -91,7 +91,7 @@
 		Draining:        a.monitor.listedAsDraining,
 		Unhealthy:       a.monitor.suspended,
 		HealthOverruled: a.monitor.overruled,
-		ReportedLeaving: a.reportedLeaving,
+		ReportedLeaving: a.departure != nil,
 		Slots:           a.concurrencyLimit(now),
 		Running:         len(a.running),
 		Waiting:         len(a.waiting),
--- a/internal/forward/backendreport_test.go
+++ b/internal/forward/backendreport_test.go
@@ -90,7 +90,5 @@
 	state := g.core.admission.State(time.Now())
 	is.Equal(*state.RateLimit, 7.5)
 	is.True(state.ReportedLeaving)
-	ended := g.core.endedAttempts[len(g.core.endedAttempts)-1]
-	is.True(ended.RateLimited)
-	is.Equal(ended.RateLimit, 7.5)
+	is.Equal(g.core.reported, []routing.Reported{{ID: g.core.arrived[0].ID, RateLimit: 7.5, RateLimited: true, Leaving: true}})
 }
--- a/internal/forward/ingress.go
+++ b/internal/forward/ingress.go
@@ -224,13 +224,17 @@
 	c.dialect.refuse(c.w, c.outgoing.upload, r)
 }
 
-// reportResponse logs an attempt whose response header has arrived. It returns
+// reportResponse logs an attempt whose response header has arrived, and reports what the
+// backend server states in it. It returns
 // the function that reports the end of the attempt; the reported latency is
 // that until the header.
 func (c *callerRequest) reportResponse(d routing.Send, resp *http.Response, start time.Time) func() {
 	report, _ := c.dialect.backendReport(resp.Header) // the proxy beside the backend server logs invalid ones
 	fields := append([]any{"outcome", outcome.Answered, "status", resp.StatusCode}, report.fields()...)
 	c.logAttempt(d, start, resp.StatusCode >= http.StatusInternalServerError || d.Attempt > 1, fields...)
+	if report != (backendReport{}) {
+		c.core.Route(routing.Reported{ID: c.id, RateLimit: report.rateLimit, RateLimited: report.rateLimited, Leaving: report.leaving})
+	}
 	e := routing.AttemptEnded{
 		ID:      c.id,
 		Outcome: outcome.Answered,
@@ -238,9 +242,6 @@
 		Status:  resp.StatusCode,
 		Load:    parseLoad(resp.Header),
 		Bytes:   resp.ContentLength,
-
-		RateLimit:   report.rateLimit,
-		RateLimited: report.rateLimited,
 	}
 	return func() { c.core.Route(e) }
 }
--- a/internal/forward/rig_test.go
+++ b/internal/forward/rig_test.go
@@ -44,6 +44,7 @@
 	admission     *admission.Admission
 	arrived       []routing.Arrived
 	endedAttempts []routing.AttemptEnded
+	reported      []routing.Reported
 	abandoned     int
 }
 
@@ -94,6 +95,8 @@
 		} else if e.Outcome != outcome.Answered {
 			f.routes[e.ID] <- routing.Refuse{ID: e.ID, Refusal: last}
 		}
+	case routing.Reported:
+		f.reported = append(f.reported, e)
 	case routing.Abandoned:
 		f.abandoned++
 	}
--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -85,7 +85,13 @@
 	case routing.AttemptEnded:
 		n.recordAttempt(now, event, out)
 	}
-	out.Routing = append(out.Routing, n.router.Step(now, e)...)
+	for _, effect := range n.router.Step(now, e) {
+		if leaving, ok := effect.(routing.InstanceLeaving); ok {
+			n.journal.add(now, "instance reports that it leaves", leaving.Instance)
+			continue
+		}
+		out.Routing = append(out.Routing, effect)
+	}
 }
 
 // dedupePeers returns the instances of this service, which may own its
--- a/internal/node/crashcalls_test.go
+++ b/internal/node/crashcalls_test.go
@@ -215,8 +215,10 @@
 	if result.Outcome == outcome.Answered {
 		delete(r.routes, r.id)
 		e.Status = 200
-		e.RateLimit, e.RateLimited = result.stated.perSecond, result.stated.limited
 		r.statements.passedOn(r.now, r.entry, result)
+		if s := result.stated; s != (statement{}) {
+			r.step(r.entry, routing.Reported{ID: r.id, RateLimit: s.perSecond, RateLimited: s.limited, Leaving: s.leaving})
+		}
 		r.step(r.entry, e)
 		r.done(result.Outcome, "")
 		return
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -50,6 +50,8 @@
 	// sentAt.
 	current *instance
 	sentAt  time.Time
+	// namedLimit means that the response names a rate limit.
+	namedLimit bool
 	// fingerprint and knownCrashes are those of the request's Arrived.
 	fingerprint  uint64
 	knownCrashes uint32
@@ -213,8 +215,8 @@
 	refused := e.Outcome == outcome.NotRun && isOverload(e.Reason)
 	i.recordLoad(now, e.Load)
 	i.applyRetryAfter(now, e)
-	if e.Outcome == outcome.Answered {
-		i.rateLimit, i.rateLimited = e.RateLimit, e.RateLimited
+	if e.Outcome == outcome.Answered && !c.namedLimit {
+		i.rateLimited = false
 	}
 	if e.Outcome == outcome.NotRun && e.Reason == outcome.BackendServerLimited {
 		r.recordLimited(now, i, e.RetryAfter)
--- a/internal/routing/events.go
+++ b/internal/routing/events.go
@@ -74,10 +74,18 @@
 		Load float64
 		// Bytes is the length of the response body, -1 if it is unknown.
 		Bytes int64
-		// RateLimit is the rate limit that the backend server names in its
-		// response, in requests per second, valid if RateLimited is set.
+	}
+	// Reported reports what the backend server states about itself in its response to
+	// a request, before the AttemptEnded of the attempt. A response without such a
+	// statement is not reported.
+	Reported struct {
+		ID uint64
+		// RateLimit is the rate limit that it names, in requests per second, valid
+		// if RateLimited is set.
 		RateLimit   float64
 		RateLimited bool
+		// Leaving means that the backend server is about to end.
+		Leaving bool
 	}
 	// Abandoned reports that the caller no longer waits for the response.
 	Abandoned struct{ ID uint64 }
@@ -91,6 +99,7 @@
 
 func (Arrived) routingEvent()          {}
 func (AttemptEnded) routingEvent()     {}
+func (Reported) routingEvent()         {}
 func (Abandoned) routingEvent()        {}
 func (SnapshotEnforced) routingEvent() {}
 func (InstancesChanged) routingEvent() {}
@@ -150,6 +159,9 @@
 		// selected.
 		Choice Choice
 	}
+	// InstanceLeaving reports that the backend server of an instance states that it is
+	// about to end.
+	InstanceLeaving struct{ Instance string }
 	// Refuse ends the request with a refusal.
 	Refuse struct {
 		ID      uint64
@@ -157,5 +169,6 @@
 	}
 )
 
-func (Send) routingEffect()   {}
-func (Refuse) routingEffect() {}
+func (Send) routingEffect()            {}
+func (InstanceLeaving) routingEffect() {}
+func (Refuse) routingEffect()          {}
--- a/internal/routing/instance.go
+++ b/internal/routing/instance.go
@@ -70,6 +70,8 @@
 	rateLimit    float64
 	rateLimited  bool
 	limitedUntil time.Time
+	// departing means that the backend server has announced its end.
+	departing bool
 	// downUntil is the time until which no request is sent to the instance's
 	// proxy.
 	downUntil time.Time
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -99,12 +99,14 @@
 			if !initial {
 				i.readySince = now
 			}
+			i.departing = r.hasDeparted(record)
 		}
 		i.update(now, record)
 		i.pool.instances = append(i.pool.instances, i)
 		current[record.ID] = i
 	}
 	r.instances = current
+	r.forgetDepartures(now)
 	r.fleet.update(now, len(list))
 	for _, p := range r.pools {
 		slices.SortFunc(p.instances, func(a, b *instance) int { return compareID(a.ID, b.ID) })
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -64,6 +64,8 @@
 	table     *Table
 	pools     map[string]*pool
 	instances map[string]*instance
+	// departures holds the announced ends of instances by ID.
+	departures map[string]departure
 	// fleet is the number of proxies among which retry budgets are divided.
 	fleet fleetSize
 	orgs  map[string]*organisationState
@@ -91,6 +93,7 @@
 		rng:               rand.New(rand.NewPCG(cfg.Seed, 2)),
 		pools:             make(map[string]*pool),
 		instances:         make(map[string]*instance),
+		departures:        make(map[string]departure),
 		orgs:              make(map[string]*organisationState),
 		calls:             make(map[uint64]*call),
 		split:             newTrafficSplit(),
@@ -114,6 +117,8 @@
 		r.arrived(now, e)
 	case AttemptEnded:
 		r.attemptEnded(now, e)
+	case Reported:
+		r.reported(now, e)
 	case Abandoned:
 		r.abandoned(now, e)
 	case SnapshotEnforced:
--- a/internal/routing/selection.go
+++ b/internal/routing/selection.go
@@ -31,7 +31,8 @@
 	// Limited instances have recently refused a request because of the rate limit
 	// that their backend server names. They are used if no other one is usable.
 	Limited State = "limited"
-	// Leaving instances get no new requests.
+	// Leaving instances are listed as leaving or have announced their end. They get no
+	// new requests.
 	Leaving State = "leaving"
 	// OutsideGroup instances are in an availability zone that the group
 	// excludes.
@@ -74,7 +75,7 @@
 	switch {
 	case len(g.AvailabilityZones) > 0 && !slices.Contains(g.AvailabilityZones, i.AvailabilityZone):
 		return OutsideGroup
-	case i.Leaving:
+	case i.Leaving, i.departing:
 		return Leaving
 	case now.Before(i.downUntil):
 		return Down
