Take the latest process of the local backend server from the list

What callers would see: after a restart under another identifier, a backend server gets no requests until the entry of its former process expires (three report intervals), if that is listed as leaving and its identifier sorts last.

Cause: every entry with the address of the local backend server was applied in turn. The last one won, and each change of the list counted as two restarts, which reset health, estimates, crash suspicions and now the named rate limit. Found by looking for other ways to forget a limit.

Change: the entry with the latest start time counts. The test fails before: the first request is refused with instance-leaving.

--- a/internal/node/crashing_test.go
+++ b/internal/node/crashing_test.go
@@ -46,6 +46,7 @@
 	}
 	for _, scenario := range scenarios {
 		t.Run(strings.Join(scenario, ", "), func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(crashSeeds) {
 				n := []int{6, 12, 20}[seed%3]
 				f := newCrashFleet(100+seed, n)
--- a/internal/node/instances.go
+++ b/internal/node/instances.go
@@ -14,12 +14,7 @@
 // requests.
 func (n *Node) applyInstances(now time.Time, list []source.Instance, out *Effects) {
 	instances := make([]routing.Instance, 0, len(list))
-	present := false
 	for _, i := range list {
-		if i.BackendAddress == n.cfg.BackendAddress && i.Service == n.cfg.Member.Self.Service {
-			n.updateBackend(now, i, out)
-			present = true
-		}
 		instances = append(instances, routing.Instance{
 			ID:               i.ID,
 			Service:          i.Service,
@@ -30,13 +25,29 @@
 			Incarnation:      i.Incarnation,
 		})
 	}
-	if !present {
+	if backend, ok := n.localBackend(list); ok {
+		n.updateBackend(now, backend, out)
+	} else {
 		n.stepAdmission(now, admission.Draining{Draining: true}, out)
 	}
 	n.stepRouting(now, routing.InstancesChanged{Instances: instances}, out)
 	n.stepQuarantine(now, n.listedPeers(list), out)
 }
 
+// localBackend returns the entry of the local backend server. The entry of the process
+// before it may still be listed; the process that started last counts then.
+func (n *Node) localBackend(list []source.Instance) (backend source.Instance, ok bool) {
+	for _, i := range list {
+		if i.BackendAddress != n.cfg.BackendAddress || i.Service != n.cfg.Member.Self.Service {
+			continue
+		}
+		if !ok || i.Incarnation >= backend.Incarnation {
+			backend, ok = i, true
+		}
+	}
+	return backend, ok
+}
+
 // updateBackend passes the listed state of the local backend server to admission.
 func (n *Node) updateBackend(now time.Time, i source.Instance, out *Effects) {
 	if n.backend.ID != i.ID || n.backend.Incarnation != i.Incarnation || n.backend.State != i.State {
--- a/internal/node/limits_test.go
+++ b/internal/node/limits_test.go
@@ -240,6 +240,7 @@
 	}
 	for _, scenario := range scenarios {
 		t.Run(strings.Join(scenario, ", "), func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(limitSeeds) {
 				n := []int{6, 12, 20}[seed%3]
 				f := newCrashFleet(500+seed, n)
--- a/internal/node/store_test.go
+++ b/internal/node/store_test.go
@@ -97,6 +97,33 @@
 	is.True(ok)
 }
 
+// A backend server that restarts under another identifier is listed beside the entry of
+// the process before it until that expires. Each list then counted as two restarts, and
+// a later identifier of the old process kept the new one from getting requests.
+func TestOldEntryAtTheLocalAddressDoesNotCount(t *testing.T) {
+	is := is.New(t)
+	n := newStoreNode("desk-1")
+	n.Step(storeStart, Tick{})
+	entry := func(id string, revision, incarnation uint64, state source.InstanceState) source.Entry {
+		return source.Entry{ID: id, Revision: revision, Instance: &source.Instance{
+			ID: id, Service: "desk", AvailabilityZone: "tanga", State: state, BackendAddress: "10.0.0.1:80", Address: "10.0.0.1:81", Slots: 9, Incarnation: incarnation,
+		}}
+	}
+	listing := storeListing(t, 7)
+	listing.Listing.Instances = []source.Entry{entry("i-9", 4, 100, source.InstanceLeaving), entry("i-1", 5, 200, source.InstanceLive)}
+	n.Step(storeStart, listing)
+	deadline := storeStart.Add(time.Second)
+	out := n.Step(storeStart, admission.Arrived{ID: 1, Repeatable: true, Instance: "i-1", Deadline: deadline})
+	is.Equal(out.Admission, []admission.Effect{admission.Run{ID: 1}})
+	n.Step(storeStart, admission.Reported{ID: 1, RateLimited: true, RateLimit: 3})
+	n.Step(storeStart, StoreChanged{Changes: source.Changes{Revision: 6, Instances: []source.Entry{entry("i-9", 6, 100, source.InstanceLeaving)}}})
+	state, _, _ := n.Admission()
+	is.Equal(*state.RateLimit, 3.0) // the backend server has not changed
+	n.Step(storeStart, StoreChanged{Changes: source.Changes{Revision: 7, Instances: []source.Entry{entry("i-0", 7, 300, source.InstanceLive)}}})
+	state, _, _ = n.Admission()
+	is.True(state.RateLimit == nil)
+}
+
 func TestOlderVersionOfTheStoreIsNotEnforced(t *testing.T) {
 	is := is.New(t)
 	n := newStoreNode("desk-1")
