Refuse the only run of a crashed backend server while the process is young

What backend servers saw: a request that ends each one that runs it, sent every 4 s, was sent four times later than 3 s after the third crash, with three restarts of the whole fleet in a minute (at most 3 allowed).

Cause: nothing lasts, so that after each restart of all proxies the request may end two more backend servers before it is refused.

Change: a crash under a single run names its cause. In the first minute of a process, when earlier crashes may have been forgotten by all, that run counts as if it had ended a backend server before and is refused at once. Requests that were answered here within the last minute or two are not, as before. Refusing after any single crash was weighed: its suspects are mostly innocent.

--- a/internal/admission/crash.go
+++ b/internal/admission/crash.go
@@ -66,17 +66,18 @@
 }
 
 // confirmCrash returns the runs that were in flight when the backend server
-// crashed, ordered by fingerprint, or nil if no loss was recorded within the window.
-func (c *crashDetector) confirmCrash(now time.Time, window time.Duration, running map[uint64]*request) []CrashedRun {
-	var runs []CrashedRun
+// crashed, ordered by fingerprint and each fingerprint once, and whether there was only
+// one run. It returns nil if no loss was recorded within the window.
+func (c *crashDetector) confirmCrash(now time.Time, window time.Duration, running map[uint64]*request) (runs []CrashedRun, sole bool) {
 	for _, l := range c.lost {
 		if now.Sub(l.at) <= window {
 			runs = append(runs, l.CrashedRun)
 		}
 	}
 	if len(runs) == 0 {
-		return nil
+		return nil, false
 	}
+	sole = len(runs)+len(running) == 1
 	c.reported = make(map[uint64]bool, len(running))
 	for id, r := range running {
 		c.reported[id] = true
@@ -88,5 +89,5 @@
 	slices.SortFunc(runs, func(a, b CrashedRun) int {
 		return cmp.Or(cmp.Compare(a.Fingerprint, b.Fingerprint), cmp.Compare(b.KnownCrashes, a.KnownCrashes))
 	})
-	return slices.CompactFunc(runs, func(a, b CrashedRun) bool { return a.Fingerprint == b.Fingerprint })
+	return slices.CompactFunc(runs, func(a, b CrashedRun) bool { return a.Fingerprint == b.Fingerprint }), sole
 }
--- a/internal/admission/events.go
+++ b/internal/admission/events.go
@@ -159,7 +159,11 @@
 		Reply FenceReply
 	}
 	// Crashed reports that the backend server crashed, and what it ran.
-	Crashed struct{ Runs []CrashedRun }
+	Crashed struct {
+		Runs []CrashedRun
+		// Sole reports that there was only one run.
+		Sole bool
+	}
 	// WakeAt asks for a Tick at the given time, when the rate limit lets a waiting
 	// request start.
 	WakeAt struct{ At time.Time }
--- a/internal/admission/report_test.go
+++ b/internal/admission/report_test.go
@@ -34,3 +34,24 @@
 	id, effects := arrive("old") // started again under its identifier
 	is.Equal(effects, []Effect{Run{ID: id}})
 }
+
+func TestCrashWithOneRunIsReportedAsSole(t *testing.T) {
+	for runs, sole := range map[int]bool{1: true, 2: false} {
+		is := is.New(t)
+		h := newWarmHarness(4)
+		var first uint64
+		for n := range runs {
+			id, _ := h.arrive(string(rune('a'+n)), uint64(70+n))
+			if n == 0 {
+				first = id
+			}
+		}
+		for _, e := range h.end(first, outcome.Unknown, outcome.BackendServerCrashed) {
+			if c, ok := e.(Crashed); ok {
+				is.Equal(len(c.Runs), runs)
+				is.Equal(c.Sole, sole)
+			}
+		}
+		is.Equal(h.admission.Counters().Crashes, uint64(1))
+	}
+}
--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -34,7 +34,7 @@
 			n.stepDedupe(now, dedupe.Settle{ID: effect.ID, Ran: effect.Ran}, out)
 		case admission.Crashed:
 			n.journal.add(now, "backend server crashed", "with requests in flight")
-			n.recordCrashedRuns(now, effect.Runs, out)
+			n.recordCrashedRuns(now, effect, out)
 		case admission.RateLimitChanged:
 			n.addRateLimit(now, effect)
 		case admission.LeavingReported:
--- a/internal/node/crashing_test.go
+++ b/internal/node/crashing_test.go
@@ -96,7 +96,7 @@
 }
 
 // A restart of the whole fleet forgets the suspects. A request that comes so slowly that
-// it ends the next two backend servers when all proxies are in touch again breaks the
+// it ended the next two backend servers when all proxies were in touch again broke the
 // bound after three such restarts.
 func TestSlowCrashingRequestIsNotSentOnBesideRestartsOfTheFleet(t *testing.T) {
 	const pace, restarts = 4 * time.Second, 3
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -46,6 +46,10 @@
 	firstDuration  = 5 * time.Minute
 	durationGrowth = 6
 	maxDuration    = 24 * time.Hour
+	// youngTime is the time after the start of this process in which the only run of
+	// a crashed backend server is refused after that crash: others may have been
+	// forgotten when the whole fleet was restarted.
+	youngTime = time.Minute
 	// retention is how long a suspect is kept after its latest crash or its
 	// quarantine.
 	retention = 15 * time.Minute
@@ -65,7 +69,11 @@
 // Events.
 type (
 	// Crashed reports runs that ended because a backend server crashed.
-	Crashed struct{ Runs []Run }
+	Crashed struct {
+		Runs []Run
+		// Sole reports that the backend server ran nothing else.
+		Sole bool
+	}
 	// Answered reports a run that a backend server answered.
 	Answered struct{ Run Run }
 	// PeersChanged replaces the peer addresses of the other proxies.
@@ -146,6 +154,8 @@
 	exchange  exchange
 	counters  Counters
 	lastSweep time.Time
+	// startedAt is the time of the first event.
+	startedAt time.Time
 	effects   []Effect
 }
 
@@ -163,9 +173,12 @@
 // Step applies an event at the given time and returns its effects.
 func (q *Quarantine) Step(now time.Time, e Event) []Effect {
 	q.effects = nil
+	if q.startedAt.IsZero() {
+		q.startedAt = now
+	}
 	switch e := e.(type) {
 	case Crashed:
-		q.recordCrash(now, e.Runs)
+		q.recordCrash(now, e)
 	case Answered:
 		q.recordAnswer(now, e.Run)
 	case PeersChanged:
@@ -217,14 +230,19 @@
 
 // recordCrash counts a crash seen by this proxy for each run that it ended, except
 // for those without a fingerprint. A crash that was known when a run began does not
-// count twice, nor do simultaneous crashes, such as a loss of power.
-func (q *Quarantine) recordCrash(now time.Time, runs []Run) {
+// count twice, nor do simultaneous crashes, such as a loss of power. The only run of a
+// backend server counts as if it had ended another one before, within youngTime.
+func (q *Quarantine) recordCrash(now time.Time, c Crashed) {
+	var forgotten uint32
+	if c.Sole && now.Sub(q.startedAt) < youngTime {
+		forgotten = 1
+	}
 	var risen []uint64
-	for _, r := range q.limitRuns(runs) {
+	for _, r := range q.limitRuns(c.Runs) {
 		if r.Fingerprint == 0 {
 			continue
 		}
-		e := Evidence{Fingerprint: r.Fingerprint, Crashes: min(r.Known, maxCrashes-1) + 1}
+		e := Evidence{Fingerprint: r.Fingerprint, Crashes: min(max(r.Known, forgotten), maxCrashes-1) + 1}
 		if q.merge(now, e) {
 			risen = append(risen, r.Fingerprint)
 		}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -240,3 +240,48 @@
 		q.Step(epoch, Answered{Run: Run{Fingerprint: f % 5000}})
 	}
 }
+
+// After a restart of the whole fleet nobody knows of earlier crashes. The only run of a
+// backend server that crashes soon after is refused at once; one of several is not.
+func TestOnlyRunOfACrashIsRefusedByAYoungProcess(t *testing.T) {
+	for _, c := range []struct {
+		age     time.Duration
+		runs    int
+		sole    bool
+		refused bool
+	}{
+		{0, 1, true, true},
+		{youngTime - 1, 1, true, true},
+		{youngTime, 1, true, false},
+		{0, 2, false, false},
+	} {
+		is := is.New(t)
+		q := New(Config{})
+		now := time.Unix(1_000_000, 0)
+		q.Step(now, Tick{})
+		now = now.Add(c.age)
+		var runs []Run
+		for i := range c.runs {
+			runs = append(runs, Run{Fingerprint: uint64(77 + i)})
+		}
+		q.Step(now, Crashed{Runs: runs, Sole: c.sole})
+		_, refused := q.Check(now, 77)
+		is.Equal(refused, c.refused)
+		if c.refused {
+			q.Step(now, Crashed{Runs: []Run{{Fingerprint: 77, Known: q.Known(77)}}, Sole: true})
+			is.Equal(q.Known(77), uint32(3)) // a known crash is not counted as forgotten
+		}
+	}
+}
+
+// A request that was answered here recently is not refused for one crash, also if it was
+// the only run.
+func TestOnlyRunOfACrashIsNotRefusedIfOthersWereAnswered(t *testing.T) {
+	is := is.New(t)
+	q := New(Config{})
+	now := time.Unix(1_000_000, 0)
+	q.Step(now, Answered{Run: Run{Fingerprint: 77}})
+	q.Step(now, Crashed{Runs: []Run{{Fingerprint: 77}}, Sole: true})
+	_, refused := q.Check(now, 77)
+	is.True(!refused)
+}
