Ask instances with a rate limit less often, and as the last resort

With more than eight limited instances a request could be refused before the one with room was asked, a single local instance with a limit kept requests in its queue while other zones had room, and routes without a target did not ask limited ones at all. A Retry-After could come from a wait that was not known any more.

Change: the time without offers after such a refusal doubles up to 15 s and is halved by an answer; a response without a limit ends it. Up to eight of these refusals do not count towards the sends of a request. Limited instances are asked last, two at most, for all routes; Retry-After is the shortest wait that still is known.

--- a/internal/admission/ratelimiter.go
+++ b/internal/admission/ratelimiter.go
@@ -12,6 +12,9 @@
 	// minRate is the lowest rate that is enforced, in requests per second: only a
 	// response can end a limit of zero.
 	minRate = 0.25
+	// maxRate is the highest rate that is enforced. It lies above what a backend server
+	// can serve.
+	maxRate = 1e6
 	// Unused tokens accumulate up to minBurst and those of burstDuration, but no more
 	// than maxBurst. They make up for gaps between requests and for late timers.
 	minBurst      = 2
@@ -57,7 +60,7 @@
 }
 
 // rate returns the enforced rate in requests per second.
-func (l *rateLimiter) rate() float64 { return max(l.perSecond, minRate) }
+func (l *rateLimiter) rate() float64 { return min(max(l.perSecond, minRate), maxRate) }
 
 // burst returns the capacity of the bucket.
 func (l *rateLimiter) burst() float64 {
@@ -187,7 +190,7 @@
 		return
 	}
 	waiting := sortedByID(a.waiting)
-	slices.SortStableFunc(waiting, func(x, y *request) int {
+	slices.SortFunc(waiting, func(x, y *request) int {
 		if runsBefore(x, y) {
 			return -1
 		}
--- a/internal/node/limits_test.go
+++ b/internal/node/limits_test.go
@@ -219,7 +219,8 @@
 			f.state(p, statement{limited: true, perSecond: limit, leaving: p.stated.leaving})
 		}
 	},
-	"lapse": func(f *crashFleet, share int) { f.lapse(f.random(share)) },
+	"crashing request": func(f *crashFleet, _ int) { f.sendCrashing(f.now.Add(5 * time.Second)) },
+	"lapse":            func(f *crashFleet, share int) { f.lapse(f.random(share)) },
 	"lost responses": func(f *crashFleet, _ int) {
 		f.statements.lossRate = 0.3
 		f.after(3*time.Second, func() { f.statements.lossRate = 0 })
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -38,6 +38,8 @@
 	attempts, sends, remoteOffers int
 	// limitedSends counts the sends to instances in the state Limited.
 	limitedSends int
+	// limitedRefusals counts the refusals because of a rate limit.
+	limitedRefusals int
 	// retry reports that the request is a retry, by this proxy or further up
 	// the call chain.
 	retry bool
@@ -86,7 +88,7 @@
 		r.endRefused(c, notRunRefusal(outcome.DeadlineExpired, http.StatusGatewayTimeout, time.Second))
 		return
 	}
-	if c.attempts >= r.maxAttempts(c) || c.sends >= maxSends {
+	if c.attempts >= r.maxAttempts(c) || c.sends >= maxSends+min(c.limitedRefusals, maxLimitedRefusals) {
 		r.endRefused(c, last)
 		return
 	}
@@ -215,13 +217,14 @@
 	refused := e.Outcome == outcome.NotRun && isOverload(e.Reason)
 	i.recordLoad(now, e.Load)
 	i.applyRetryAfter(now, e)
-	if e.Outcome == outcome.Answered && !c.namedLimit {
-		i.rateLimited = false
+	if e.Outcome == outcome.Answered {
+		i.recordAccepted(c.namedLimit)
 	}
 	if e.Outcome == outcome.NotRun && e.Reason == outcome.BackendServerLimited {
+		c.limitedRefusals++
+		c.attempts-- // it did not reach a backend server
 		r.recordLimited(now, i, e.RetryAfter)
-	}
-	if c.hasTarget() {
+	} else if c.hasTarget() {
 		r.startBackoff(now, i, e)
 		if e.Outcome == outcome.NotRun && e.Reason != outcome.BackendServerShed && e.Reason != outcome.OtherInstance {
 			c.attempts-- // it did not reach a backend server
--- a/internal/routing/explain.go
+++ b/internal/routing/explain.go
@@ -37,7 +37,7 @@
 	InFlight int   `json:"in_flight"`
 	Usable   bool  `json:"usable"`
 	State    State `json:"state"`
-	// Until is the end of the state Held or Ejected, zero for other states.
+	// Until is the end of the state Held, Ejected or Limited, zero for other states.
 	Until time.Time `json:"until,omitzero"`
 	// Saturated reports that requests spill over to other availability zones.
 	Saturated bool `json:"saturated"`
@@ -107,6 +107,8 @@
 		c.Until = i.heldUntil
 	case Ejected:
 		c.Until = i.ejectedUntil
+	case Limited:
+		c.Until = i.limitedUntil
 	}
 	return c
 }
--- a/internal/routing/instance.go
+++ b/internal/routing/instance.go
@@ -70,6 +70,8 @@
 	rateLimit    float64
 	rateLimited  bool
 	limitedUntil time.Time
+	// limitedBackoff is the latest time from a refusal to limitedUntil, without jitter.
+	limitedBackoff time.Duration
 	// departing means that the backend server has announced its end.
 	departing bool
 	// downUntil is the time until which no request is sent to the instance's
--- a/internal/routing/limited_test.go
+++ b/internal/routing/limited_test.go
@@ -91,3 +91,43 @@
 	r.Step(start, AttemptEnded{ID: 2, Outcome: outcome.Answered, Status: 200})
 	is.Equal(arrive(r, 3).(Send).RateLimited, false)
 }
+
+// Many instances may name a limit before this proxy knows of one. The one that has room is
+// found, for routes with and without a target.
+func TestOneInstanceWithRoomIsFoundAmongManyLimitedOnes(t *testing.T) {
+	for _, target := range []config.Duration{0, config.Duration(400 * time.Millisecond)} {
+		is := is.New(t)
+		route := prefixRoute("look", "/a/", "desk")
+		route.Target = target
+		r := New(Config{AvailabilityZone: testZone, MaxAttempts: 3, Seed: 1})
+		r.Step(start, SnapshotEnforced{Snapshot: publishedSnapshot(t, 1, route)})
+		r.Step(start, InstancesChanged{Instances: testInstances("desk", 14)})
+		served := 0
+		for id := uint64(1); id <= 5; id++ {
+			effect, _ := refuseWhere(r, id, arrive(r, id), func(i *instance) bool { return i.ID != "desk-07" })
+			if send, ok := effect.(Send); ok {
+				is.Equal(send.Instance, "desk-07")
+				r.Step(start, AttemptEnded{ID: id, Outcome: outcome.Answered, Status: 200})
+				served++
+			}
+		}
+		is.True(served >= 4)
+	}
+}
+
+// An instance whose limit may have room again is asked before a request is refused, also
+// for a route without a target.
+func TestLimitedInstanceIsTheLastResort(t *testing.T) {
+	is := is.New(t)
+	route := prefixRoute("look", "/a/", "desk")
+	route.Target = 0
+	r := New(Config{AvailabilityZone: testZone, MaxAttempts: 3, Seed: 1})
+	r.Step(start, SnapshotEnforced{Snapshot: publishedSnapshot(t, 1, route)})
+	r.Step(start, InstancesChanged{Instances: testInstances("desk", 2)})
+	all := func(*instance) bool { return true }
+	effect, refusals := refuseWhere(r, 1, arrive(r, 1), all)
+	is.Equal(refusals, 2)
+	is.Equal(effect.(Refuse).Refusal.Reason, outcome.BackendServerLimited)
+	_, sent := arrive(r, 2).(Send)
+	is.True(sent)
+}
--- a/internal/routing/offer.go
+++ b/internal/routing/offer.go
@@ -22,8 +22,10 @@
 	// has no wait limit, does not count.
 	maxRemoteOffers = 2
 	// maxSends limits all sends of one request, including those that no backend
-	// server has seen.
-	maxSends = 8
+	// server has seen. Up to maxLimitedRefusals refusals because of a rate limit do
+	// not count: many instances may name one at once, before this proxy knows.
+	maxSends           = 8
+	maxLimitedRefusals = 8
 	// offerMaxWaitShare is the share of its slack that an offered request may
 	// wait at the instance. The slack is the time until the target less the
 	// expected service time. A transfer cost above this share replaces it if
@@ -38,10 +40,13 @@
 	// availability zone gets no offers after such a refusal. It is longer
 	// because each refused offer costs cross-zone traffic.
 	remoteBusyBackoff = time.Second
-	// maxLimitedBackoff caps the time for which an instance in the local
-	// availability zone gets no offers after it refused a request because of the
-	// rate limit of its backend server, since the limit may end sooner.
-	maxLimitedBackoff = time.Second
+	// maxLimitedBackoff caps the time for which an instance gets no offers after it
+	// refused requests because of the rate limit of its backend server. The time
+	// doubles with each refusal, since in a large fleet few of the proxies that ask
+	// get a place. If no other instance has room, it is asked all the same.
+	maxLimitedBackoff = 15 * time.Second
+	// minLimitedBackoff is the first of these times.
+	minLimitedBackoff = 100 * time.Millisecond
 	// maxLimitedSends limits the sends of a request to instances whose rate limit
 	// is known to leave no room for it soon.
 	maxLimitedSends = 2
@@ -80,6 +85,8 @@
 		return local, offerMaxWaitShare
 	case local != nil && remoteAllowed:
 		return local, max(offerMaxWaitShare, cost)
+	case local != nil && c.tried == nil && local.rateLimited:
+		return local, 1 // the others follow, at any cost
 	case local != nil && c.tried == nil:
 		return local, 0
 	case remoteAllowed:
@@ -109,18 +116,21 @@
 		return remote
 	case len(r.candidates.busy) > 0:
 		return r.pickOfTwo(now, r.candidates.busy)
-	case len(r.candidates.limited) > 0 && c.limitedSends < maxLimitedSends:
-		c.limitedSends++
-		return shortestWait(now, r.candidates.limited)
-	case len(r.candidates.ejected) > 0:
-		return r.pickOfTwo(now, r.candidates.ejected)
 	}
-	return nil
+	if limited := r.chooseLimited(now, c); limited != nil {
+		return limited
+	}
+	return r.pickOfTwo(now, r.candidates.ejected)
 }
 
-// shortestWait returns the instance with the shortest known wait.
-func shortestWait(now time.Time, list []*instance) *instance {
-	return slices.MinFunc(list, func(a, b *instance) int {
+// chooseLimited returns the instance in the state Limited with the shortest known wait,
+// nil if there is none or enough were asked.
+func (r *Router) chooseLimited(now time.Time, c *call) *instance {
+	if len(r.candidates.limited) == 0 || c.limitedSends >= maxLimitedSends {
+		return nil
+	}
+	c.limitedSends++
+	return slices.MinFunc(r.candidates.limited, func(a, b *instance) int {
 		return cmp.Compare(a.remainingWait(now), b.remainingWait(now))
 	})
 }
@@ -145,11 +155,21 @@
 // leaves room, and takes the instance out of the candidates for a time.
 func (r *Router) recordLimited(now time.Time, i *instance, wait time.Duration) {
 	i.reportedWaitAt, i.reportedWait = now, wait
-	backoff := min(wait, maxLimitedBackoff)
+	backoff := max(minLimitedBackoff, min(wait, time.Second), 2*i.limitedBackoff)
 	if i.AvailabilityZone != r.cfg.AvailabilityZone {
-		backoff = remoteBusyBackoff
+		backoff = max(backoff, remoteBusyBackoff)
+	}
+	i.limitedBackoff = min(backoff, maxLimitedBackoff)
+	i.limitedUntil = now.Add(i.limitedBackoff/2 + r.jitter(i.limitedBackoff/2))
+}
+
+// recordAccepted shortens the backoff of an instance that has answered a request, and
+// ends it if the backend server names no rate limit any more.
+func (i *instance) recordAccepted(namedLimit bool) {
+	i.limitedBackoff /= 2
+	if !namedLimit {
+		i.rateLimited, i.limitedBackoff, i.limitedUntil = false, 0, time.Time{}
 	}
-	i.limitedUntil = now.Add(backoff)
 }
 
 // transferCost returns the expected cost of transferring the response between
--- a/internal/routing/selection.go
+++ b/internal/routing/selection.go
@@ -104,7 +104,7 @@
 	for _, i := range p.instances {
 		s := i.state(now, c.group)
 		if s == Limited {
-			r.candidates.addLimitEnd(i.reportedWaitAt.Add(i.reportedWait))
+			r.candidates.addLimitEnd(now, i.reportedWaitAt.Add(i.reportedWait))
 		}
 		switch {
 		case s == Usable && now.Before(i.busyUntil):
@@ -115,7 +115,10 @@
 	}
 }
 
-func (c *candidates) addLimitEnd(end time.Time) {
+func (c *candidates) addLimitEnd(now, end time.Time) {
+	if !end.After(now) {
+		return // not known any more
+	}
 	if c.earliestLimitEnd.IsZero() || end.Before(c.earliestLimitEnd) {
 		c.earliestLimitEnd = end
 	}
@@ -159,6 +162,11 @@
 		return local
 	case remote != nil:
 		return remote
+	}
+	if limited := r.chooseLimited(now, c); limited != nil {
+		return limited
+	}
+	switch {
 	case len(r.candidates.ejected) > 0:
 		return r.pickOfTwo(now, r.candidates.ejected)
 	case c.match.Route.Repeatable:
