--- a/internal/node/storefleet_test.go
+++ b/internal/node/storefleet_test.go
@@ -39,6 +39,11 @@
 	history []source.Entry
 	era     uint64
 	down    bool
+	// compactedTo is the revision up to which the history was discarded.
+	compactedTo uint64
+	// lateShare is the share of the store's answers that arrive late, by up to lateness.
+	lateShare float64
+	lateness  time.Duration
 	// cutOff holds the proxies that do not reach the store.
 	cutOff  map[int]bool
 	replies map[uint64]func(source.RelayReply)
@@ -96,6 +101,12 @@
 	f.era++
 	f.content = c.clone()
 	f.history = slices.DeleteFunc(f.history, func(e source.Entry) bool { return e.Revision > c.revision })
+	f.compactedTo = min(f.compactedTo, c.revision)
+}
+
+// compact discards the history.
+func (f *storeFleet) compact() {
+	f.history, f.compactedTo = nil, f.content.revision
 }
 
 func (f *storeFleet) start(i int) {
@@ -148,7 +159,11 @@
 func (f *storeFleet) answer(i int, n *Node, c source.Call, deadline time.Time) {
 	deliver := func(e Event) {
 		f.calls = append(f.calls, f.now)
-		f.after(fleetDelay, func() { f.step(i, n, e) })
+		delay := fleetDelay
+		if f.lateShare > 0 && f.rng.Float64() < f.lateShare {
+			delay += f.jitter(f.lateness)
+		}
+		f.after(delay, func() { f.step(i, n, e) })
 	}
 	fail := func(compacted bool, cause string) {
 		if c.Part == source.ConfigurationOnly {
@@ -175,7 +190,7 @@
 			l.Instances = append(l.Instances, f.content.entries[id])
 		}
 		deliver(StoreListed{Listing: l})
-	case !c.List && c.After > f.content.revision:
+	case !c.List && (c.After > f.content.revision || c.After < f.compactedTo):
 		fail(true, "gone")
 	case c.Part == source.ConfigurationOnly && (changes.Configuration != nil || !f.now.Before(deadline)):
 		deliver(VersionsChanged{Changes: changes})
@@ -331,3 +346,44 @@
 func (f *storeFleet) jitter(d time.Duration) time.Duration {
 	return time.Duration(f.rng.Int64N(int64(d)))
 }
+
+// A restoration beside discarded history, with answers of the former era that arrive
+// after those of the new one. The proxies are at the store's state within 3 s of the last
+// disturbance.
+func TestRestorationBesideCompactionAndLateAnswers(t *testing.T) {
+	for seed := range uint64(16) {
+		n := []int{12, 40}[seed%2]
+		f := newStoreFleet(200+seed, n)
+		f.lateShare, f.lateness = 0.4, 1500*time.Millisecond
+		next := uint64(6)
+		for range 4 {
+			older := f.content.clone()
+			f.publish(next)
+			f.put(f.rng.IntN(n), []source.InstanceState{source.InstanceLive, source.InstanceLeaving}[f.rng.IntN(2)])
+			f.run(f.jitter(3 * time.Second))
+			if f.rng.IntN(2) == 0 {
+				f.compact()
+			}
+			f.down = true
+			f.run(300 * time.Millisecond)
+			f.restore(older)
+			f.down = false
+			f.run(f.jitter(1500 * time.Millisecond))
+			if f.rng.IntN(2) == 0 {
+				f.compact()
+			}
+			f.publish(next) // written again
+			f.run(f.jitter(2 * time.Second))
+			next += 1 + f.rng.Uint64N(3)
+		}
+		f.lateShare = 0
+		f.publish(next)
+		f.run(3 * time.Second)
+		if d := f.difference(); d != "" {
+			t.Errorf("seed %d, %d proxies: %s", seed, n, d)
+		}
+		if f.violation != "" {
+			t.Errorf("seed %d: %s", seed, f.violation)
+		}
+	}
+}
