Soak: restart backend servers under their identifier

The store's entry then differs by its start time alone; limits and announced ends of the former process must not count for the new one, nor the reverse. Statements are judged by process, no longer by identifier.

--- a/bench/soak/cluster.go
+++ b/bench/soak/cluster.go
@@ -149,6 +149,8 @@
 		m.redeployBackend()
 	case kindCrash:
 		m.crashBackend()
+	case kindRestartBackend:
+		m.restartBackend()
 	case kindLimit:
 		m.varyLimit(s)
 	case kindLimitService:
--- a/bench/soak/crashing.go
+++ b/bench/soak/crashing.go
@@ -31,7 +31,7 @@
 )
 
 // backendKinds are the kinds that disturb backend servers or versions but no proxy.
-var backendKinds = []kind{kindCrashingRequest, kindCrash, kindLostAnswers, kindSlowBackend, kindRelease, kindLimit, kindLimitService, kindAnnouncedEnd, kindChange, kindStorm}
+var backendKinds = []kind{kindCrashingRequest, kindCrash, kindLostAnswers, kindSlowBackend, kindRelease, kindRestartBackend, kindLimit, kindLimitService, kindAnnouncedEnd, kindChange, kindStorm}
 
 func isCrashing(path string) bool { return strings.HasPrefix(path, crashingPath) }
 
--- a/bench/soak/machine.go
+++ b/bench/soak/machine.go
@@ -196,9 +196,13 @@
 // startBackend starts a backend server with a new instance ID and writes its entry
 // to the store.
 func (m *machine) startBackend() error {
+	return m.startBackendAs(fmt.Sprintf("i-%d-%d", m.index, m.backendStarts+1))
+}
+
+func (m *machine) startBackendAs(id string) error {
 	m.backendStarts++
-	id := fmt.Sprintf("i-%d-%d", m.index, m.backendStarts)
 	b := standin.NewBackend(id, m.service, m.index, backendSlots, meanServiceTime, m.observed.recordArrival)
+	b.Process = fmt.Sprintf("%s/%d", id, m.backendStarts)
 	l, err := net.Listen("tcp", address(m.entryIP, backendPort))
 	if err != nil {
 		return errors.Wrap(err, "listen for a backend server")
@@ -209,7 +213,7 @@
 		_ = server.Close()
 		go m.replaceCrashedBackend(id)
 	}
-	b.Stated = func(s standin.Statement) { m.recordStated(id, s) }
+	b.Stated = func(s standin.Statement) { m.recordStated(b.Process, s) }
 	if m.rateLimit > 0 && m.index%limitedShare == 0 {
 		b.State(standin.Statement{Limited: true, RateLimit: m.rateLimit})
 	}
@@ -253,6 +257,20 @@
 	m.replaceBackend(id)
 }
 
+// restartBackend ends the backend server and starts it again under its ID, before its
+// store entry expires.
+func (m *machine) restartBackend() {
+	m.backendMu.Lock()
+	defer m.backendMu.Unlock()
+	defer m.observed.recordDisturbance(m.index, kindRestartBackend)()
+	id := m.backend.Load().ID
+	_ = m.server.Close()
+	time.Sleep(restartDelay)
+	if err := m.startBackendAs(id); err != nil {
+		m.observed.recordFailure(err.Error())
+	}
+}
+
 // replaceCrashedBackend replaces the backend server that a request ended once its
 // store entry has expired, unless a redeployment has replaced it by then.
 func (m *machine) replaceCrashedBackend(id string) {
--- a/bench/soak/observations.go
+++ b/bench/soak/observations.go
@@ -76,7 +76,7 @@
 // second. A limit that ends or rises counts from then on, any other from the first
 // response that names it.
 type limitChange struct {
-	instance  string
+	process   string
 	at        time.Time
 	limited   bool
 	perSecond float64
--- a/bench/soak/plan.go
+++ b/bench/soak/plan.go
@@ -38,8 +38,9 @@
 	// kindCrashingRequest starts the sends of a request that ends each backend server
 	// that runs it. They go on until the run ends.
 	kindCrashingRequest kind = "crashing-request"
-	kindLimit           kind = "limit"         // a backend server names a rate limit that changes, ends and returns
-	kindLimitService    kind = "limit-service" // all backend servers of a service name a rate limit
+	kindRestartBackend  kind = "restart-backend" // a backend server ends and starts again under its identifier
+	kindLimit           kind = "limit"           // a backend server names a rate limit that changes, ends and returns
+	kindLimitService    kind = "limit-service"   // all backend servers of a service name a rate limit
 	// kindAnnouncedEnd lets a backend server announce its end in its responses, before
 	// the store lists it as leaving or without that.
 	kindAnnouncedEnd kind = "announced-end"
@@ -78,6 +79,7 @@
 	{kindRelease, 5},
 	{kindCrash, 2},
 	{kindCrashingRequest, 2},
+	{kindRestartBackend, 2},
 	{kindLimit, 5},
 	{kindLimitService, 1},
 	{kindAnnouncedEnd, 4},
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -73,7 +73,7 @@
 		answer: standin.Response{Status: http.StatusOK, Stamped: true, ID: "q", Body: standin.ResponseBody("q", "i-0-1")},
 	}
 	r := &standin.Arrival{
-		Request: "q", Instance: "i-0-1", Service: services[0], Method: a.Method, Target: a.Path, Caller: services[1],
+		Request: "q", Instance: "i-0-1", Process: "i-0-1/1", Service: services[0], Method: a.Method, Target: a.Path, Caller: services[1],
 		Body: crc32.ChecksumIEEE([]byte("b")), At: testStart.Add(10 * time.Millisecond), Deadline: requestDeadline - 10*time.Millisecond, Executed: true,
 	}
 	v := version{number: 1, movedService: services[0], sent: testStart.Add(-time.Minute), acked: testStart.Add(-time.Minute)}
@@ -136,14 +136,14 @@
 			}
 		},
 		"limit": func(o *observations, a *attempt, r *standin.Arrival) {
-			a.answer.Instance, a.answer.Limited = r.Instance, true
-			o.limits = []limitChange{{instance: r.Instance, at: testStart, limited: true, perSecond: 1}}
+			a.answer.Process, a.answer.Limited = r.Process, true
+			o.limits = []limitChange{{process: r.Process, at: testStart, limited: true, perSecond: 1}}
 			for i := range 12 {
 				copyRun(o, func(r *standin.Arrival) { r.At = a.ended.Add(limitGrace + time.Duration(i)*time.Millisecond) })
 			}
 		},
 		"leaving": func(o *observations, a *attempt, r *standin.Arrival) {
-			a.answer.Instance, a.answer.Leaving = r.Instance, true
+			a.answer.Process, a.answer.Leaving = r.Process, true
 			later := *a
 			later.ID, later.sent = "later", a.ended.Add(drainBound+time.Millisecond)
 			o.attempts = append(o.attempts, &later)
--- a/bench/soak/statements.go
+++ b/bench/soak/statements.go
@@ -77,22 +77,22 @@
 func (m *machine) state(b *standin.Backend, next standin.Statement) {
 	m.statementMu.Lock()
 	defer m.statementMu.Unlock()
-	next.Leaving = next.Leaving || m.stated.Leaving && m.statedBy == b.ID
+	next.Leaving = next.Leaving || m.stated.Leaving && m.statedBy == b.Process
 	previous := m.stated
-	if m.statedBy != b.ID {
+	if m.statedBy != b.Process {
 		previous = standin.Statement{}
 	}
 	b.State(next)
-	m.stated, m.statedBy = next, b.ID
+	m.stated, m.statedBy = next, b.Process
 	if previous.Limited && (!next.Limited || next.RateLimit > previous.RateLimit) {
-		m.observed.recordLimit(limitChange{instance: b.ID, at: time.Now(), limited: next.Limited, perSecond: next.RateLimit})
+		m.observed.recordLimit(limitChange{process: b.Process, at: time.Now(), limited: next.Limited, perSecond: next.RateLimit})
 	}
 }
 
 // recordStated records that a response first stated something else than those before.
-func (m *machine) recordStated(instance string, s standin.Statement) {
+func (m *machine) recordStated(process string, s standin.Statement) {
 	if s.Limited {
-		m.observed.recordLimit(limitChange{instance: instance, at: time.Now(), limited: true, perSecond: s.RateLimit})
+		m.observed.recordLimit(limitChange{process: process, at: time.Now(), limited: true, perSecond: s.RateLimit})
 	}
 }
 
@@ -123,19 +123,19 @@
 	return text
 }
 
-// told holds, by instance and machine, when responses with a statement were passed on.
+// told holds, by process of a backend server and machine, when responses with a statement were passed on.
 type told map[string]map[int][]time.Time
 
-func (t told) add(instance string, machine int, at time.Time) {
-	if t[instance] == nil {
-		t[instance] = make(map[int][]time.Time)
+func (t told) add(process string, machine int, at time.Time) {
+	if t[process] == nil {
+		t[process] = make(map[int][]time.Time)
 	}
-	t[instance][machine] = append(t[instance][machine], at)
+	t[process][machine] = append(t[process][machine], at)
 }
 
 // last returns the last time not after at, or false if there is none.
-func (t told) last(instance string, machine int, at time.Time) (time.Time, bool) {
-	list := t[instance][machine]
+func (t told) last(process string, machine int, at time.Time) (time.Time, bool) {
+	list := t[process][machine]
 	i, _ := slices.BinarySearchFunc(list, at, time.Time.Compare)
 	if i < len(list) && list[i].Equal(at) {
 		i++
@@ -154,10 +154,10 @@
 			continue
 		}
 		if a.answer.Limited {
-			limited.add(a.answer.Instance, a.machine, a.ended)
+			limited.add(a.answer.Process, a.machine, a.ended)
 		}
 		if a.answer.Leaving {
-			leaving.add(a.answer.Instance, a.machine, a.ended)
+			leaving.add(a.answer.Process, a.machine, a.ended)
 		}
 	}
 	for _, t := range []told{limited, leaving} {
@@ -176,18 +176,18 @@
 		if a == nil || r.Misdirected {
 			continue
 		}
-		if at, ok := leaving.last(r.Instance, a.machine, a.sent); ok && c.heeds(a.machine, at, r.At) {
-			first := leaving[r.Instance][a.machine][0]
+		if at, ok := leaving.last(r.Process, a.machine, a.sent); ok && c.heeds(a.machine, at, r.At) {
+			first := leaving[r.Process][a.machine][0]
 			s.afterEnd++
 			if a.sent.Sub(first) > drainBound && c.heeds(a.machine, first, r.At) {
 				s.late++
-				s.firstLate = fmt.Sprintf("%v arrived at %s, which had announced its end %v before", a, r.Instance, a.sent.Sub(first).Round(time.Millisecond))
+				s.firstLate = fmt.Sprintf("%v arrived at %s, which had announced its end %v before", a, r.Process, a.sent.Sub(first).Round(time.Millisecond))
 			}
 		}
-		_, since, inForce := c.limitIn(r.Instance, r.At, r.At)
-		if at, ok := limited.last(r.Instance, a.machine, r.At.Add(-toldAfter)); ok && inForce && !at.Before(since) && c.heeds(a.machine, at, r.At) {
-			counted[r.Instance] = append(counted[r.Instance], r.At)
-			c.judgeWindow(&s, r.Instance, counted[r.Instance])
+		_, since, inForce := c.limitIn(r.Process, r.At, r.At)
+		if at, ok := limited.last(r.Process, a.machine, r.At.Add(-toldAfter)); ok && inForce && !at.Before(since) && c.heeds(a.machine, at, r.At) {
+			counted[r.Process] = append(counted[r.Process], r.At)
+			c.judgeWindow(&s, r.Process, counted[r.Process])
 		}
 	}
 	return s
@@ -199,11 +199,11 @@
 	return !c.disturbed(machine, told, at, backendKinds...)
 }
 
-// judgeWindow judges the window that ends with the last of the counted arrivals at an
-// instance.
-func (c *checker) judgeWindow(s *statementSummary, instance string, counted []time.Time) {
+// judgeWindow judges the window that ends with the last of the counted arrivals at a
+// process.
+func (c *checker) judgeWindow(s *statementSummary, process string, counted []time.Time) {
 	now := counted[len(counted)-1]
-	limit, since, ok := c.limitIn(instance, now.Add(-limitWindow-toldAfter), now)
+	limit, since, ok := c.limitIn(process, now.Add(-limitWindow-toldAfter), now)
 	if !ok {
 		return
 	}
@@ -219,18 +219,18 @@
 	}
 	if s.text == "" || over > s.worst {
 		s.worst = over
-		s.text = fmt.Sprintf("%s got %d requests in %v until %s, limit %g a second", instance, n, limitWindow, now.Format("15:04:05.000"), limit)
+		s.text = fmt.Sprintf("%s got %d requests in %v until %s, limit %g a second", process, n, limitWindow, now.Format("15:04:05.000"), limit)
 	}
 	if now.Sub(since) >= limitGrace && float64(n) > limitRatio*allowed+limitSlack {
-		s.breach = fmt.Sprintf("%s got %d requests in %v until %s, limit %g a second", instance, n, limitWindow, now.Format("15:04:05.000"), limit)
+		s.breach = fmt.Sprintf("%s got %d requests in %v until %s, limit %g a second", process, n, limitWindow, now.Format("15:04:05.000"), limit)
 	}
 }
 
-// limitIn returns the highest limit that an instance named between from and to, and when
+// limitIn returns the highest limit that a process named between from and to, and when
 // it first named one. It returns false if there was a time without one in between.
-func (c *checker) limitIn(instance string, from, to time.Time) (limit float64, since time.Time, ok bool) {
+func (c *checker) limitIn(process string, from, to time.Time) (limit float64, since time.Time, ok bool) {
 	for _, l := range c.limits {
-		if l.instance != instance || l.at.After(to) {
+		if l.process != process || l.at.After(to) {
 			continue
 		}
 		switch {
