Tell callers refused for rate limits to come back one after the other

Change: admission counts the tokens that it has promised to refused requests, and each one gets the time of the next that is free. The entry proxy asks at most two limited instances, those with the shortest known waits, tried or not; only the last one promises, and its time goes to the caller without jitter, since it is spread already.

TestCallersRefusedTogetherAreServedWhenTheyComeBack failed before.

--- a/internal/admission/ratelimiter.go
+++ b/internal/admission/ratelimiter.go
@@ -46,6 +46,10 @@
 	// contendedAt is when a request that had no other instance to try was last
 	// refused because of the limit.
 	contendedAt time.Time
+	// promised is the number of refused requests that were told to come back for a
+	// token that had not come at promisedAt.
+	promised   float64
+	promisedAt time.Time
 }
 
 // set applies a limit. The bucket of a new limit is empty.
@@ -97,6 +101,20 @@
 	return true
 }
 
+// promise returns the time until a token is free for a refused request, behind those that
+// wait and those that were refused before. Callers that are refused together thus come
+// back one after the other.
+func (l *rateLimiter) promise(now time.Time, waiting int) time.Duration {
+	l.contendedAt = now
+	l.promised = max(0, l.promised-now.Sub(l.promisedAt).Seconds()*l.rate())
+	l.promisedAt = now
+	wait := l.wait(now, waiting+int(l.promised)+1)
+	if wait < maxRetryAfter {
+		l.promised++
+	}
+	return wait
+}
+
 // setRateLimit applies the rate limit that the response to r names. Responses may
 // arrive out of order: a higher limit applies only if the request started after the
 // lower one was learnt.
--- a/internal/admission/ratelimiter_test.go
+++ b/internal/admission/ratelimiter_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -158,6 +159,39 @@
 	is.Equal(running, 1)
 }
 
+// Callers that are refused together and come back when they were told find a token each,
+// instead of being refused again all but one.
+func TestCallersRefusedTogetherAreServedWhenTheyComeBack(t *testing.T) {
+	is := is.New(t)
+	const budget = 300 * time.Millisecond
+	h := newHarness(Config{Slots: 20, QueueLength: 50, MinRetryAfter: 100 * time.Millisecond})
+	h.step(Assigned{Slots: 20, Restarted: true})
+	h.limit(10)
+	var returns []time.Time
+	for range 40 {
+		if _, refusal := h.arriveIn(budget, 0); refusal != nil {
+			is.Equal(refusal.Reason, outcome.BackendServerLimited)
+			returns = append(returns, h.now.Add(refusal.RetryAfter))
+		}
+	}
+	slices.SortFunc(returns, time.Time.Compare)
+	refusedAgain := 0
+	for _, at := range returns {
+		for h.now = h.now.Add(10 * time.Millisecond); h.now.Before(at); h.now = h.now.Add(10 * time.Millisecond) {
+			for _, e := range h.step(Tick{}) {
+				if run, ok := e.(Run); ok {
+					h.report(run.ID, 10)
+				}
+			}
+		}
+		if _, refusal := h.arriveIn(budget, 0); refusal != nil {
+			refusedAgain++
+		}
+	}
+	is.True(len(returns) > 30)
+	is.True(refusedAgain*10 <= len(returns)) // nine in ten are served
+}
+
 // A request that has other instances to try is passed on for the limit, unless its token
 // comes soon.
 func TestOfferedRequestIsPassedOnForTheLimit(t *testing.T) {
--- a/internal/admission/refusal.go
+++ b/internal/admission/refusal.go
@@ -19,14 +19,15 @@
 
 // refuse refuses a request that was not run.
 func (a *Admission) refuse(now time.Time, r *request, reason outcome.Reason) {
+	retryAfter := a.retryAfter(now)
 	if reason == outcome.BackendServerLimited && r.Patience == 0 {
-		a.rate.contendedAt = now
+		retryAfter = min(max(retryAfter, a.rate.promise(now, a.queue.len())), maxRetryAfter)
 	}
 	a.refuseWith(now, r, outcome.Refusal{
 		Outcome:    outcome.NotRun,
 		Reason:     reason,
 		Status:     refusalStatus(reason),
-		RetryAfter: a.retryAfter(now),
+		RetryAfter: retryAfter,
 	})
 }
 
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -122,9 +122,11 @@
 // refusalWithoutInstance returns the refusal of a request for which no instance
 // is left: last, or, if the request was not sent yet, an overload that lasts
 // until the first held instance becomes usable. If rate limits leave no room, the
-// retry delay is that of the instance that has room first.
+// retry delay is that of the limited instance that was asked last, or the shortest one
+// known.
 func (r *Router) refusalWithoutInstance(now time.Time, c *call, last outcome.Refusal) outcome.Refusal {
-	if end := r.candidates.earliestLimitEnd; !end.IsZero() && (c.sends == 0 || last.Reason == outcome.BackendServerLimited) {
+	limited := last.Reason == outcome.BackendServerLimited && c.limitedSends == 0
+	if end := r.candidates.earliestLimitEnd; !end.IsZero() && (c.sends == 0 || limited) {
 		return notRunRefusal(outcome.BackendServerLimited, http.StatusServiceUnavailable, max(end.Sub(now), minLimitedRetryAfter))
 	}
 	if c.sends > 0 || r.candidates.earliestHoldEnd.IsZero() {
@@ -296,7 +298,9 @@
 	if c.mayHaveRun {
 		refusal.Outcome = outcome.Unknown
 	}
-	refusal.RetryAfter = r.withJitter(refusal.RetryAfter)
+	if refusal.Reason != outcome.BackendServerLimited { // whose times are spread already
+		refusal.RetryAfter = r.withJitter(refusal.RetryAfter)
+	}
 	r.refuse(c.id, refusal)
 }
 
--- a/internal/routing/offer.go
+++ b/internal/routing/offer.go
@@ -93,12 +93,21 @@
 		c.remoteOffers++
 		return remote, max(offerMaxWaitShare, cost)
 	}
-	return r.fallback(now, c, local, remote), 0
+	if chosen := r.fallback(now, c, local, remote); chosen != nil {
+		return chosen, 0
+	}
+	if limited, last := r.chooseLimited(now, c); limited != nil {
+		if last {
+			return limited, 0
+		}
+		return limited, 1 // as long as the target allows, since another one follows
+	}
+	return r.pickOfTwo(now, r.candidates.ejected), 0
 }
 
 // fallback returns the instance to which the request is sent without a wait
 // limit after all offers: the local one with the shortest known wait, otherwise
-// a remote, a limited or an ejected one, nil if there is none.
+// a remote one, nil if there is none.
 func (r *Router) fallback(now time.Time, c *call, local, remote *instance) *instance {
 	best := local
 	for _, i := range r.candidates.busy {
@@ -117,22 +126,21 @@
 	case len(r.candidates.busy) > 0:
 		return r.pickOfTwo(now, r.candidates.busy)
 	}
-	if limited := r.chooseLimited(now, c); limited != nil {
-		return limited
-	}
-	return r.pickOfTwo(now, r.candidates.ejected)
+	return nil
 }
 
 // chooseLimited returns the instance in the state Limited with the shortest known wait,
-// nil if there is none or enough were asked.
-func (r *Router) chooseLimited(now time.Time, c *call) *instance {
-	if len(r.candidates.limited) == 0 || c.limitedSends >= maxLimitedSends {
-		return nil
+// nil if there is none or enough were asked, and whether it is the last one to ask.
+func (r *Router) chooseLimited(now time.Time, c *call) (chosen *instance, last bool) {
+	limited := r.candidates.limited
+	if len(limited) == 0 || c.limitedSends >= maxLimitedSends {
+		return nil, false
 	}
 	c.limitedSends++
-	return slices.MinFunc(r.candidates.limited, func(a, b *instance) int {
+	chosen = slices.MinFunc(limited, func(a, b *instance) int {
 		return cmp.Compare(a.remainingWait(now), b.remainingWait(now))
 	})
+	return chosen, len(limited) == 1 || c.limitedSends == maxLimitedSends
 }
 
 // remainingWait returns what is left of the wait that the instance reported.
--- a/internal/routing/selection.go
+++ b/internal/routing/selection.go
@@ -93,8 +93,8 @@
 }
 
 // collectCandidates sorts the instances that the call has not tried into
-// r.candidates. Busy instances are included even if tried, since one of them
-// may have to queue the request.
+// r.candidates. Busy and limited instances are included even if tried, since one of
+// them may have to queue the request.
 func (r *Router) collectCandidates(now time.Time, c *call) {
 	r.candidates.reset()
 	p, ok := r.pools[c.group.Service]
@@ -103,10 +103,9 @@
 	}
 	for _, i := range p.instances {
 		s := i.state(now, c.group)
-		if s == Limited {
-			r.candidates.addLimitEnd(now, i.reportedWaitAt.Add(i.reportedWait))
-		}
 		switch {
+		case s == Limited:
+			r.candidates.addLimited(now, i)
 		case s == Usable && now.Before(i.busyUntil):
 			r.candidates.busy = append(r.candidates.busy, i)
 		case !c.hasTried(i):
@@ -115,7 +114,9 @@
 	}
 }
 
-func (c *candidates) addLimitEnd(now, end time.Time) {
+func (c *candidates) addLimited(now time.Time, i *instance) {
+	c.limited = append(c.limited, i)
+	end := i.reportedWaitAt.Add(i.reportedWait)
 	if !end.After(now) {
 		return // not known any more
 	}
@@ -132,8 +133,6 @@
 		} else {
 			c.remote = append(c.remote, i)
 		}
-	case Limited:
-		c.limited = append(c.limited, i)
 	case Ejected:
 		c.ejected = append(c.ejected, i)
 	case Suspect:
@@ -163,7 +162,7 @@
 	case remote != nil:
 		return remote
 	}
-	if limited := r.chooseLimited(now, c); limited != nil {
+	if limited, _ := r.chooseLimited(now, c); limited != nil {
 		return limited
 	}
 	switch {
