--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -269,9 +269,9 @@
 	}
 }
 
-// dispatch starts waiting requests while slots are free and the rate limit allows. It drops or demotes
-// requests that can no longer meet their target, and drops those that would
-// probably not be answered before their deadline.
+// dispatch starts waiting requests while slots are free and the rate limit allows.
+// It drops or demotes requests that can no longer meet their target, and drops those
+// that would probably not be answered before their deadline.
 func (a *Admission) dispatch(now time.Time) {
 	limit := a.concurrencyLimit(now)
 	for a.queue.len() > 0 && len(a.running) < limit {
--- a/internal/routing/offer.go
+++ b/internal/routing/offer.go
@@ -1,8 +1,6 @@
 package routing
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"heatherlift.example/heatherlift/internal/outcome"
@@ -40,16 +38,6 @@
 	// availability zone gets no offers after such a refusal. It is longer
 	// because each refused offer costs cross-zone traffic.
 	remoteBusyBackoff = time.Second
-	// maxLimitedBackoff caps the time for which an instance gets no offers after it
-	// refused requests because of the rate limit of its backend server. The time
-	// doubles with each refusal, since in a large fleet few of the proxies that ask
-	// get a place. If no other instance has room, it is asked all the same.
-	maxLimitedBackoff = 15 * time.Second
-	// minLimitedBackoff is the first of these times.
-	minLimitedBackoff = 100 * time.Millisecond
-	// maxLimitedSends limits the sends of a request to instances whose rate limit
-	// is known to leave no room for it soon.
-	maxLimitedSends = 2
 	// unreachableBackoff is how long an instance is skipped after its proxy was
 	// unreachable or refused a request with InstanceLeaving. It is short because a
 	// refused connection costs only a fraction of a millisecond.
@@ -129,20 +117,6 @@
 	return nil
 }
 
-// chooseLimited returns the instance in the state Limited with the shortest known wait,
-// nil if there is none or enough were asked, and whether it is the last one to ask.
-func (r *Router) chooseLimited(now time.Time, c *call) (chosen *instance, last bool) {
-	limited := r.candidates.limited
-	if len(limited) == 0 || c.limitedSends >= maxLimitedSends {
-		return nil, false
-	}
-	c.limitedSends++
-	chosen = slices.MinFunc(limited, func(a, b *instance) int {
-		return cmp.Compare(a.remainingWait(now), b.remainingWait(now))
-	})
-	return chosen, len(limited) == 1 || c.limitedSends == maxLimitedSends
-}
-
 // remainingWait returns what is left of the wait that the instance reported.
 func (i *instance) remainingWait(now time.Time) time.Duration {
 	return max(0, i.reportedWait-now.Sub(i.reportedWaitAt))
@@ -159,27 +133,6 @@
 	i.busyUntil = now.Add(backoff)
 }
 
-// recordLimited stores the wait until the rate limit of an instance's backend server
-// leaves room, and takes the instance out of the candidates for a time.
-func (r *Router) recordLimited(now time.Time, i *instance, wait time.Duration) {
-	i.reportedWaitAt, i.reportedWait = now, wait
-	backoff := max(minLimitedBackoff, min(wait, time.Second), 2*i.limitedBackoff)
-	if i.AvailabilityZone != r.cfg.AvailabilityZone {
-		backoff = max(backoff, remoteBusyBackoff)
-	}
-	i.limitedBackoff = min(backoff, maxLimitedBackoff)
-	i.limitedUntil = now.Add(i.limitedBackoff/2 + r.jitter(i.limitedBackoff/2))
-}
-
-// recordAccepted shortens the backoff of an instance that has answered a request, and
-// ends it if the backend server names no rate limit any more.
-func (i *instance) recordAccepted(namedLimit bool) {
-	i.limitedBackoff /= 2
-	if !namedLimit {
-		i.rateLimited, i.limitedBackoff, i.limitedUntil = false, 0, time.Time{}
-	}
-}
-
 // transferCost returns the expected cost of transferring the response between
 // availability zones, relative to what a response within the target is worth.
 func (r *Router) transferCost(c *call) float64 {
