--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -190,7 +190,7 @@
 		a.refuse(now, r, outcome.DeadlineExpired)
 	case a.shouldRedirect(now, r):
 		a.redirect(now, r)
-	case a.exceedsRate(now, r, a.waitingForToken(r)):
+	case a.rate.limited && a.exceedsRate(now, r, a.waitingForToken(r)):
 		a.refuse(now, r, outcome.BackendServerLimited)
 	case a.likelyToMissDeadlineInQueue(now, r), a.missesTargetInSaturatedQueue(now, r):
 		a.refuse(now, r, a.overloadReason(now))
