--- a/internal/node/crashfleet_test.go
+++ b/internal/node/crashfleet_test.go
@@ -90,7 +90,7 @@
 	innocent, served, quarantined int
 	// statements observes the requests to backend servers that state something about
 	// themselves.
-	statements statementObserver
+	statements *statementObserver
 }
 
 func newCrashFleet(seed uint64, n int) *crashFleet {
--- a/internal/node/limits_test.go
+++ b/internal/node/limits_test.go
@@ -73,7 +73,7 @@
 }
 
 func (f *crashFleet) reportLimits(t *testing.T, load *openLoad) {
-	o := &f.statements
+	o := f.statements
 	t.Logf("%d proxies: %+v; worst: %s; %d breaches; %d requests after the announcement of an end, %d late", len(f.proxies), *load, o.worstText, o.breaches, o.afterLeaving, o.late)
 }
 
@@ -302,6 +302,29 @@
 	}
 }
 
+// The same seed plays the same run, beside all faults.
+func TestSimulatedFleetIsDeterministicPerSeed(t *testing.T) {
+	kinds := slices.Sorted(maps.Keys(statementFaults))
+	play := func(seed uint64) string {
+		f := newCrashFleet(seed, 6)
+		f.statements.delay = 20 * time.Millisecond
+		f.offerAll(0, 60, 8*time.Second)
+		until := f.now.Add(8 * time.Second)
+		for _, p := range f.ofService(0) {
+			f.changeLimits(p, until)
+		}
+		f.injectFaultsOf(statementFaults, until, time.Second, kinds...)
+		f.run(10 * time.Second)
+		return f.statements.trace.String()
+	}
+	for seed := range uint64(50) {
+		first, second := play(seed), play(seed)
+		if first == "" || first != second {
+			t.Fatalf("seed %d: two runs differ, or nothing arrived", seed)
+		}
+	}
+}
+
 // A proxy that has passed on that a backend server leaves sends it nothing more.
 func TestServerThatAnnouncesItsEndGetsNoNewRequests(t *testing.T) {
 	for _, n := range []int{6, 12, 75} {
--- a/internal/node/statements_test.go
+++ b/internal/node/statements_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"heatherlift.example/heatherlift/internal/admission"
@@ -71,13 +72,15 @@
 	worst     float64
 	worstText string
 	breaches  int
+	// trace holds a line for each arrival at a backend server.
+	trace strings.Builder
 	// afterLeaving counts the requests to a backend server from proxies that had passed
 	// on that it leaves, late those later than leavingBound.
 	afterLeaving, late int
 }
 
-func newStatementObserver() statementObserver {
-	return statementObserver{servers: make(map[string]*observedServer)}
+func newStatementObserver() *statementObserver {
+	return &statementObserver{servers: make(map[string]*observedServer)}
 }
 
 func (o *statementObserver) server(instance string) *observedServer {
@@ -146,6 +149,7 @@
 		return ok && !r.entry.cut && !r.entry.paused && !told.Before(r.entry.undisturbedSince)
 	}
 	s.all = append(s.all, r.now)
+	fmt.Fprintf(&o.trace, "%d %d %s %d\n", r.now.UnixNano(), r.id, p.instance(), r.entry.index)
 	if told, ok := s.toldLeaving[key]; inTouch(told, ok) && r.sentAt.After(told) {
 		o.afterLeaving++
 		if r.sentAt.Sub(told) > leavingBound {
