--- a/bench/soak/statements.go
+++ b/bench/soak/statements.go
@@ -146,9 +146,10 @@
 	return list[i-1], true
 }
 
-// summariseStatements judges all arrivals by what the backend servers stated.
-func (c *checker) summariseStatements() statementSummary {
-	limited, leaving := make(told), make(told)
+// toldStatements returns when each machine passed on responses that name a rate limit, and
+// those that announce an end.
+func (c *checker) toldStatements() (limited, leaving told) {
+	limited, leaving = make(told), make(told)
 	for _, a := range c.attempts {
 		if a.result != answered {
 			continue
@@ -167,7 +168,12 @@
 			}
 		}
 	}
-	var s statementSummary
+	return limited, leaving
+}
+
+// summariseStatements judges all arrivals by what the backend servers stated.
+func (c *checker) summariseStatements() (s statementSummary) {
+	limited, leaving := c.toldStatements()
 	counted := make(map[string][]time.Time)
 	arrivals := slices.Clone(c.arrivals)
 	slices.SortStableFunc(arrivals, func(a, b *standin.Arrival) int { return a.At.Compare(b.At) })
@@ -176,16 +182,8 @@
 		if a == nil || r.Misdirected {
 			continue
 		}
-		if at, ok := leaving.last(r.Process, a.machine, a.sent); ok && c.heeds(a.machine, at, r.At) {
-			first := leaving[r.Process][a.machine][0]
-			s.afterEnd++
-			if a.sent.Sub(first) > drainBound && c.heeds(a.machine, first, r.At) {
-				s.late++
-				s.firstLate = fmt.Sprintf("%v arrived at %s, which had announced its end %v before", a, r.Process, a.sent.Sub(first).Round(time.Millisecond))
-			}
-		}
-		_, since, inForce := c.limitIn(r.Process, r.At, r.At)
-		if at, ok := limited.last(r.Process, a.machine, r.At.Add(-toldAfter)); ok && inForce && !at.Before(since) && c.heeds(a.machine, at, r.At) {
+		c.judgeAnnounced(&s, a, r, leaving)
+		if c.countsToLimit(a, r, limited) {
 			counted[r.Process] = append(counted[r.Process], r.At)
 			c.judgeWindow(&s, r.Process, counted[r.Process])
 		}
@@ -193,6 +191,28 @@
 	return s
 }
 
+// judgeAnnounced counts an arrival if its machine had passed on that the process leaves.
+func (c *checker) judgeAnnounced(s *statementSummary, a *attempt, r *standin.Arrival, leaving told) {
+	at, ok := leaving.last(r.Process, a.machine, a.sent)
+	if !ok || !c.heeds(a.machine, at, r.At) {
+		return
+	}
+	s.afterEnd++
+	first := leaving[r.Process][a.machine][0]
+	if a.sent.Sub(first) > drainBound && c.heeds(a.machine, first, r.At) {
+		s.late++
+		s.firstLate = fmt.Sprintf("%v arrived at %s, which had announced its end %v before", a, r.Process, a.sent.Sub(first).Round(time.Millisecond))
+	}
+}
+
+// countsToLimit reports whether the machine of an arrival had passed on the rate limit of
+// the process since that was first named.
+func (c *checker) countsToLimit(a *attempt, r *standin.Arrival, limited told) bool {
+	_, since, inForce := c.limitIn(r.Process, r.At, r.At)
+	at, ok := limited.last(r.Process, a.machine, r.At.Add(-toldAfter))
+	return ok && inForce && !at.Before(since) && c.heeds(a.machine, at, r.At)
+}
+
 // heeds reports whether a machine that passed on a response at told must know it at the
 // given time, as its proxy was neither restarted nor paused nor cut off since.
 func (c *checker) heeds(machine int, told, at time.Time) bool {
