--- a/internal/node/crashfaults_test.go
+++ b/internal/node/crashfaults_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -84,6 +85,16 @@
 	},
 }
 
+// scenariosOf returns all kinds of faults together and each one alone.
+func scenariosOf(faults map[string]func(f *crashFleet, share int)) [][]string {
+	kinds := slices.Sorted(maps.Keys(faults))
+	scenarios := [][]string{kinds}
+	for _, kind := range kinds {
+		scenarios = append(scenarios, []string{kind})
+	}
+	return scenarios
+}
+
 // injectFaults injects faults of the named kinds until the given time, one every
 // pause on average, each on up to a quarter of the proxies.
 func (f *crashFleet) injectFaults(until time.Time, pause time.Duration, kinds ...string) {
--- a/internal/node/crashing_test.go
+++ b/internal/node/crashing_test.go
@@ -1,8 +1,6 @@
 package node
 
 import (
-	"maps"
-	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -39,12 +37,7 @@
 // Faults may hide a crash from some proxies or make them forget it. The bound on further
 // sends holds beside each kind of fault and beside all of them.
 func TestCrashingRequestIsNotSentOnBesideFaults(t *testing.T) {
-	kinds := slices.Sorted(maps.Keys(crashFaults))
-	scenarios := [][]string{kinds}
-	for _, kind := range kinds {
-		scenarios = append(scenarios, []string{kind})
-	}
-	for _, scenario := range scenarios {
+	for _, scenario := range scenariosOf(crashFaults) {
 		t.Run(strings.Join(scenario, ", "), func(t *testing.T) {
 			t.Parallel()
 			for seed := range uint64(crashSeeds) {
--- a/internal/node/limits_test.go
+++ b/internal/node/limits_test.go
@@ -276,12 +276,7 @@
 // The bounds hold beside each kind of fault and beside all of them, while limits rise,
 // fall, end and return, and responses overtake each other.
 func TestStatementsAreHeededBesideFaults(t *testing.T) {
-	kinds := slices.Sorted(maps.Keys(statementFaults))
-	scenarios := [][]string{kinds}
-	for _, kind := range kinds {
-		scenarios = append(scenarios, []string{kind})
-	}
-	for _, scenario := range scenarios {
+	for _, scenario := range scenariosOf(statementFaults) {
 		t.Run(strings.Join(scenario, ", "), func(t *testing.T) {
 			t.Parallel()
 			for seed := range uint64(limitSeeds) {
