--- a/bench/soak/crashing.go
+++ b/bench/soak/crashing.go
@@ -103,15 +103,19 @@
 	return !c.disturbed(a.machine, from, r.At, backendKinds...) && !c.disturbed(sharedComponents, from, r.At, backendKinds...)
 }
 
+// calm reports whether no proxy was disturbed in the run.
+func (c *checker) calm() bool {
+	return !slices.ContainsFunc(c.disturbances, func(d *disturbance) bool { return !slices.Contains(backendKinds, d.kind) })
+}
+
 // checkCrashingRequests checks that proxies stop sending requests that end backend
 // servers.
 func (c *checker) checkCrashingRequests() {
-	calm := !slices.ContainsFunc(c.disturbances, func(d *disturbance) bool { return !slices.Contains(backendKinds, d.kind) })
 	for _, s := range c.crashesByPath() {
 		if s.late > maxLateSends {
 			c.addViolation("crashing", "%s was sent %d times later than %v after it had ended %d backend servers; %d ended in all", s.path, s.late, undisturbedTime, toleratedCrashes, s.ended)
 		}
-		if calm && s.ended > maxCalmCrashes {
+		if c.calm() && s.ended > maxCalmCrashes {
 			c.addViolation("crashing", "%s ended %d backend servers of an undisturbed fleet", s.path, s.ended)
 		}
 	}
--- a/bench/soak/statements.go
+++ b/bench/soak/statements.go
@@ -273,11 +273,10 @@
 // send nothing to those that have announced their end.
 func (c *checker) checkStatements() {
 	s := c.summariseStatements()
-	calm := !slices.ContainsFunc(c.disturbances, func(d *disturbance) bool { return !slices.Contains(backendKinds, d.kind) })
 	switch {
 	case s.breach != "":
 		c.addViolation("limit", "%s", s.breach)
-	case calm && s.over > 0:
+	case c.calm() && s.over > 0:
 		c.addViolation("limit", "undisturbed fleet: %d windows above the limit and %d: %s", s.over, limitSlack, s.text)
 	}
 	if s.late > 0 {
--- a/internal/admission/namedlimit.go
+++ b/internal/admission/namedlimit.go
@@ -98,6 +98,17 @@
 	return a.rate.wait(now, a.waitingForToken(r)+1)
 }
 
+// waitsTooLongForToken reports whether a new request with a target would wait longer for a
+// token than the share of its slack: the time until its target less the expected service
+// time.
+func (a *Admission) waitsTooLongForToken(now time.Time, r *request, share float64) bool {
+	if !a.rate.limited || r.Target.IsZero() {
+		return false
+	}
+	slack := r.Target.Sub(now) - a.serviceTime.expected(r.Route)
+	return float64(a.tokenWait(now, r)) > share*float64(max(0, slack))
+}
+
 // dropBeyondRate refuses waiting requests that the rate limit does not let start in time.
 func (a *Admission) dropBeyondRate(now time.Time) {
 	if !a.rate.limited || a.queue.len() == 0 {
--- a/internal/admission/refusal.go
+++ b/internal/admission/refusal.go
@@ -63,12 +63,21 @@
 
 // refuseAll refuses every request that has not been run.
 func (a *Admission) refuseAll(now time.Time) {
+	a.refuseWaiting(now, func(*request) bool { return true })
+}
+
+// refuseWaiting refuses those requests that have not been run for which concerns is true.
+func (a *Admission) refuseWaiting(now time.Time, concerns func(r *request) bool) {
 	for _, r := range sortedByID(a.awaitingClaim) {
-		delete(a.awaitingClaim, r.ID)
-		a.refuse(now, r, outcome.InstanceLeaving)
+		if concerns(r) {
+			delete(a.awaitingClaim, r.ID)
+			a.refuse(now, r, outcome.InstanceLeaving)
+		}
 	}
 	for _, r := range sortedByID(a.waiting) {
-		a.drop(now, r, outcome.InstanceLeaving)
+		if concerns(r) {
+			a.drop(now, r, outcome.InstanceLeaving)
+		}
 	}
 }
 
@@ -144,14 +153,14 @@
 	if r.Patience <= 0 || !r.Target.After(now) {
 		return false
 	}
-	slack := r.Target.Sub(now) - a.serviceTime.expected(r.Route)
-	if float64(a.tokenWait(now, r)) > r.Patience*float64(max(0, slack)) {
+	if a.waitsTooLongForToken(now, r, r.Patience) {
 		return true
 	}
 	if a.stalled(now) || a.missesTarget(now, r, 0) {
 		return !a.serviceTime.stale(now, r.Route)
 	}
 	wait := a.estimateSlotWait(now, r, a.waitingBefore(r))
+	slack := r.Target.Sub(now) - a.serviceTime.expected(r.Route)
 	return float64(wait) > r.Patience*float64(slack)
 }
 
@@ -203,13 +212,7 @@
 	if !a.queueSaturated(now) {
 		return false
 	}
-	if wait := a.tokenWait(now, r); wait > 0 && !r.Target.IsZero() {
-		slack := r.Target.Sub(now) - a.serviceTime.expected(r.Route)
-		if float64(wait) > tokenWaitShare*float64(max(0, slack)) {
-			return true
-		}
-	}
-	return a.missesTarget(now, r, a.estimateWait(now, r))
+	return a.waitsTooLongForToken(now, r, tokenWaitShare) || a.missesTarget(now, r, a.estimateWait(now, r))
 }
 
 // dropOrDemoteLate checks whether a waiting request can still meet its target. If
--- a/internal/admission/report.go
+++ b/internal/admission/report.go
@@ -1,10 +1,6 @@
 package admission
 
-import (
-	"time"
-
-	"heatherlift.example/heatherlift/internal/outcome"
-)
+import "time"
 
 // departure is the announced end of a process of the backend server. It is not taken
 // back: it ends with the process.
@@ -47,15 +43,5 @@
 	}
 	a.departure = &departure{instance: r.Instance}
 	a.emit(LeavingReported{})
-	for _, waiting := range sortedByID(a.awaitingClaim) {
-		if a.departure.concerns(waiting) {
-			delete(a.awaitingClaim, waiting.ID)
-			a.refuse(now, waiting, outcome.InstanceLeaving)
-		}
-	}
-	for _, waiting := range sortedByID(a.waiting) {
-		if a.departure.concerns(waiting) {
-			a.drop(now, waiting, outcome.InstanceLeaving)
-		}
-	}
+	a.refuseWaiting(now, a.departure.concerns)
 }
--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -36,7 +36,7 @@
 			n.journal.add(now, "backend server crashed", "with requests in flight")
 			n.recordCrashedRuns(now, effect, out)
 		case admission.RateLimitChanged:
-			n.addRateLimit(now, effect)
+			n.journal.addRateLimit(now, n.backend.ID, effect)
 		case admission.LeavingReported:
 			n.journal.add(now, "backend server reports that it leaves", n.backend.ID)
 		case admission.FingerprintAnswered:
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -77,17 +77,16 @@
 
 // addRateLimit records at most one rate limit per rateLimitInterval, since a backend
 // server may name another one with each response.
-func (n *Node) addRateLimit(now time.Time, e admission.RateLimitChanged) {
-	j := &n.journal
+func (j *journal) addRateLimit(now time.Time, instance string, e admission.RateLimitChanged) {
 	if !j.lastRateLimit.IsZero() && now.Sub(j.lastRateLimit) < rateLimitInterval {
 		return
 	}
 	j.lastRateLimit = now
 	if !e.Limited {
-		j.add(now, "backend server names no rate limit any more", n.backend.ID)
+		j.add(now, "backend server names no rate limit any more", instance)
 		return
 	}
-	j.add(now, "backend server names a rate limit", n.backend.ID+": "+strconv.FormatFloat(e.PerSecond, 'f', -1, 64)+" requests a second")
+	j.add(now, "backend server names a rate limit", instance+": "+strconv.FormatFloat(e.PerSecond, 'f', -1, 64)+" requests a second")
 }
 
 // list returns the entries in chronological order.
