Take uploads and the limits of callers from the configuration

The limits resource of a version was not read at all.

A route may now be an upload, in a template too (upload = true): it is never repeatable, and a route that claims both is refused with its key. The entry enforces them: 431 above the header limit, counted to the byte, 413 above the body limit, by length before the body is read and in chunks as soon as it is passed; header and idle timeouts. A process that was paused reads once more after a timeout, as the request may be in the socket already.

Requests rejected before routing have a log line.

--- a/internal/config/decodetemplate.go
+++ b/internal/config/decodetemplate.go
@@ -36,6 +36,7 @@
 		Group:      t.str("group"),
 		Deadline:   t.duration("deadline"),
 		Repeatable: t.boolean("repeatable"),
+		Upload:     t.boolean("upload"),
 	}
 }
 
--- a/internal/config/delta.go
+++ b/internal/config/delta.go
@@ -16,6 +16,8 @@
 	Rejected []Rejection `json:"rejected,omitempty"`
 	// KeepRejected means that the rejections of the base still apply.
 	KeepRejected bool `json:"keep_rejected,omitempty"`
+	// Callers holds the limits of callers of the version.
+	Callers CallerLimits `json:"callers,omitzero"`
 	// Base is the root of the snapshot to which Index applies; empty means
 	// that Index is complete.
 	Base Hash `json:"base,omitempty"`
@@ -53,7 +55,7 @@
 // scope. A nil base yields a full transfer. Target must hold the set of every
 // service in scope that its index lists: a missing set is left out of the delta.
 func Diff(base, target *Snapshot, scope Scope) *Delta {
-	d := &Delta{Version: target.Version, Root: target.Root}
+	d := &Delta{Version: target.Version, Root: target.Root, Callers: target.Callers}
 	if base == nil {
 		base = &Snapshot{}
 	}
@@ -162,7 +164,7 @@
 	if d.Base != base.Root && d.Base != "" {
 		return nil, errors.Wrapf(ErrBaseMismatch, "delta for base %s, have %s", d.Base.Short(), base.Root.Short())
 	}
-	out := &Snapshot{Version: d.Version, Root: d.Root, Rejected: d.Rejected}
+	out := &Snapshot{Version: d.Version, Root: d.Root, Callers: d.Callers, Rejected: d.Rejected}
 	if d.KeepRejected {
 		out.Rejected = base.Rejected
 	}
--- a/internal/config/expanded.go
+++ b/internal/config/expanded.go
@@ -7,11 +7,12 @@
 )
 
 // FromOrganisations compiles organisations from a source without templates into
-// a snapshot. If any organisation is invalid, it returns Problems for the whole
-// version, attributed to file.
-func FromOrganisations(version uint64, file string, orgs []*Organisation) (*Snapshot, error) {
+// a snapshot with the given limits of callers. If any organisation or limit is
+// invalid, it returns Problems for the whole version, attributed to file.
+func FromOrganisations(version uint64, file string, orgs []*Organisation, callers CallerLimits) (*Snapshot, error) {
 	problems := &problemList{file: file}
 	sets := make(map[string]map[string]*Slice)
+	callers.validate("callers", problems)
 	for _, org := range orgs {
 		validateExpanded(org, problems)
 	}
@@ -21,7 +22,7 @@
 	for _, org := range orgs {
 		addSlices(sets, splitByService(org))
 	}
-	return NewSnapshot(version, newServiceSets(sets), nil), nil
+	return newSnapshot(version, newServiceSets(sets), callers, nil), nil
 }
 
 // validateExpanded adds the defects of an organisation from a source without
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -39,28 +39,31 @@
 type Snapshot struct {
 	// Version is the revision of the manifest in the configuration source.
 	Version uint64
-	// Root is the hash of Index and Rejected.
+	// Root is the hash of Index, Callers and Rejected.
 	Root Hash
 	// Index maps each service of the version to the hash of its set.
 	Index map[string]Hash
 	// Sets holds the sets of the services in scope.
 	Sets map[string]*ServiceSet
+	// Callers bounds what callers may send.
+	Callers CallerLimits
 	// Rejected lists the organisations whose new content was rejected, sorted
 	// by name.
 	Rejected []Rejection
 }
 
-// computeRoot hashes an index and the rejected organisations with the text of
-// their problems.
-func computeRoot(index map[string]Hash, rejected []Rejection) Hash {
+// computeRoot hashes the index, the limits of callers, and the rejected
+// organisations with the text of their problems.
+func (s *Snapshot) computeRoot() Hash {
 	var text strings.Builder
-	for _, service := range slices.Sorted(maps.Keys(index)) {
+	for _, service := range slices.Sorted(maps.Keys(s.Index)) {
 		text.WriteString(service)
 		text.WriteByte('=')
-		text.WriteString(string(index[service]))
+		text.WriteString(string(s.Index[service]))
 		text.WriteByte('\n')
 	}
-	for _, r := range rejected {
+	text.WriteString(s.Callers.text())
+	for _, r := range s.Rejected {
 		text.WriteString("rejected ")
 		text.WriteString(r.Organisation)
 		text.WriteByte('\n')
@@ -70,19 +73,25 @@
 	return HashOf([]byte(text.String()))
 }
 
-// NewSnapshot returns a snapshot of all service sets of a version.
+// NewSnapshot returns a snapshot of all service sets of a version without limits
+// of callers.
 func NewSnapshot(version uint64, sets map[string]*ServiceSet, rejected []Rejection) *Snapshot {
-	index := make(map[string]Hash, len(sets))
-	for service, set := range sets {
-		index[service] = set.Hash
-	}
-	return &Snapshot{
+	return newSnapshot(version, sets, CallerLimits{}, rejected)
+}
+
+func newSnapshot(version uint64, sets map[string]*ServiceSet, callers CallerLimits, rejected []Rejection) *Snapshot {
+	s := &Snapshot{
 		Version:  version,
-		Root:     computeRoot(index, rejected),
-		Index:    index,
+		Index:    make(map[string]Hash, len(sets)),
 		Sets:     sets,
+		Callers:  callers,
 		Rejected: rejected,
 	}
+	for service, set := range sets {
+		s.Index[service] = set.Hash
+	}
+	s.Root = s.computeRoot()
+	return s
 }
 
 // Scope is the set of services whose slices a proxy holds.
@@ -126,12 +135,12 @@
 	return true
 }
 
-// Consistent checks the invariants of the snapshot: Root is the hash of Index and
-// Rejected, Index holds the hash of each set, each slice is stored under its own
+// Consistent checks the invariants of the snapshot: Root is the hash of Index,
+// Callers and Rejected, Index holds the hash of each set, each slice is stored under its own
 // service and organisation, and no route has a dangling reference. It returns
 // ErrHashMismatch or ErrDanglingReference.
 func (s *Snapshot) Consistent() error {
-	if computeRoot(s.Index, s.Rejected) != s.Root {
+	if s.computeRoot() != s.Root {
 		return errors.Wrapf(ErrHashMismatch, "root of version %d", s.Version)
 	}
 	for service, set := range s.Sets {
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -87,8 +87,8 @@
 	validateDestination(key, r, groups, problems)
 }
 
-// validateDestination validates the group and the deadline, which pattern routes
-// and prefix routes have in common.
+// validateDestination validates what pattern routes and prefix routes have in
+// common: the group, the deadline and the kind of request.
 func validateDestination(key string, r Route, groups map[string]Group, problems *problemList) {
 	if _, ok := groups[r.Group]; !ok {
 		problems.add(key+".group", "no group %q in this version", r.Group)
@@ -97,6 +97,9 @@
 	if d < MinDeadline || d > MaxDeadline {
 		problems.add(key+".deadline", "%v: want %v to %v", d, MinDeadline, MaxDeadline)
 	}
+	if r.Upload && r.Repeatable {
+		problems.add(key+".upload", "an upload is not repeatable")
+	}
 }
 
 func validateOverlap(key string, earlier []Route, patterns []Pattern, r Route, p Pattern, problems *problemList) {
--- a/internal/forward/callerexchange.go
+++ b/internal/forward/callerexchange.go
@@ -306,11 +306,20 @@
 	x.writeToConn(trailer.Bytes())
 }
 
+// errBodyTooLarge marks a body that exceeds the limit of callers.
+var errBodyTooLarge = errors.New("request body exceeds the limit of callers")
+
 // callerBody is the body of a request. It records when its end has been read.
 type callerBody struct {
 	io.ReadCloser
-	x  *callerExchange
+	x *callerExchange
+	// bytesLeft is the number of bytes that may still be read. Only the reading
+	// goroutine uses it.
+	bytesLeft int64
+
 	mu sync.Mutex
+	// tooLarge is set when the body exceeded its limit.
+	tooLarge bool
 	// noContinue is set when no 100 Continue is needed, or one has been sent, or
 	// the final response has started.
 	noContinue bool
@@ -332,12 +341,29 @@
 func (b *callerBody) Read(p []byte) (int, error) {
 	b.sendContinue()
 	n, err := b.ReadCloser.Read(p)
+	if b.bytesLeft -= int64(n); b.bytesLeft < 0 {
+		b.mu.Lock()
+		b.tooLarge = true
+		b.mu.Unlock()
+		n, err = 0, errBodyTooLarge
+	}
 	if err != nil {
 		b.finish(err == io.EOF)
 	}
 	return n, err
 }
 
+// bodyTooLarge reports whether the body of a caller's request exceeded its limit.
+func bodyTooLarge(r *http.Request) bool {
+	b, ok := r.Body.(*callerBody)
+	if !ok {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tooLarge
+}
+
 // Close implements io.Closer. The rest of the body stays unread.
 func (b *callerBody) Close() error { return nil }
 
--- a/internal/forward/callerserver.go
+++ b/internal/forward/callerserver.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -14,10 +16,13 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/net/http/httpguts"
+
+	"heatherlift.example/heatherlift/internal/config"
 )
 
 const (
-	// maxRequestHeaderBytes limits the request line and header of one request.
+	// maxRequestHeaderBytes limits the request line and header of one request
+	// unless the version in force sets another limit.
 	maxRequestHeaderBytes = 64 << 10
 	// maxPipelinedRequests limits the requests in progress on one connection.
 	maxPipelinedRequests = 32
@@ -25,6 +30,10 @@
 	// it while the caller is sending would reset it, and the caller would lose
 	// the last response.
 	callerLingerTimeout = 250 * time.Millisecond
+	// lateReadTimeout is how long a connection is still read after a header or
+	// idle timeout, since a paused process finds both the timeout expired and the
+	// request in the socket.
+	lateReadTimeout = 20 * time.Millisecond
 )
 
 // CallerServer serves the HTTP/1.1 connections of callers. Unlike http.Server
@@ -35,6 +44,12 @@
 	// headerTimeout limits reading a request header, idleTimeout waiting for
 	// the next request.
 	headerTimeout, idleTimeout time.Duration
+	// LimitsInForce, if set, returns the limits of callers of the version in
+	// force, nil if there is none. They replace the defaults of the server.
+	LimitsInForce func() *config.CallerLimits
+	// OnReject, if set, is called for each request that the server rejects itself,
+	// with the address of the caller and the status.
+	OnReject func(caller string, status int)
 
 	draining    atomic.Bool
 	mu          sync.Mutex
@@ -48,6 +63,26 @@
 	return &CallerServer{handler: handler, headerTimeout: headerTimeout, idleTimeout: idleTimeout, conns: make(map[*callerConn]struct{})}
 }
 
+// limits returns the limits that apply to the next request.
+func (s *CallerServer) limits() config.CallerLimits {
+	l := config.CallerLimits{
+		HeaderBytes:   maxRequestHeaderBytes,
+		BodyBytes:     math.MaxInt64,
+		HeaderTimeout: config.Duration(s.headerTimeout),
+		IdleTimeout:   config.Duration(s.idleTimeout),
+	}
+	if s.LimitsInForce == nil {
+		return l
+	}
+	if v := s.LimitsInForce(); v != nil {
+		l.HeaderBytes = min(cmp.Or(v.HeaderBytes, l.HeaderBytes), config.MaxCallerHeaderBytes)
+		l.BodyBytes = cmp.Or(v.BodyBytes, l.BodyBytes)
+		l.HeaderTimeout = cmp.Or(v.HeaderTimeout, l.HeaderTimeout)
+		l.IdleTimeout = cmp.Or(v.IdleTimeout, l.IdleTimeout)
+	}
+	return l
+}
+
 // Serve accepts connections until the listener is closed.
 func (s *CallerServer) Serve(l net.Listener) error {
 	for {
@@ -82,6 +117,12 @@
 	s.activeConns.Done()
 }
 
+func (s *CallerServer) reportReject(x *callerExchange) {
+	if s.OnReject != nil {
+		s.OnReject(x.req.RemoteAddr, x.rejectStatus)
+	}
+}
+
 func (s *CallerServer) connections() []*callerConn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -154,8 +195,13 @@
 	// headerBytesLeft is the number of bytes that the header being read may
 	// still take, or unlimitedBytes.
 	headerBytesLeft int
-	pipelineSlots   chan struct{}
-	handlers        sync.WaitGroup
+	// headerTooLarge is set when the header being read exceeded its limit.
+	headerTooLarge bool
+	// readsLate is set while a read that timed out is tried once more. Only the
+	// reading goroutine uses it.
+	readsLate     bool
+	pipelineSlots chan struct{}
+	handlers      sync.WaitGroup
 
 	mu sync.Mutex
 	// inProgress counts the requests whose response is not completely written.
@@ -177,12 +223,16 @@
 // Read implements net.Conn.
 func (c *callerConn) Read(b []byte) (int, error) {
 	if c.headerBytesLeft == 0 {
+		c.headerTooLarge = true
 		return 0, errRequestHeaderTooLarge
 	}
 	if c.headerBytesLeft > 0 && len(b) > c.headerBytesLeft {
 		b = b[:c.headerBytesLeft]
 	}
 	n, err := c.Conn.Read(b)
+	if c.readsLate && errors.Is(err, os.ErrDeadlineExceeded) && c.extendRead() {
+		n, err = c.Conn.Read(b)
+	}
 	if c.headerBytesLeft > 0 {
 		c.headerBytesLeft -= n
 	}
@@ -192,6 +242,19 @@
 	return n, err
 }
 
+// extendRead allows one more read after a timeout. It returns false if the
+// connection accepts no further request.
+func (c *callerConn) extendRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readsLate = false
+	if c.closing {
+		return false
+	}
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lateReadTimeout))
+	return true
+}
+
 // serve reads requests until the connection closes.
 func (c *callerConn) serve() {
 	defer c.server.remove(c)
@@ -241,15 +304,20 @@
 	if !c.waitForRequest() {
 		return nil, false
 	}
-	_ = c.Conn.SetReadDeadline(time.Now().Add(c.server.headerTimeout))
-	req, status := c.readRequest()
+	limits := c.server.limits()
+	_ = c.Conn.SetReadDeadline(time.Now().Add(time.Duration(limits.HeaderTimeout)))
+	c.readsLate = true
+	req, status := c.readRequest(limits)
+	c.readsLate = false
 	_ = c.Conn.SetReadDeadline(time.Time{})
 	if status == 0 {
 		return nil, false
 	}
 	x := newCallerExchange(ctx, c, req, previous)
+	x.body.bytesLeft = limits.BodyBytes
 	if status != http.StatusOK {
 		x.rejectStatus = status
+		c.server.reportReject(x)
 	}
 	if !c.startRequest(x) {
 		return nil, false
@@ -265,13 +333,20 @@
 		return false
 	}
 	if c.inProgress == 0 {
-		_ = c.Conn.SetReadDeadline(time.Now().Add(c.server.idleTimeout))
+		c.startIdleTimeout()
 	}
 	c.mu.Unlock()
+	c.readsLate = true
 	_, err := c.reader.Peek(1)
+	c.readsLate = false
 	return err == nil
 }
 
+// startIdleTimeout bounds the wait for the next request.
+func (c *callerConn) startIdleTimeout() {
+	_ = c.Conn.SetReadDeadline(time.Now().Add(time.Duration(c.server.limits().IdleTimeout)))
+}
+
 // startRequest registers a request. It returns false if the connection started
 // closing in the meantime; the request is then discarded without being run.
 func (c *callerConn) startRequest(x *callerExchange) bool {
@@ -294,7 +369,7 @@
 	defer c.mu.Unlock()
 	c.inProgress--
 	if c.inProgress == 0 && !c.closing {
-		_ = c.Conn.SetReadDeadline(time.Now().Add(c.server.idleTimeout))
+		c.startIdleTimeout()
 	}
 	<-c.pipelineSlots
 }
@@ -368,16 +443,21 @@
 // readRequest reads a request header. The returned status is 200 if the request
 // is valid, the status of the error response if it is not, and 0 if the
 // connection failed or timed out before the header was complete.
-func (c *callerConn) readRequest() (*http.Request, int) {
-	c.headerBytesLeft = maxRequestHeaderBytes
+func (c *callerConn) readRequest(limits config.CallerLimits) (*http.Request, int) {
+	// What is buffered was read before, and may hold more than this header.
+	c.headerBytesLeft = max(0, limits.HeaderBytes-c.reader.Buffered())
+	available := c.reader.Buffered() + c.headerBytesLeft
 	req, err := http.ReadRequest(c.reader)
+	headerBytes := available - c.headerBytesLeft - c.reader.Buffered()
 	c.headerBytesLeft = unlimitedBytes
 	var netErr net.Error
 	switch {
+	case c.headerTooLarge, err == nil && headerBytes > limits.HeaderBytes:
+		return nil, http.StatusRequestHeaderFieldsTooLarge
+	case err == nil && req.ContentLength > limits.BodyBytes:
+		return req, http.StatusRequestEntityTooLarge
 	case err == nil:
 		return req, c.validateRequest(req)
-	case errors.Is(err, errRequestHeaderTooLarge):
-		return nil, http.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &netErr):
 		return nil, 0
 	case strings.Contains(err.Error(), "transfer encoding"): // net/http exports no error for this case
--- a/internal/forward/errors.go
+++ b/internal/forward/errors.go
@@ -20,8 +20,7 @@
 	// is malformed or unexpected, its end cannot be verified, or it belongs to
 	// another request.
 	ErrMalformedResponse = errors.New("malformed response")
-	// errRequestHeaderTooLarge marks a request header larger than
-	// maxRequestHeaderBytes.
+	// errRequestHeaderTooLarge marks a request header above the limit of callers.
 	errRequestHeaderTooLarge = errors.New("request header too large")
 	// errBody marks a request body that could not be read from its sender.
 	errBody = errors.New("could not read request body")
--- a/internal/forward/ingress.go
+++ b/internal/forward/ingress.go
@@ -58,13 +58,12 @@
 		e.dialect.writeRefusal(w, refusal, false)
 		return
 	}
-	c := &callerRequest{Ingress: e, w: w, r: r, startedAt: time.Now(), outgoing: &outgoingRequest{in: r, dialect: e.dialect, fromCaller: true, callerService: e.service, expectContinue: true}}
-	if !c.readBody() {
+	c := &callerRequest{Ingress: e, w: w, r: r, organisation: e.dialect.organisation(r), startedAt: time.Now(), outgoing: &outgoingRequest{in: r, dialect: e.dialect, fromCaller: true, callerService: e.service, expectContinue: true}}
+	if !c.readBody(budget) {
 		return
 	}
 	defer c.outgoing.upload.waitUntilFinished()
 	c.id = e.core.NextID()
-	c.organisation = e.dialect.organisation(r)
 	c.fingerprint = fingerprint(c.organisation, r, c.outgoing.body)
 	c.serve(routing.Arrived{
 		ID:           c.id,
@@ -72,22 +71,26 @@
 		Method:       r.Method,
 		Path:         e.dialect.path(r),
 		Budget:       budget,
+		Elapsed:      time.Since(c.startedAt),
 		Fingerprint:  c.fingerprint,
 		Retry:        r.Header.Get(RetryHeader) != "",
 	})
 }
 
 // readBody reads a small body into memory and sets up the streaming of a large
-// one. It reports false if a small body was incomplete; the request is then
-// refused.
-func (c *callerRequest) readBody() bool {
+// one. It reports false if a small body did not arrive within the time budget of the
+// caller; the request is then refused.
+func (c *callerRequest) readBody(budget time.Duration) bool {
 	if !hasSmallBody(c.r) {
 		c.outgoing.upload = newUpload(c.w, c.r)
 		return true
 	}
-	body, err := readSmallBody(c.w, c.r)
+	body, err := readSmallBody(c.w, c.r, budget)
 	if err != nil {
-		c.dialect.writeRefusal(c.w, notRun(outcome.MalformedRequest, http.StatusRequestTimeout), true)
+		c.detail = err.Error()
+		refusal := notRun(outcome.MalformedRequest, http.StatusRequestTimeout)
+		c.logRefusal(refusal)
+		c.dialect.writeRefusal(c.w, refusal, true)
 		return false
 	}
 	c.outgoing.body = body
@@ -220,6 +223,9 @@
 			r.Status = http.StatusBadGateway
 		}
 	}
+	if bodyTooLarge(c.r) {
+		r.Reason, r.Status, r.RetryAfter = outcome.BodyTooLarge, http.StatusRequestEntityTooLarge, 0
+	}
 	c.logRefusal(r)
 	c.dialect.refuse(c.w, c.outgoing.upload, r)
 }
--- a/internal/forward/local.go
+++ b/internal/forward/local.go
@@ -70,7 +70,7 @@
 		out.upload = newUpload(w, r)
 		defer out.upload.waitUntilFinished()
 	} else {
-		body, err := readSmallBody(w, r)
+		body, err := readSmallBody(w, r, budget)
 		if err != nil {
 			panic(http.ErrAbortHandler) // the peer disconnected before its request was complete
 		}
--- a/internal/forward/requestvalidation.go
+++ b/internal/forward/requestvalidation.go
@@ -71,12 +71,17 @@
 }
 
 // readSmallBody reads the whole body of a request for which hasSmallBody holds.
-func readSmallBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+// The body has to arrive within the given time, or within smallBodyTimeout if that
+// is 0 or longer.
+func readSmallBody(w http.ResponseWriter, r *http.Request, within time.Duration) ([]byte, error) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
 	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(time.Now().Add(smallBodyTimeout))
+	if within <= 0 {
+		within = smallBodyTimeout
+	}
+	_ = controller.SetReadDeadline(time.Now().Add(min(within, smallBodyTimeout)))
 	body := make([]byte, r.ContentLength)
 	if _, err := io.ReadFull(r.Body, body); err != nil {
 		return nil, errors.Wrapf(errBody, "%v", err)
--- a/internal/forward/rig_test.go
+++ b/internal/forward/rig_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/goleak"
 
 	"heatherlift.example/heatherlift/internal/admission"
+	"heatherlift.example/heatherlift/internal/config"
 	"heatherlift.example/heatherlift/internal/outcome"
 	"heatherlift.example/heatherlift/internal/routing"
 )
@@ -199,6 +200,11 @@
 	// served counts the requests that the entry proxy has completed, whether or
 	// not they reached the backend server.
 	served atomic.Int32
+	// limits holds the limits of callers in force, nil for the defaults, and
+	// onReject receives the requests that the server rejects itself. Both are set
+	// before the start.
+	limits   *config.CallerLimits
+	onReject func(caller string, status int)
 }
 
 // newRig starts both proxies in front of a backend server with the handler.
@@ -223,6 +229,8 @@
 		defer g.served.Add(1)
 		g.ingress.ServeHTTP(w, r)
 	}), testTimeout, testTimeout)
+	g.server.LimitsInForce = func() *config.CallerLimits { return g.limits }
+	g.server.OnReject = g.onReject
 	g.callersAddr = serveCallers(t, g.server)
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"heatherlift.example/heatherlift/internal/admission"
+	"heatherlift.example/heatherlift/internal/config"
 	"heatherlift.example/heatherlift/internal/decisionlog"
 	"heatherlift.example/heatherlift/internal/dist"
 	"heatherlift.example/heatherlift/internal/forward"
@@ -45,6 +46,9 @@
 	admitEffects waiters[admission.Effect]
 	replies      waiters[any]
 	nextID       atomic.Uint64
+	// callerLimits holds the limits of callers of the version in force, nil before
+	// the first one.
+	callerLimits atomic.Pointer[config.CallerLimits]
 
 	// identity is nil if peers use plaintext.
 	identity  *identity.Identity
@@ -146,6 +150,9 @@
 	for _, e := range effects.Journal {
 		h.log.Info(e.What, "cause", e.Cause)
 	}
+	if effects.Callers != nil {
+		h.callerLimits.Store(effects.Callers)
+	}
 	for _, e := range effects.Routing {
 		h.executeRouting(e)
 	}
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"heatherlift.example/heatherlift/internal/config"
 	"heatherlift.example/heatherlift/internal/node"
 )
 
@@ -19,6 +20,9 @@
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 80 << 10
+	// maxPeerHeaderBytes leaves room for the headers that proxies add to the
+	// largest one that a caller may send.
+	maxPeerHeaderBytes = config.MaxCallerHeaderBytes + 16<<10
 )
 
 // listeners holds the listening sockets of a proxy.
--- a/internal/host/shutdown.go
+++ b/internal/host/shutdown.go
@@ -33,11 +33,17 @@
 	backend := h.settings.BackendServer
 	local := forward.NewLocalForwarder(h, h.backendPool, backend.Address, backend.ShedNotRun, h.dialect)
 	entry := forward.NewIngress(h, h.peerPool, h.runID, local, h.settings.Listen.Forward, h.settings.Service)
-	return &servers{
-		callerServer:   forward.NewCallerServer(forward.LogPanics(entry, h.log), readHeaderTimeout, idleTimeout),
-		forwardServer:  newServer(forward.LogPanics(local, h.log)),
-		callerListener: l.callers,
-	}
+	callers := forward.NewCallerServer(forward.LogPanics(entry, h.log), readHeaderTimeout, idleTimeout)
+	callers.LimitsInForce = h.callerLimits.Load
+	callers.OnReject = h.logReject
+	peers := newServer(forward.LogPanics(local, h.log))
+	peers.MaxHeaderBytes = maxPeerHeaderBytes
+	return &servers{callerServer: callers, forwardServer: peers, callerListener: l.callers}
+}
+
+// logReject logs a request that was rejected before routing.
+func (h *Host) logReject(caller string, status int) {
+	h.LogDecision(true, "request rejected", func() []any { return []any{"caller", caller, "status", status} })
 }
 
 // shutDown announces the shutdown to callers and other proxies, accepts requests
--- a/internal/node/crashfleet_test.go
+++ b/internal/node/crashfleet_test.go
@@ -174,7 +174,7 @@
 			Deadline: config.Duration(2 * time.Second), Target: config.Duration(300 * time.Millisecond),
 		})
 	}
-	s, err := config.FromOrganisations(1, "test", []*config.Organisation{org})
+	s, err := config.FromOrganisations(1, "test", []*config.Organisation{org}, config.CallerLimits{})
 	if err != nil {
 		panic(err)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -72,6 +72,9 @@
 	// Relay answers requests from proxies that follow the store through this
 	// one.
 	Relay []ReplyRelay
+	// Callers holds the limits of callers of a version that came into force, nil
+	// if none did.
+	Callers *config.CallerLimits
 	// Journal holds the journal entries added in this step, for the log.
 	Journal []JournalEntry
 }
@@ -317,6 +320,7 @@
 		n.inForceSince = now
 	}
 	n.journal.addVersion(now, s)
+	out.Callers = &s.Callers
 	n.stepRouting(now, routing.SnapshotEnforced{Snapshot: s}, out)
 	n.stepLimit(now, limit.VersionEnforced{Version: s.Version}, out)
 }
--- a/internal/node/relaybench_test.go
+++ b/internal/node/relaybench_test.go
@@ -28,7 +28,7 @@
 		}
 		list = append(list, org)
 	}
-	s, err := config.FromOrganisations(version, "test", list)
+	s, err := config.FromOrganisations(version, "test", list, config.CallerLimits{})
 	if err != nil {
 		tb.Fatal(err)
 	}
--- a/internal/node/store_test.go
+++ b/internal/node/store_test.go
@@ -37,7 +37,7 @@
 		Routes: []config.Route{{Name: "r", Path: "/a/", Prefix: true, Group: "desk", Deadline: config.Duration(time.Second), Target: config.Duration(time.Second)}},
 		Groups: map[string]config.Group{"desk": {Service: "desk"}},
 		Limits: config.Limits{RequestsPerSecond: 10, Concurrency: 10},
-	}})
+	}}, config.CallerLimits{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -74,6 +74,8 @@
 	// UpgradeUnsupported means that the caller requested an upgrade to another
 	// protocol.
 	UpgradeUnsupported Reason = "upgrade-unsupported"
+	// BodyTooLarge means that the body exceeds the limit of the version in force.
+	BodyTooLarge Reason = "body-too-large"
 )
 
 // Refusal is the final response to a request that no backend server answered.
--- a/internal/routing/events.go
+++ b/internal/routing/events.go
@@ -48,6 +48,9 @@
 		// Budget is the time that the caller allows for the request, 0 if it
 		// set none.
 		Budget time.Duration
+		// Elapsed is the time since the header of the request was read, in which
+		// its body arrived.
+		Elapsed time.Duration
 		// Fingerprint is the same for equal requests.
 		Fingerprint uint64
 		// KnownCrashes is the number of crashes of backend servers that are
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -207,7 +207,8 @@
 	if e.Budget > 0 {
 		budget = min(budget, e.Budget)
 	}
-	c := &call{id: e.ID, org: org, match: match, group: r.split.nextGroup(match), version: r.table.Version, arrived: now, deadline: now.Add(budget), retry: e.Retry, fingerprint: e.Fingerprint, knownCrashes: e.KnownCrashes}
+	arrived := now.Add(-e.Elapsed)
+	c := &call{id: e.ID, org: org, match: match, group: r.split.nextGroup(match), version: r.table.Version, arrived: arrived, deadline: arrived.Add(budget), retry: e.Retry, fingerprint: e.Fingerprint, knownCrashes: e.KnownCrashes}
 	c.priorElapsed = r.estimatePriorElapsed(match, e.Budget)
 	r.calls[e.ID] = c
 	org.InFlight++
--- a/internal/routing/target_test.go
+++ b/internal/routing/target_test.go
@@ -28,7 +28,7 @@
 		Routes: routes,
 		Groups: map[string]config.Group{"desk": {Service: "desk"}, "hotel": {Service: "hotel"}},
 		Limits: config.Limits{RequestsPerSecond: 1000, Concurrency: 1000},
-	}})
+	}}, config.CallerLimits{})
 	if err != nil {
 		t.Fatal(err)
 	}
