Ask sound backend servers before those that fail or shed by themselves

What callers see: while some backend servers of a service shed nearly half of their requests (srv_grey), those of a zone whose only instance is among them were offered to it first, always, and the retry budget covers a part of the refused ones only.

--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -241,7 +241,7 @@
 	if isFailure(e) {
 		c.failedZone = i.AvailabilityZone
 	}
-	i.observeOutcome(now, isFailure(e), refused)
+	i.observeOutcome(now, isFailure(e), refused, e.Outcome == outcome.NotRun && e.Reason == outcome.BackendServerShed)
 	r.ejectIfFailing(now, i)
 }
 
--- a/internal/routing/instance.go
+++ b/internal/routing/instance.go
@@ -45,11 +45,13 @@
 	pool     *pool
 	inFlight int
 
-	// latency, failureRate and refusalRate are moving averages, last updated at
-	// observedAt. samples counts the attempts since the last ejection.
+	// latency, failureRate, refusalRate and shedRate are moving averages, last
+	// updated at observedAt. shedRate is the part of refusalRate that the backend
+	// server itself refused. samples counts the attempts since the last ejection.
 	latency     time.Duration
 	failureRate float64
 	refusalRate float64
+	shedRate    float64
 	observedAt  time.Time
 	samples     int
 
@@ -146,12 +148,19 @@
 		i.reportedLoad(now) >= 1
 }
 
-// observeOutcome adds the outcome of an attempt to the failure and refusal
+// errorRate returns the rate at which the backend server fails requests or refuses
+// them by itself.
+func (i *instance) errorRate(now time.Time) float64 {
+	return max(i.failureRate, i.shedRate) * decay(now.Sub(i.observedAt), observationHalfLife)
+}
+
+// observeOutcome adds the outcome of an attempt to the failure, refusal and shed
 // rates.
-func (i *instance) observeOutcome(now time.Time, failed, refused bool) {
+func (i *instance) observeOutcome(now time.Time, failed, refused, shed bool) {
 	w := decay(now.Sub(i.observedAt), observationHalfLife)
 	i.failureRate = ewmaRate(i.failureRate*w, failed)
 	i.refusalRate = ewmaRate(i.refusalRate*w, refused)
+	i.shedRate = ewmaRate(i.shedRate*w, shed)
 	i.observedAt = now
 	i.samples++
 }
--- a/internal/routing/offer.go
+++ b/internal/routing/offer.go
@@ -65,10 +65,14 @@
 // one has no alternative, the request is sent without a limit.
 func (r *Router) chooseByOffers(now time.Time, c *call) (*instance, float64) {
 	r.collectCandidates(now, c)
-	local, remote := r.pickOfTwo(now, r.candidates.local), r.pickOfTwo(now, r.candidates.remote)
+	local := r.pickOfTwo(now, withoutErrorProne(now, r.candidates.local))
+	remote := r.pickOfTwo(now, withoutErrorProne(now, r.candidates.remote))
 	cost := r.transferCost(c)
 	remoteAllowed := remote != nil && c.remoteOffers < maxRemoteOffers && cost < 1
 	switch {
+	case local != nil && remoteAllowed && local.errorProne(now) && !remote.errorProne(now):
+		c.remoteOffers++
+		return remote, max(offerMaxWaitShare, cost)
 	case local != nil && (len(r.candidates.local) > 1 || c.tried == nil && len(r.candidates.busy) > 0):
 		return local, offerMaxWaitShare
 	case local != nil && remoteAllowed:
@@ -93,6 +97,27 @@
 	return r.pickOfTwo(now, r.candidates.ejected), 0
 }
 
+// errorProne reports whether the backend server fails or refuses so many requests that
+// others get the next one first. What they do not accept still goes to it: a part of
+// its capacity is left.
+func (i *instance) errorProne(now time.Time) bool { return i.errorRate(now) > saturatedRate }
+
+// withoutErrorProne returns the instances that are not error-prone, or the list itself
+// if there are only such. The order of the list changes.
+func withoutErrorProne(now time.Time, list []*instance) []*instance {
+	sound := 0
+	for k, i := range list {
+		if !i.errorProne(now) {
+			list[sound], list[k] = list[k], list[sound]
+			sound++
+		}
+	}
+	if sound == 0 {
+		return list
+	}
+	return list[:sound]
+}
+
 // fallback returns the instance to which the request is sent without a wait
 // limit after all offers: the local one with the shortest known wait, otherwise
 // a remote one, nil if there is none.
