Let a starting proxy wait for a reader that starts with it

A reader that is about to read the store, with no failure so far, holds a request of a proxy that has no state, up to the wait it names. Virtual time: 300 proxies that lost power are ready within 0.5 s on at most 4 calls for each of 14 readers (node.TestFleetThatLostPowerStartsFromItsReaders).

--- a/internal/node/storefleet_test.go
+++ b/internal/node/storefleet_test.go
@@ -469,3 +469,21 @@
 		t.Error(d)
 	}
 }
+
+// After a loss of power all proxies of a large fleet are ready again within half a
+// second of virtual time, although only the readers read the store in full.
+func TestFleetThatLostPowerStartsFromItsReaders(t *testing.T) {
+	f := newStoreFleet(4, 300)
+	f.run(3 * time.Second)
+	before := len(f.calls)
+	for i := range f.nodes {
+		f.start(i)
+	}
+	f.run(500 * time.Millisecond)
+	if d := f.difference(); d != "" {
+		t.Error(d)
+	}
+	if calls := len(f.calls) - before; calls > 4*2*fleetZones {
+		t.Errorf("%d calls of the store, want at most 4 for each of the %d readers", calls, 2*fleetZones)
+	}
+}
--- a/internal/source/relay.go
+++ b/internal/source/relay.go
@@ -245,11 +245,19 @@
 
 // CanReplyNow reports whether a request is to be answered immediately: there is
 // a change to report, the request allows stale state, this proxy declines it, or
-// this proxy's state may be out of date.
+// this proxy's state may be out of date. A requester without state waits for a reader
+// that is about to read the store.
 func (f *Follower) CanReplyNow(r RelayRequest) bool {
-	return r.AllowStale || f.shouldDecline(r) || !f.inSync() || f.behind(r) || f.listDiffers(r) || f.version > r.Version
+	outOfDate := !f.inSync() && !(f.reading() && r.hasNoState())
+	return r.AllowStale || f.shouldDecline(r) || outOfDate || f.behind(r) || f.listDiffers(r) || f.version > r.Version
 }
 
+// reading reports whether this proxy has no list yet and nothing has failed so far.
+func (f *Follower) reading() bool { return !f.listed && f.failures == 0 }
+
+// hasNoState reports whether the requester has just started.
+func (r RelayRequest) hasNoState() bool { return r.After == 0 && r.Version == 0 }
+
 // shouldDecline reports whether another proxy with a faster link should answer
 // the request instead.
 func (f *Follower) shouldDecline(r RelayRequest) bool {
--- a/internal/source/survey_test.go
+++ b/internal/source/survey_test.go
@@ -68,3 +68,21 @@
 	is.Equal(f.surveys, maxSurveys)
 	is.True(now.Sub(testStart) <= maxSurveys*surveyInterval*3/2)
 }
+
+// After a loss of power the readers start with the others. Those that ask them wait for
+// the reader's list instead of reading the store over their slow links.
+func TestStartingProxyWaitsForAReaderThatStarts(t *testing.T) {
+	is := is.New(t)
+	reader := newStartingFollower(0, 60)
+	start := RelayRequest{WaitMs: 800}
+	is.True(!reader.CanReplyNow(start))
+	is.True(reader.CanReplyNow(RelayRequest{After: 5, List: 1, WaitMs: 800})) // has a state that may be newer
+	reader.HandleListing(testStart, Listing{Revision: 9, Instances: zoneList(60)})
+	is.True(reader.CanReplyNow(start))
+	is.Equal(len(reader.Reply(start).Instances), 60)
+
+	failing := newStartingFollower(0, 60)
+	failing.HandleFailure(testStart, false, "unreachable")
+	is.True(failing.CanReplyNow(start))
+	is.True(failing.Reply(start).Stale)
+}
