End one exchange, not the process, when a defect panics

Operators of similar systems told of one malformed message that took a whole process down. It could happen here: a panic in the handling of a peer's message or of an answer of the store ended the process; one in the reducer, on behalf of a caller, left its lock held, so that the proxy stood still for good, ready all the while.

The reducer, the handler of peers' messages, calls of the store, background tasks and the sender of a body recover. The lock is released, the exchange that caused the panic ends without an answer, a failed call of the store is made again. Each panic is logged with its stack and counted in heatherlift_panics_total.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -110,6 +110,12 @@
 // sendUpload writes the streamed body while the response is read concurrently.
 func (x *Exchange) sendUpload(out *outgoingRequest) {
 	defer close(out.upload.sendDone)
+	defer func() {
+		if cause := recover(); cause != nil {
+			x.uploadErr = errors.Wrapf(errBody, "panic: %v", cause)
+			_ = x.conn.Close()
+		}
+	}()
 	x.uploadErr = out.writeUpload(x.conn.writer)
 	switch {
 	case x.uploadErr == nil:
--- a/internal/host/forwardcore.go
+++ b/internal/host/forwardcore.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 
 	"heatherlift.example/heatherlift/internal/admission"
 	"heatherlift.example/heatherlift/internal/decisionlog"
@@ -17,7 +18,15 @@
 	if ended, ok := e.(routing.AttemptEnded); ok && ended.Outcome == outcome.Answered {
 		h.metrics.attemptDuration.Observe(ended.Latency.Seconds())
 	}
-	h.step(e)
+	h.mustStep(e)
+}
+
+// mustStep is step for events of a request. If the reducer panicked, it ends the
+// request without a response, as no decision about it will follow.
+func (h *Host) mustStep(e node.Event) {
+	if !h.step(e) {
+		panic(http.ErrAbortHandler)
+	}
 }
 
 // LogDecision implements forward.DecisionLogger.
@@ -30,7 +39,7 @@
 }
 
 // Admit implements forward.Core.
-func (h *Host) Admit(e admission.Event) { h.step(e) }
+func (h *Host) Admit(e admission.Event) { h.mustStep(e) }
 
 // RouteDecisions implements forward.Core.
 func (h *Host) RouteDecisions(id uint64) (<-chan routing.Effect, func()) {
@@ -66,7 +75,10 @@
 	call := h.NextID()
 	replies, release := h.replies.register(call)
 	defer release()
-	h.step(event(call))
+	if !h.step(event(call)) {
+		var zero T
+		return zero, errPanicked
+	}
 	select {
 	case reply := <-replies:
 		return reply.(T), nil
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -129,14 +129,12 @@
 	return h, nil
 }
 
-// step feeds an event to the reducer and executes the resulting effects.
-func (h *Host) step(e node.Event) {
-	h.mu.Lock()
-	now := time.Now()
-	effects := h.node.Step(now, e)
-	h.recorder.writeEvent(now, e)
-	h.mu.Unlock()
+// step feeds an event to the reducer and executes the resulting effects. It returns
+// false if the reducer panicked.
+func (h *Host) step(e node.Event) bool {
+	effects, ok := h.reduce(e)
 	h.execute(effects)
+	return ok
 }
 
 // view calls f while it holds the reducer's lock.
@@ -199,7 +197,7 @@
 	case admission.Refuse:
 		h.admitEffects.deliver(e.ID, e)
 	case admission.WakeAt:
-		time.AfterFunc(time.Until(e.At), func() { h.Admit(admission.Tick{}) })
+		time.AfterFunc(time.Until(e.At), func() { h.step(admission.Tick{}) })
 	case admission.ReplyFence:
 		h.replies.deliver(e.Call, e.Reply)
 	}
@@ -238,6 +236,7 @@
 		return
 	}
 	h.group.Go(func() error {
+		defer h.recoverBackground()
 		f()
 		return nil
 	})
--- a/internal/host/metrics.go
+++ b/internal/host/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
@@ -25,6 +26,8 @@
 	messagesRefused *prometheus.CounterVec
 	sourceCalls     *prometheus.CounterVec
 	refusals        *prometheus.CounterVec
+	panics          *prometheus.CounterVec
+	log             *log.Logger
 }
 
 func newMetrics(h *Host) *metrics {
@@ -49,9 +52,13 @@
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "heatherlift_requests_refused_total", Help: "Requests of callers that were refused, by outcome and reason.",
 		}, []string{"outcome", "reason"}),
+		panics: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "heatherlift_panics_total", Help: "Panics that were recovered, by place. Each one is a defect.",
+		}, []string{"place"}),
+		log: h.log,
 	}
 	m.registry.MustRegister(newAdmissionMetrics(h))
-	m.registry.MustRegister(peerBytes, m.attemptDuration, m.messagesRefused, m.sourceCalls, m.refusals)
+	m.registry.MustRegister(peerBytes, m.attemptDuration, m.messagesRefused, m.sourceCalls, m.refusals, m.panics)
 	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.registry.MustRegister(newRequestMetrics(h))
 	m.registry.MustRegister(newVersionMetrics(h))
--- a/internal/host/store.go
+++ b/internal/host/store.go
@@ -13,7 +13,7 @@
 // callStore waits until the earliest time of a call to the store and makes it.
 func (h *Host) callStore(c source.Call) {
 	if h.sleep(time.Until(c.At)) {
-		h.step(h.readStore(c))
+		h.step(h.readStoreSafely(c))
 	}
 }
 
--- a/internal/peer/handle.go
+++ b/internal/peer/handle.go
@@ -84,10 +84,20 @@
 	}
 	h.transport.wg.Go(func() {
 		defer func() { <-h.slots }()
+		defer h.recoverPanic(conn)
 		h.handler.Handle(ctx, conn, req)
 	})
 }
 
+// recoverPanic closes the connection whose message made the handler panic. It must be
+// deferred.
+func (h *boundedHandler) recoverPanic(conn *jsonrpc2.Conn) {
+	if cause := recover(); cause != nil {
+		h.transport.observer.HandlerPanicked(cause)
+		_ = conn.Close()
+	}
+}
+
 // discardLogger drops the log lines of package jsonrpc2. Protocol errors are
 // reported to the observer instead.
 type discardLogger struct{}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -42,6 +42,9 @@
 	Bytes(sent, received int)
 	// MessageRefused counts refused messages and connections, by cause.
 	MessageRefused(cause string)
+	// HandlerPanicked is told of each panic of the Handler, by the goroutine that
+	// panicked.
+	HandlerPanicked(cause any)
 }
 
 // Transport sends messages to peers and serves messages from them. It is safe
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -27,6 +27,9 @@
 
 func (echoHandler) Gossip(_ context.Context, g member.Gossip) (member.Gossip, error) { return g, nil }
 
+// Announce panics, as a defect in the handling of a message would.
+func (echoHandler) Announce(dist.Announcement) { panic("defect") }
+
 func (echoHandler) Relay(context.Context, source.RelayRequest) (source.RelayReply, error) {
 	return source.RelayReply{}, nil
 }
@@ -59,6 +62,8 @@
 	}
 }
 
+func (o *fakeObserver) HandlerPanicked(any) { o.MessageRefused("panic") }
+
 // firstRefusal waits for a refusal and returns the cause of the first one.
 func (o *fakeObserver) firstRefusal() string {
 	<-o.signal
@@ -119,6 +124,23 @@
 	is.Equal(len(client.outbound), 1)
 }
 
+// A message that makes the handler panic ends its connection, not the process.
+func TestPanicOfTheHandlerEndsOnlyTheConnection(t *testing.T) {
+	is := is.New(t)
+	address, observer := startServer(t)
+	bystander, _ := newClient(t)
+	_, err := bystander.Gossip(context.Background(), address, member.Gossip{From: "b"})
+	is.NoErr(err)
+	kept := bystander.outbound[address]
+	client, _ := newClient(t)
+	is.NoErr(client.Announce(context.Background(), address, dist.Announcement{}))
+	is.Equal(observer.firstRefusal(), "panic")
+	<-client.outbound[address].rpc.DisconnectNotify()
+	_, err = bystander.Gossip(context.Background(), address, member.Gossip{From: "b"})
+	is.NoErr(err)
+	is.Equal(bystander.outbound[address], kept)
+}
+
 func TestUnreachablePeer(t *testing.T) {
 	is := is.New(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
