--- a/internal/forward/errors.go
+++ b/internal/forward/errors.go
@@ -22,6 +22,8 @@
 	ErrMalformedResponse = errors.New("malformed response")
 	// errRequestHeaderTooLarge marks a request header above the limit of callers.
 	errRequestHeaderTooLarge = errors.New("request header too large")
+	// errResponseBody marks a response body that could not be read to its end.
+	errResponseBody = errors.New("could not read response body")
 	// errBody marks a request body that could not be read from its sender.
 	errBody = errors.New("could not read request body")
 )
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -30,6 +30,9 @@
 	// uploadErr is the result of the upload, valid once the upload has
 	// finished.
 	uploadErr error
+	// truncated is set when the response was aborted because its body did not end
+	// in time or not properly.
+	truncated bool
 }
 
 // Do sends the request to the address and reads the response header. The whole
--- a/internal/forward/ingress.go
+++ b/internal/forward/ingress.go
@@ -157,7 +157,7 @@
 		c.detail = err.Error()
 		return c.reportFailure(d, start, refusalForError(err), 0)
 	}
-	defer c.reportResponse(d, x.Response, start)()
+	defer c.reportResponse(d, x, start)()
 	relayResponse(c.w, c.r, x, d.Deadline, versionField(d))
 	return true
 }
@@ -185,7 +185,7 @@
 	if result.exchange == nil {
 		return c.reportFailure(d, start, result.refusal, 0)
 	}
-	defer c.reportResponse(d, result.exchange.Response, start)()
+	defer c.reportResponse(d, result.exchange, start)()
 	result.relay(c.w, c.r, versionField(d))
 	return true
 }
@@ -231,10 +231,11 @@
 }
 
 // reportResponse logs an attempt whose response header has arrived, and reports what the
-// backend server states in it. It returns
-// the function that reports the end of the attempt; the reported latency is
-// that until the header.
-func (c *callerRequest) reportResponse(d routing.Send, resp *http.Response, start time.Time) func() {
+// backend server states in it. It returns the function that reports the end of the
+// attempt, and whether the response was truncated; the reported latency is that until
+// the header.
+func (c *callerRequest) reportResponse(d routing.Send, x *Exchange, start time.Time) func() {
+	resp := x.Response
 	report, _ := c.dialect.backendReport(resp.Header) // the proxy beside the backend server logs invalid ones
 	fields := append([]any{"outcome", outcome.Answered, "status", resp.StatusCode}, report.fields()...)
 	c.logAttempt(d, start, resp.StatusCode >= http.StatusInternalServerError || d.Attempt > 1, fields...)
@@ -249,7 +250,12 @@
 		Load:    parseLoad(resp.Header),
 		Bytes:   resp.ContentLength,
 	}
-	return func() { c.core.Route(e) }
+	return func() {
+		if e.Truncated = x.truncated; e.Truncated {
+			c.logAttempt(d, start, true, "outcome", e.Outcome, "detail", "the response body did not end properly")
+		}
+		c.core.Route(e)
+	}
 }
 
 // slotOrganisation returns the organisation whose share of the backend server's
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // maxHTTP10BufferBytes is the size up to which a response of unknown length is
@@ -30,6 +32,7 @@
 		_ = controller.SetWriteDeadline(deadline)
 	}
 	if err := rr.write(controller); err != nil {
+		x.truncated = errors.Is(err, errResponseBody) && r.Context().Err() == nil
 		x.Close(false)
 		rr.abort(controller)
 	}
@@ -150,7 +153,7 @@
 			return nil
 		}
 		if err != nil {
-			return err
+			return errors.Wrapf(errResponseBody, "%v", err)
 		}
 	}
 }
--- a/internal/forward/verify.go
+++ b/internal/forward/verify.go
@@ -56,8 +56,12 @@
 	if x.Response.Header.Get(x.dialect.RequestIDHeader) == "" || x.Response.Close {
 		return errors.Wrap(ErrMalformedResponse, "cannot skip a response without request identifier or with Connection: close")
 	}
-	if _, err := io.Copy(io.Discard, io.LimitReader(x.Response.Body, maxVerifiedBodyBytes)); err != nil {
+	n, err := io.Copy(io.Discard, io.LimitReader(x.Response.Body, maxVerifiedBodyBytes))
+	switch {
+	case err != nil:
 		return errors.Wrapf(ErrConnectionLost, "%v", err)
+	case n == maxVerifiedBodyBytes:
+		return errors.Wrap(ErrMalformedResponse, "response to another request too large to skip")
 	}
 	resp, err := x.readResponse(x.Response.Request, http.StatusOK)
 	if err != nil {
--- a/internal/routing/events.go
+++ b/internal/routing/events.go
@@ -77,6 +77,9 @@
 		Load float64
 		// Bytes is the length of the response body, -1 if it is unknown.
 		Bytes int64
+		// Truncated means that the body of the response did not end properly or in
+		// time, after a part of it had reached the caller.
+		Truncated bool
 	}
 	// Reported reports what the backend server states about itself in its response to
 	// a request, before the AttemptEnded of the attempt. A response without such a
--- a/internal/routing/instance.go
+++ b/internal/routing/instance.go
@@ -208,7 +208,7 @@
 // instance.
 func isFailure(e AttemptEnded) bool {
 	if e.Outcome == outcome.Answered {
-		return e.Status >= 500
+		return e.Status >= 500 || e.Truncated
 	}
 	switch e.Reason {
 	case outcome.ConnectFailed, outcome.ConnectionLost, outcome.BackendServerCrashed, outcome.MalformedAnswer:
