Do not give up a receiver that reads an upload slowly

A backend server, or the proxy beside it, that did not read a streamed body for 2 s lost it: the user timeout of the connection, there to notice machines that are gone, also counts the time in which a full window keeps data unsent. The caller got 502, and the upload may have run. While a body is sent the timeout is off, and the deadline of the exchange bounds the wait; afterwards it is back. forward.TestSlowReaderOfAnUploadIsNotCutOff: failed with connection-lost before.

Streamed bodies of different length now have different fingerprints, so that an upload that crashes backend servers does not keep others of its path away.

Tests of each stage of an upload: a stop midway, a limit that falls midway, a caller that stalls, a backend server that answers early and reads on, memory.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -128,6 +129,18 @@
 	return n, err
 }
 
+// setUserTimeout sets how long sent data may stay unacknowledged, or unsent because the
+// receiver does not read, before the connection fails; 0 means no such limit. It has no
+// effect on connections other than TCP.
+func (c *connection) setUserTimeout(d time.Duration) {
+	if c.raw == nil {
+		return
+	}
+	_ = c.raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+	})
+}
+
 // alive reports whether the peer has neither closed the idle connection nor
 // sent data on it.
 func (c *connection) alive() bool {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -119,9 +119,13 @@
 			_ = x.conn.Close()
 		}
 	}()
+	// A receiver that does not read for a while is slow, not lost: the deadline of the
+	// exchange bounds the wait.
+	x.conn.setUserTimeout(0)
 	x.uploadErr = out.writeUpload(x.conn.writer)
 	switch {
 	case x.uploadErr == nil:
+		x.conn.setUserTimeout(userTimeout)
 	case errors.Is(x.uploadErr, errBody):
 		_ = x.conn.Close() // the receiver must not take a truncated body for a complete one
 	default:
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -175,5 +175,8 @@
 		_, _ = d.Write([]byte{0})
 	}
 	_, _ = d.Write(body)
+	if len(body) == 0 && r.ContentLength != 0 { // the body is streamed
+		_, _ = d.Write(strconv.AppendInt(nil, r.ContentLength, 10))
+	}
 	return d.Sum64()
 }
--- a/internal/forward/rig_test.go
+++ b/internal/forward/rig_test.go
@@ -203,8 +203,10 @@
 	// limits holds the limits of callers in force, nil for the defaults, and
 	// onReject receives the requests that the server rejects itself. Both are set
 	// before the start.
-	limits   *config.CallerLimits
-	onReject func(caller string, status int)
+	limits *config.CallerLimits
+	// limitsInForce, if set, replaces limits.
+	limitsInForce func() *config.CallerLimits
+	onReject      func(caller string, status int)
 }
 
 // newRig starts both proxies in front of a backend server with the handler.
@@ -230,6 +232,9 @@
 		g.ingress.ServeHTTP(w, r)
 	}), testTimeout, testTimeout)
 	g.server.LimitsInForce = func() *config.CallerLimits { return g.limits }
+	if g.limitsInForce != nil {
+		g.server.LimitsInForce = g.limitsInForce
+	}
 	g.server.OnReject = g.onReject
 	g.callersAddr = serveCallers(t, g.server)
 }
--- a/internal/forward/upload_test.go
+++ b/internal/forward/upload_test.go
@@ -8,12 +8,15 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"heatherlift.example/heatherlift/internal/admission"
+	"heatherlift.example/heatherlift/internal/config"
 	"heatherlift.example/heatherlift/internal/outcome"
 )
 
@@ -145,3 +148,142 @@
 	is.Equal(resp.Header.Get(OutcomeHeader), string(outcome.NotRun))
 	is.Equal(g.runs.count("/a"), 0)
 }
+
+// Uploads to one path differ by their length at least: one that crashes a backend server
+// must not keep the others away.
+func TestStreamedBodiesOfOtherLengthHaveOtherFingerprints(t *testing.T) {
+	is := is.New(t)
+	of := func(length int64) uint64 {
+		r := &http.Request{Method: "POST", RequestURI: "/a", ContentLength: length}
+		return fingerprint("a.example", r, nil)
+	}
+	is.True(of(70_000) != of(80_000))
+	is.Equal(of(70_000), of(70_000))
+}
+
+// A stop in the middle of an upload lets it end, and its caller learns that the
+// connection closes.
+func TestStopDuringUploadLetsItEnd(t *testing.T) {
+	is := is.New(t)
+	g := newRig(t, respondLength)
+	c := dialRaw(t, g.callersAddr)
+	body := strings.Repeat("x", largeBody)
+	c.send(t, uploadHeader(largeBody, "")+body[:largeBody/2])
+	waitFor(t, "request runs", func() bool { return g.runs.count("/a") == 1 })
+	g.server.Drain()
+	c.send(t, body[largeBody/2:])
+	resp, text, err := c.read("POST")
+	is.NoErr(err)
+	is.Equal(text, strconv.Itoa(largeBody))
+	is.True(resp.Close)
+}
+
+// A version with a lower limit does not cut a body that began under the one before.
+func TestLimitThatFallsDuringUploadDoesNotCutIt(t *testing.T) {
+	is := is.New(t)
+	var limits atomic.Pointer[config.CallerLimits]
+	limits.Store(&config.CallerLimits{BodyBytes: largeBody})
+	g := &rig{runs: &runCounter{}, limitsInForce: limits.Load}
+	g.start(t, serveHTTP(t, g.runs.countRequests(respondLength)))
+	c := dialRaw(t, g.callersAddr)
+	body := strings.Repeat("x", largeBody)
+	c.send(t, uploadHeader(largeBody, "")+body[:largeBody/2])
+	waitFor(t, "request runs", func() bool { return g.runs.count("/a") == 1 })
+	limits.Store(&config.CallerLimits{BodyBytes: 1})
+	c.send(t, body[largeBody/2:])
+	_, text, err := c.read("POST")
+	is.NoErr(err)
+	is.Equal(text, strconv.Itoa(largeBody))
+}
+
+// A caller that stops sending in the middle of a body gets its final answer at its
+// deadline, and the slot is free.
+func TestStalledUploadEndsAtTheDeadline(t *testing.T) {
+	is := is.New(t)
+	g := newRig(t, respondLength)
+	c := dialRaw(t, g.callersAddr)
+	start := time.Now()
+	c.send(t, uploadHeader(largeBody, DeadlineHeader+": 300\r\n")+"only the start")
+	resp, _, err := c.read("POST")
+	is.NoErr(err)
+	is.Equal(resp.Header.Get(OutcomeHeader), string(outcome.Unknown))
+	is.True(time.Since(start) < 300*time.Millisecond+uploadLingerTimeout/2)
+	g.core.waitForFreeSlots(t)
+}
+
+// A backend server answers before it has read the body, keeps its connection and reads
+// on. What it reads then must not be another request.
+func TestConnectionOfAnEarlyAnswerCarriesNoOtherRequest(t *testing.T) {
+	is := is.New(t)
+	rest := make(chan string, 4)
+	g := &rig{}
+	g.start(t, rawServer(t, func(c net.Conn, r *bufio.Reader) {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		if req.Method == "GET" {
+			return
+		}
+		later, _ := io.ReadAll(r)
+		rest <- string(later)
+	}))
+	c := dialRaw(t, g.callersAddr)
+	c.send(t, uploadHeader(largeBody, "")+"only the start")
+	_, body, err := c.read("POST")
+	is.NoErr(err)
+	is.Equal(body, "ok")
+	for range 3 {
+		_, body, err := dialRaw(t, g.callersAddr).exchange(t, simpleGet)
+		is.NoErr(err)
+		is.Equal(body, "ok")
+	}
+	is.True(!strings.Contains(<-rest, "GET"))
+}
+
+// uploadMemory bounds the memory for a streamed body at both proxies together: copy
+// buffers of 32 KB and buffers of connections, not the body.
+const uploadMemory = 1 << 20
+
+func TestUploadIsNotHeldInMemory(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	releaseAll := sync.OnceFunc(func() { close(release) })
+	defer releaseAll()
+	g := newRig(t, func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		respondLength(w, r)
+	})
+	body := strings.Repeat("x", 4*largeBody)
+	before := heapBytes()
+	c := dialRaw(t, g.callersAddr)
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		_, _ = io.WriteString(c, uploadHeader(len(body), "")+body)
+	}()
+	waitFor(t, "the upload runs", func() bool { return g.runs.count("/a") == 1 })
+	time.Sleep(100 * time.Millisecond)                // the proxies take what they can
+	growth := heapBytes() - before - int64(len(body)) // the sender copies the body once
+	is.True(growth < uploadMemory)
+	releaseAll()
+	_, text, err := c.read("POST")
+	is.NoErr(err)
+	is.Equal(text, strconv.Itoa(len(body)))
+	<-sent
+}
+
+// A backend server, or the proxy beside it, that does not read a body for longer than
+// userTimeout is slow, not lost.
+func TestSlowReaderOfAnUploadIsNotCutOff(t *testing.T) {
+	is := is.New(t)
+	g := newRig(t, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(userTimeout + time.Second)
+		respondLength(w, r)
+	})
+	body := strings.Repeat("x", 4*largeBody) // more than the buffers of the sockets take
+	_, text, err := dialRaw(t, g.callersAddr).exchange(t, uploadHeader(len(body), "")+body)
+	is.NoErr(err)
+	is.Equal(text, strconv.Itoa(len(body)))
+}
