Soak: uploads with length and in chunks, and callers that leave midway

One request in eleven is an upload of up to 300 KB to a route of that kind, half of them in chunks; one in eight is left by its caller after half of the body.

--- a/bench/soak/callers.go
+++ b/bench/soak/callers.go
@@ -32,6 +32,10 @@
 	burstFactorMin, burstFactorMax = 1, 4
 	// maxRepeats is how often an impatient caller repeats a request.
 	maxRepeats = 5
+	// maxUploadBytes is several times the size up to which proxies keep a body.
+	maxUploadBytes = 300_000
+	// abandonedUploads is the number of uploads of which one is abandoned.
+	abandonedUploads = 8
 )
 
 // callerKind is how a caller sends its requests.
@@ -133,18 +137,30 @@
 		if rng.Float64() < callsShare {
 			r.Path += callingSuffix(1 + rng.IntN(maxCallDepth))
 		}
-		if n == 1 && strings.HasPrefix(r.Path, nonRepeatablePath) {
-			r.Method, r.Body = http.MethodPost, strings.Repeat("b", rng.IntN(2000))
-		} else if strings.HasPrefix(r.Path, nonRepeatablePath) {
-			r.Path = repeatablePath + r.ID
-		}
 		batch[i] = &attempt{Request: r, machine: m.index, service: m.service}
+		switch {
+		case !batch[i].nonRepeatable():
+		case n > 1:
+			batch[i].Path = repeatablePath + r.ID
+		case strings.HasPrefix(r.Path, uploadPath):
+			batch[i].setUpload(rng)
+		default:
+			batch[i].Method, batch[i].Body = http.MethodPost, strings.Repeat("b", rng.IntN(2000))
+		}
 	}
 	return batch
 }
 
+// setUpload makes the request an upload: a body of up to maxUploadBytes, in chunks or
+// with its length, which one caller in abandonedUploads does not send to its end.
+func (a *attempt) setUpload(rng *rand.Rand) {
+	text := formatHex(rng.Uint64())
+	a.Method, a.Body = http.MethodPost, strings.Repeat(text, 1+rng.IntN(maxUploadBytes)/len(text))
+	a.Chunked, a.Abandoned = rng.IntN(2) == 0, rng.IntN(abandonedUploads) == 0
+}
+
 func (m *machine) randomPath(rng *rand.Rand) string {
-	switch rng.IntN(10) {
+	switch rng.IntN(11) {
 	case 0, 1, 2:
 		return repeatablePath
 	case 3, 4:
@@ -153,6 +169,8 @@
 		return secondServicePath
 	case 7, 8:
 		return movedPath
+	case 9:
+		return uploadPath
 	}
 	m.observed.mu.Lock()
 	defer m.observed.mu.Unlock()
@@ -167,16 +185,20 @@
 	starts := int(m.starts.Load())
 	for _, a := range batch {
 		a.startsWhenSent, a.sent = starts, time.Now()
-		if err := conn.Send(a.Request); err != nil {
+		_ = conn.SetWriteDeadline(time.Now().Add(a.Deadline + answerTimeoutMargin))
+		switch err := conn.Send(a.Request); {
+		case errors.Is(err, standin.ErrAbandoned):
+			a.result = abandoned
+		case err != nil:
 			a.result = sendFailed
 		}
 	}
 	var last standin.Response
-	ok := true
+	ok := batch[0].result != abandoned
 	for _, a := range batch {
 		if ok {
 			last, ok = m.receiveAnswer(conn, a)
-		} else if a.result != sendFailed {
+		} else if a.result != sendFailed && a.result != abandoned {
 			a.result = answerNotRead
 		}
 		a.ended, a.startsWhenEnded = time.Now(), int(m.starts.Load())
--- a/bench/soak/check.go
+++ b/bench/soak/check.go
@@ -105,11 +105,16 @@
 }
 
 // nonRepeatable reports whether the request must run at most once.
-func (a *attempt) nonRepeatable() bool { return strings.HasPrefix(a.Path, nonRepeatablePath) }
+func (a *attempt) nonRepeatable() bool {
+	return strings.HasPrefix(a.Path, nonRepeatablePath) || strings.HasPrefix(a.Path, uploadPath)
+}
 
 // checkAttempt checks the result of one request against its arrivals at backend
 // servers.
 func (c *checker) checkAttempt(a *attempt) {
+	if a.result == abandoned && len(c.executedByID[a.ID]) > 0 {
+		c.addViolation("unasked", "%v ran, although its caller sent only half of the body", a)
+	}
 	if a.nonRepeatable() && len(c.executedByID[a.ID]) > 1 {
 		c.addViolation("twice", "%v ran %d times", a, len(c.executedByID[a.ID]))
 	}
@@ -229,7 +234,7 @@
 	switch {
 	case strings.HasPrefix(path, movedPath):
 		return ""
-	case strings.HasPrefix(path, secondServicePath):
+	case strings.HasPrefix(path, secondServicePath), strings.HasPrefix(path, uploadPath):
 		return services[1]
 	}
 	return services[0]
--- a/bench/soak/cluster.go
+++ b/bench/soak/cluster.go
@@ -259,11 +259,13 @@
 const (
 	hostName = "a.example"
 	// Path prefixes of the routes that every version has. All are repeatable except
-	// that of nonRepeatablePath.
+	// those of nonRepeatablePath and uploadPath.
 	repeatablePath    = "/look/"  // to the first service
 	nonRepeatablePath = "/book/"  // to the first service
 	secondServicePath = "/rota/"  // to the second service
 	movedPath         = "/moved/" // to the other service with each version
+	// uploadPath is that of uploads, to the second service.
+	uploadPath = "/scan/"
 	// Parameters of every route.
 	requestDeadline = 2 * time.Second
 	targetLatency   = 300 * time.Millisecond
@@ -295,13 +297,14 @@
 	v := version{number: c.lastVersion, movedService: services[c.lastVersion%2]}
 	route := func(path, service string, repeatable bool, priority int) standin.Route {
 		return standin.Route{
-			Name: "r" + path, Host: hostName, Prefix: path, Repeatable: repeatable, Service: service,
+			Name: "r" + path, Host: hostName, Prefix: path, Repeatable: repeatable, Upload: path == uploadPath, Service: service,
 			Timeout: requestDeadline, Target: targetLatency, Priority: priority, Attempts: maxAttempts(path),
 		}
 	}
 	routes := []standin.Route{
 		route(repeatablePath, services[0], true, 2), route(nonRepeatablePath, services[0], false, 1),
 		route(secondServicePath, services[1], true, 2), route(movedPath, v.movedService, true, 2),
+		route(uploadPath, services[1], false, 1),
 	}
 	for n := uint64(1); n <= c.lastVersion; n++ {
 		routes = append(routes, route(addedPath(n), services[0], true, 2))
--- a/bench/soak/observations.go
+++ b/bench/soak/observations.go
@@ -24,6 +24,8 @@
 	// timedOut means that no answer arrived within the deadline plus
 	// answerTimeoutMargin, counted from when the caller began to read it.
 	timedOut
+	// abandoned means that the caller left after half of the body.
+	abandoned
 )
 
 // attempt is one request of a caller.
