Pace uploads by the link of the machine that receives them

The bodies of uploads are now offered (Expect: 100-continue, which streamed ones did already), and the proxy beside the backend server decides when each may be sent, at four fifths of its link, by a pure decision (transfer.Gate) that knows the length, target and deadline. A body that would come too late, or for which the sender has a better place to ask, is refused before any of it is sent: not run, with the time after which it would fit. Where the bandwidth is unknown nothing is paced.

A response that overtook the end of its own upload closed both connections; it waits up to 5 ms for the sender to notice (once in a run of the package's tests).

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -30,6 +30,8 @@
 	// uploadErr is the result of the upload, valid once the upload has
 	// finished.
 	uploadErr error
+	// bodyUnsent is set while the receiver decides on a body.
+	bodyUnsent bool
 	// truncated is set when the response was aborted because its body did not end
 	// in time or not properly.
 	truncated bool
@@ -75,7 +77,8 @@
 	if err := x.sendRequest(out); err != nil {
 		return err
 	}
-	if out.upload != nil && out.expectContinue {
+	if out.offersBody() {
+		x.bodyUnsent = true
 		resp, err := x.readResponse(out.in, http.StatusContinue)
 		if err != nil {
 			return err
@@ -83,6 +86,10 @@
 		if resp.StatusCode != http.StatusContinue {
 			return x.acceptResponse(resp)
 		}
+		x.bodyUnsent = false
+		if err := x.sendOfferedBody(out); err != nil {
+			return err
+		}
 	}
 	if out.upload != nil {
 		out.upload.start()
@@ -92,6 +99,9 @@
 	if err != nil {
 		return err
 	}
+	if out.upload != nil {
+		out.upload.awaitSent()
+	}
 	return x.acceptResponse(resp)
 }
 
@@ -110,6 +120,21 @@
 	}
 }
 
+// sendOfferedBody writes a body kept in memory that the receiver has accepted.
+func (x *Exchange) sendOfferedBody(out *outgoingRequest) error {
+	if out.upload != nil {
+		return nil
+	}
+	_, err := x.conn.writer.Write(out.body)
+	if err == nil {
+		err = x.conn.writer.Flush()
+	}
+	if err != nil {
+		return errors.Wrapf(ErrConnectionLost, "%v", err)
+	}
+	return nil
+}
+
 // sendUpload writes the streamed body while the response is read concurrently.
 func (x *Exchange) sendUpload(out *outgoingRequest) {
 	defer close(out.upload.sendDone)
@@ -172,7 +197,7 @@
 // Sent reports whether the whole request has been sent.
 func (x *Exchange) Sent() bool {
 	if x.upload == nil {
-		return true
+		return !x.bodyUnsent
 	}
 	return x.upload.started() && x.upload.finished() && x.uploadErr == nil
 }
--- a/internal/forward/ingress.go
+++ b/internal/forward/ingress.go
@@ -138,6 +138,7 @@
 func (c *callerRequest) attempt(d routing.Send) bool {
 	start := time.Now()
 	c.outgoing.nonRepeatable = !d.Repeatable
+	c.outgoing.offerBody = d.Upload
 	if d.Address == c.selfAddress && c.local != nil {
 		return c.attemptLocal(d, start)
 	}
--- a/internal/forward/local.go
+++ b/internal/forward/local.go
@@ -9,6 +9,7 @@
 
 	"heatherlift.example/heatherlift/internal/admission"
 	"heatherlift.example/heatherlift/internal/outcome"
+	"heatherlift.example/heatherlift/internal/transfer"
 )
 
 // LocalForwarder forwards requests to the local backend server: those of other
@@ -22,6 +23,16 @@
 	// request was not run.
 	shedNotRun bool
 	dialect    *Dialect
+	// uploads paces the bodies that other proxies offer, nil if it does not.
+	uploads *uploadGate
+}
+
+// LimitUploads paces the bodies that other proxies send over a link with the given
+// bandwidth in Mbit/s. It must be called before the first request.
+func (l *LocalForwarder) LimitUploads(linkMbps float64) {
+	if g := transfer.NewGate(linkMbps); g != nil {
+		l.uploads = &uploadGate{gate: g}
+	}
 }
 
 // NewLocalForwarder returns a forwarder to the backend server at the address.
@@ -66,6 +77,11 @@
 	arrived.Organisation = r.Header.Get(OrganisationHeader)
 	arrived.Key = r.Header.Get(IdempotencyHeader)
 	out := &outgoingRequest{in: r, dialect: l.dialect, retry: r.Header.Get(RetryHeader) != ""}
+	if refusal, ok := l.awaitUpload(r, arrived); !ok {
+		l.loadField().addTo(w.Header())
+		l.dialect.writeRefusal(w, refusal, true)
+		return
+	}
 	if !hasSmallBody(r) {
 		out.upload = newUpload(w, r)
 		defer out.upload.waitUntilFinished()
--- a/internal/forward/outgoingrequest.go
+++ b/internal/forward/outgoingrequest.go
@@ -26,11 +26,11 @@
 	upload *upload
 	// body is the whole body if upload is nil.
 	body []byte
-	// expectContinue lets the receiver accept or refuse the request before the
-	// body is sent.
-	expectContinue bool
-	nonRepeatable  bool
-	retry          bool
+	// expectContinue lets the receiver accept or refuse the request before a body
+	// that is streamed is sent, and with offerBody also before one kept in memory.
+	expectContinue, offerBody bool
+	nonRepeatable             bool
+	retry                     bool
 	// callerService is the service of the instance at which the request
 	// entered.
 	callerService string
@@ -40,6 +40,10 @@
 // that was written before the end of the body.
 const uploadLingerTimeout = time.Second
 
+// earlyResponseWait is how long a response waits for the end of the body that it may
+// have overtaken.
+const earlyResponseWait = 5 * time.Millisecond
+
 // upload is a request body that is streamed to the next hop. It can be sent
 // only once. The handler must call waitUntilFinished before it returns, because a
 // request body must not be read after that.
@@ -78,6 +82,18 @@
 	}
 }
 
+// awaitSent waits a moment for the sender to notice that the body has ended, since the
+// response may overtake it. The connections would otherwise be closed as if the response
+// had come before the end of the body.
+func (u *upload) awaitSent() {
+	timer := time.NewTimer(earlyResponseWait)
+	defer timer.Stop()
+	select {
+	case <-u.sendDone:
+	case <-timer.C:
+	}
+}
+
 // waitUntilFinished waits until reading of the body has ended. A sender that is
 // still sending gets uploadLingerTimeout to read the response.
 func (u *upload) waitUntilFinished() {
@@ -101,7 +117,13 @@
 	_, _ = io.Copy(io.Discard, u.r.Body)
 }
 
-// writeRequest writes the request line, the header and a body kept in memory.
+// offersBody reports whether the receiver decides before the body is sent.
+func (out *outgoingRequest) offersBody() bool {
+	return out.expectContinue && (out.upload != nil || out.offerBody && len(out.body) > 0)
+}
+
+// writeRequest writes the request line, the header and, unless it is offered, a body
+// kept in memory.
 func (out *outgoingRequest) writeRequest(w *bufio.Writer) error {
 	_, _ = w.WriteString(out.in.Method)
 	_ = w.WriteByte(' ')
@@ -113,8 +135,11 @@
 		writeField(w, f.name, f.value)
 	}
 	out.writeFraming(w)
-	_, _ = w.WriteString("\r\n")
-	_, err := w.Write(out.body)
+	_, err := w.WriteString("\r\n")
+	if out.offersBody() {
+		return err
+	}
+	_, err = w.Write(out.body)
 	return err
 }
 
@@ -132,7 +157,7 @@
 	case len(out.body) > 0 || (out.in.Method != http.MethodGet && out.in.Method != http.MethodHead):
 		writeField(w, "Content-Length", strconv.Itoa(len(out.body)))
 	}
-	if out.expectContinue && out.upload != nil {
+	if out.offersBody() {
 		writeField(w, "Expect", "100-continue")
 	}
 }
--- a/internal/forward/rig_test.go
+++ b/internal/forward/rig_test.go
@@ -33,6 +33,7 @@
 	targets    []string
 	repeatable bool
 	retry      bool
+	upload     bool
 	budget     time.Duration
 	instance   string
 
@@ -110,7 +111,7 @@
 		return
 	}
 	f.attempts[id]++
-	f.routes[id] <- routing.Send{ID: id, Address: f.targets[n], Instance: f.instance, Version: 7, Repeatable: f.repeatable, Deadline: f.deadlines[id], Retry: f.retry}
+	f.routes[id] <- routing.Send{ID: id, Address: f.targets[n], Instance: f.instance, Version: 7, Repeatable: f.repeatable, Deadline: f.deadlines[id], Retry: f.retry, Upload: f.upload}
 }
 
 func (f *fakeCore) Admit(e admission.Event) {
@@ -206,7 +207,9 @@
 	limits *config.CallerLimits
 	// limitsInForce, if set, replaces limits.
 	limitsInForce func() *config.CallerLimits
-	onReject      func(caller string, status int)
+	// linkMbps is the bandwidth of the sidecar proxy's link, 0 if unknown.
+	linkMbps float64
+	onReject func(caller string, status int)
 }
 
 // newRig starts both proxies in front of a backend server with the handler.
@@ -224,6 +227,7 @@
 	pool := NewPool(DialTCP, 0)
 	t.Cleanup(pool.Close)
 	local := NewLocalForwarder(g.core, pool, backendAddr, true, g.dialect)
+	local.LimitUploads(g.linkMbps)
 	g.peerAddr = serveHTTP(t, local)
 	g.core.targets = []string{g.peerAddr}
 	g.ingress = NewIngress(g.core, pool, "entry", local, "", "desk")
--- a/internal/forward/upload_test.go
+++ b/internal/forward/upload_test.go
@@ -287,3 +287,52 @@
 	is.NoErr(err)
 	is.Equal(text, strconv.Itoa(len(body)))
 }
+
+// newGatedRig returns a rig whose sidecar proxy has a link of the given bandwidth, and
+// whose requests are uploads of one route.
+func newGatedRig(t *testing.T, linkMbps float64) *rig {
+	t.Helper()
+	g := &rig{runs: &runCounter{}, linkMbps: linkMbps}
+	g.start(t, serveHTTP(t, g.runs.countRequests(respondLength)))
+	g.core.upload = true
+	return g
+}
+
+// A body that the link of the receiver cannot carry in time is refused before any of it
+// is sent, and was not run.
+func TestUploadThatTheLinkCannotCarryIsNotSent(t *testing.T) {
+	for _, size := range []int{20_000, 100_000} { // kept in memory, streamed
+		is := is.New(t)
+		g := newGatedRig(t, 0.1)
+		c := dialRaw(t, g.callersAddr)
+		resp, _, err := c.exchange(t, uploadHeader(size, DeadlineHeader+": 300\r\n")+strings.Repeat("x", size))
+		is.NoErr(err)
+		is.Equal(resp.Header.Get(OutcomeHeader), string(outcome.NotRun))
+		is.Equal(g.runs.count("/a"), 0)
+		g.core.waitForFreeSlots(t)
+	}
+}
+
+func TestOfferedUploadsAreComplete(t *testing.T) {
+	is := is.New(t)
+	g := newGatedRig(t, 1000)
+	c := dialRaw(t, g.callersAddr)
+	for _, size := range []int{1, 20_000, 100_000, 0, largeBody} {
+		_, body, err := c.exchange(t, uploadHeader(size, "")+strings.Repeat("x", size))
+		is.NoErr(err)
+		is.Equal(body, strconv.Itoa(size))
+	}
+}
+
+// A refused body goes to another instance, whole.
+func TestUploadRefusedByTheLinkGoesToAnotherInstance(t *testing.T) {
+	for _, size := range []int{20_000, 100_000} {
+		is := is.New(t)
+		slow, fast := newGatedRig(t, 0.1), newGatedRig(t, 1000)
+		fast.core.targets = []string{slow.peerAddr, fast.peerAddr}
+		_, body, err := dialRaw(t, fast.callersAddr).exchange(t, uploadHeader(size, DeadlineHeader+": 1000\r\n")+strings.Repeat("x", size))
+		is.NoErr(err)
+		is.Equal(body, strconv.Itoa(size))
+		is.Equal(slow.runs.count("/a"), 0)
+	}
+}
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -174,6 +174,7 @@
 		Route:        c.match.Route.Name,
 		Version:      c.version,
 		Repeatable:   c.match.Route.Repeatable,
+		Upload:       c.match.Route.Upload,
 		Deadline:     c.deadline,
 		Target:       c.targetTime(),
 		Priority:     c.match.Route.Priority,
--- a/internal/routing/events.go
+++ b/internal/routing/events.go
@@ -139,7 +139,9 @@
 		Route      string
 		Version    uint64
 		Repeatable bool
-		Deadline   time.Time
+		// Upload means that the request has a large body.
+		Upload   bool
+		Deadline time.Time
 		// Target is the time until which a response has its full value, zero if
 		// there is no such time.
 		Target time.Time
