--- a/internal/forward/local.go
+++ b/internal/forward/local.go
@@ -27,11 +27,12 @@
 	uploads *uploadGate
 }
 
-// LimitUploads paces the bodies that other proxies send over a link with the given
-// bandwidth in Mbit/s. It must be called before the first request.
-func (l *LocalForwarder) LimitUploads(linkMbps float64) {
+// LimitUploads paces the bodies that other proxies offer over a link with the given
+// bandwidth in Mbit/s, 0 for no pacing, and calls observe for each decision. It must be
+// called before the first request.
+func (l *LocalForwarder) LimitUploads(linkMbps float64, observe func(admitted bool)) {
 	if g := transfer.NewGate(linkMbps); g != nil {
-		l.uploads = &uploadGate{gate: g}
+		l.uploads = &uploadGate{gate: g, observe: observe}
 	}
 }
 
--- a/internal/forward/uploadgate.go
+++ b/internal/forward/uploadgate.go
@@ -13,14 +13,17 @@
 
 // uploadGate is a transfer.Gate for concurrent use.
 type uploadGate struct {
-	mu   sync.Mutex
-	gate *transfer.Gate
+	observe func(admitted bool)
+	mu      sync.Mutex
+	gate    *transfer.Gate
 }
 
 func (g *uploadGate) decide(b transfer.Body) transfer.Decision {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.gate.Decide(time.Now(), b)
+	d := g.gate.Decide(time.Now(), b)
+	g.mu.Unlock()
+	g.observe(d.Admitted)
+	return d
 }
 
 // awaitUpload waits until an offered body may be sent over the link of this machine. It
--- a/internal/host/metrics.go
+++ b/internal/host/metrics.go
@@ -27,6 +27,7 @@
 	sourceCalls     *prometheus.CounterVec
 	refusals        *prometheus.CounterVec
 	panics          *prometheus.CounterVec
+	uploadOffers    *prometheus.CounterVec
 	log             *log.Logger
 }
 
@@ -55,10 +56,13 @@
 		panics: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "heatherlift_panics_total", Help: "Panics that were recovered, by place. Each one is a defect.",
 		}, []string{"place"}),
+		uploadOffers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "heatherlift_upload_offers_total", Help: "Bodies of uploads that other proxies offered to this one, by decision.",
+		}, []string{"decision"}),
 		log: h.log,
 	}
 	m.registry.MustRegister(newAdmissionMetrics(h))
-	m.registry.MustRegister(peerBytes, m.attemptDuration, m.messagesRefused, m.sourceCalls, m.refusals, m.panics)
+	m.registry.MustRegister(peerBytes, m.attemptDuration, m.messagesRefused, m.sourceCalls, m.refusals, m.panics, m.uploadOffers)
 	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.registry.MustRegister(newRequestMetrics(h))
 	m.registry.MustRegister(newVersionMetrics(h))
@@ -91,6 +95,14 @@
 	m.sourceCalls.WithLabelValues(kind, result).Inc()
 }
 
+func (m *metrics) countUploadOffer(admitted bool) {
+	decision := "refused"
+	if admitted {
+		decision = "admitted"
+	}
+	m.uploadOffers.WithLabelValues(decision).Inc()
+}
+
 func (m *metrics) countRefusal(r outcome.Refusal) {
 	m.refusals.WithLabelValues(string(r.Outcome), string(r.Reason)).Inc()
 }
--- a/internal/node/store_test.go
+++ b/internal/node/store_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -233,3 +234,32 @@
 		is.Equal(other.Head().Version, version)
 	}
 }
+
+// A version that cannot be taken is refused whole. A proxy that holds one goes on with
+// it; one that holds none is not ready and says why.
+func TestRefusedVersionIsNamedAndTheHeldOneStaysInForce(t *testing.T) {
+	is := is.New(t)
+	refused := &source.Configuration{Version: 8, Refused: config.Problems{{File: "op/config", Key: "routes.scan", Message: `unknown kind "odd"`}}}
+	without := newStoreNode("desk-1")
+	without.Step(storeStart, Tick{})
+	listing := storeListing(t, 7)
+	listing.Listing.Configuration = refused
+	without.Step(storeStart, listing)
+	is.True(!without.Ready())
+	is.True(strings.Contains(without.Status().Waiting, `routes.scan: unknown kind "odd"`))
+	out := without.Step(storeStart, routing.Arrived{ID: 1, Organisation: "a.example", Method: "GET", Path: "/a/"})
+	is.Equal(out.Routing[0].(routing.Refuse).Refusal.Reason, outcome.NoVersion)
+
+	holding := newStoreNode("desk-1")
+	holding.Step(storeStart, Tick{})
+	holding.Step(storeStart, storeListing(t, 7))
+	holding.Step(storeStart, StoreChanged{Changes: source.Changes{Revision: 6, Configuration: refused}})
+	is.True(holding.Ready())
+	is.Equal(holding.Head().Version, uint64(7))
+	s := holding.Status()
+	is.Equal(s.Refused, uint64(8))
+	is.Equal(s.Problems[0].Key, "routes.scan")
+	holding.Step(storeStart, StoreChanged{Changes: source.Changes{Revision: 7, Configuration: storeConfiguration(t, 9)}})
+	is.Equal(holding.Head().Version, uint64(9))
+	is.Equal(holding.Status().Refused, uint64(0))
+}
--- a/internal/transfer/gate.go
+++ b/internal/transfer/gate.go
@@ -23,13 +23,6 @@
 	bytesPerSecond float64
 	// busyUntil is when the last admitted body has arrived.
 	busyUntil time.Time
-	stats     Stats
-}
-
-// Stats counts the decisions of a gate.
-type Stats struct {
-	Admitted uint64 `json:"admitted"`
-	Refused  uint64 `json:"refused"`
 }
 
 // NewGate returns the gate of a link with the given bandwidth in Mbit/s, nil if that is
@@ -79,10 +72,8 @@
 	}
 	alone := time.Duration(linkShare * float64(transfer)) // on a link without other bodies
 	if wait > 0 && wait > allowed || now.Add(wait+alone).After(b.Deadline) {
-		g.stats.Refused++
 		return Decision{Wait: wait - max(0, allowed)}
 	}
-	g.stats.Admitted++
 	g.busyUntil = now.Add(wait + transfer)
 	return Decision{Admitted: true, Wait: wait}
 }
@@ -93,6 +84,3 @@
 	}
 	return time.Duration(float64(bytes) / g.bytesPerSecond * float64(time.Second))
 }
-
-// Stats returns the counters.
-func (g *Gate) Stats() Stats { return g.stats }
