--- a/internal/node/store_test.go
+++ b/internal/node/store_test.go
@@ -239,7 +239,7 @@
 // it; one that holds none is not ready and says why.
 func TestRefusedVersionIsNamedAndTheHeldOneStaysInForce(t *testing.T) {
 	is := is.New(t)
-	refused := &source.Configuration{Version: 8, Refused: config.Problems{{File: "op/config", Key: "routes.scan", Message: `unknown kind "odd"`}}}
+	refused := &source.Configuration{Version: 8, Refused: config.Problems{{File: "test", Key: "routes.scan", Message: `unknown kind "odd"`}}}
 	without := newStoreNode("desk-1")
 	without.Step(storeStart, Tick{})
 	listing := storeListing(t, 7)
