Accept the kind download; read unknown kinds strictly

Cause: a version that names a route of a kind unknown to this release was refused whole, so all its other changes were withheld. One deployment names the kind download.

Change: the kind download is repeatable and marked as config.Route.Download, also as download = true in templates.

--- a/internal/config/callerlimits_test.go
+++ b/internal/config/callerlimits_test.go
@@ -60,3 +60,27 @@
 	validate(org, problems)
 	is.Equal(problemLines(problems.err()), []string{"t:routes[0].upload: an upload is not repeatable"})
 }
+
+// A download without `repeatable` must be repeatable, and a contradiction must be
+// reported at its key.
+func TestDownloadRouteOfATemplate(t *testing.T) {
+	is := is.New(t)
+	for _, test := range []struct {
+		text     string
+		problems []string
+	}{
+		{"download = true\n", nil},
+		{"download = true\nrepeatable = false\n", []string{"t:routes[0].download: a download is repeatable"}},
+	} {
+		problems := &problemList{file: "t"}
+		org := readOrganisation(parseTree([]byte(baseTemplate+test.text), problems), problems)
+		org.Name = "desk"
+		validate(org, problems)
+		is.Equal(org.Routes[0].Repeatable, test.problems == nil)
+		if test.problems == nil {
+			is.NoErr(problems.err())
+			continue
+		}
+		is.Equal(problemLines(problems.err()), test.problems)
+	}
+}
--- a/internal/config/decodetemplate.go
+++ b/internal/config/decodetemplate.go
@@ -29,7 +29,7 @@
 
 func readRoute(t *table) Route {
 	defer t.reportUnread()
-	return Route{
+	r := Route{
 		Name:       t.str("name"),
 		Methods:    t.strings("methods"),
 		Path:       t.str("path"),
@@ -37,7 +37,12 @@
 		Deadline:   t.duration("deadline"),
 		Repeatable: t.boolean("repeatable"),
 		Upload:     t.boolean("upload"),
+		Download:   t.boolean("download"),
 	}
+	if _, given := t.lookup("repeatable"); r.Download && !given {
+		r.Repeatable = true
+	}
+	return r
 }
 
 // readParameters decodes the parameter declarations of a template.
--- a/internal/config/organisation.go
+++ b/internal/config/organisation.go
@@ -42,6 +42,8 @@
 	Repeatable bool `json:"repeatable,omitempty" toml:"repeatable"`
 	// Upload marks requests with large bodies. They are never repeatable.
 	Upload bool `json:"upload,omitempty" toml:"upload"`
+	// Download marks requests with large responses. They are repeatable.
+	Download bool `json:"download,omitempty" toml:"download"`
 	// Prefix makes Path a literal prefix that begins and ends with a slash.
 	// It is matched against the path as sent, for any method. The longest
 	// matching prefix wins, and patterns take precedence over prefixes.
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -100,6 +100,9 @@
 	if r.Upload && r.Repeatable {
 		problems.add(key+".upload", "an upload is not repeatable")
 	}
+	if r.Download && !r.Repeatable {
+		problems.add(key+".download", "a download is repeatable")
+	}
 }
 
 func validateOverlap(key string, earlier []Route, patterns []Pattern, r Route, p Pattern, problems *problemList) {
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -82,6 +82,17 @@
 		n.applyInstances(now, u.Instances, out)
 	}
 	if u.Configuration != nil {
+		n.noteWarnings(now, u.Configuration)
 		n.stepDist(now, dist.Published{Configuration: *u.Configuration}, out)
 	}
 }
+
+// noteWarnings records the warnings of a version once, when it is first read.
+func (n *Node) noteWarnings(now time.Time, c *source.Configuration) {
+	if c.Snapshot == nil || c.Version <= n.dist.HeldHead().Version {
+		return
+	}
+	for _, w := range c.Warnings {
+		n.journal.add(now, "configuration warning", w.String())
+	}
+}
--- a/internal/node/store_test.go
+++ b/internal/node/store_test.go
@@ -235,6 +235,26 @@
 	}
 }
 
+// The journal must name the values of a version that were read strictly, once: the store
+// is listed again and again.
+func TestWarningsOfAVersionAreNotedOnce(t *testing.T) {
+	is := is.New(t)
+	n := newStoreNode("desk-1")
+	n.Step(storeStart, Tick{})
+	listing := storeListing(t, 7)
+	listing.Listing.Configuration.Warnings = config.Problems{{File: "test", Key: "routes.scan.kind", Message: `unknown kind "odd"`}}
+	noted := 0
+	for range 2 {
+		for _, e := range n.Step(storeStart, listing).Journal {
+			if e.What == "configuration warning" && e.Cause == `test:routes.scan.kind: unknown kind "odd"` {
+				noted++
+			}
+		}
+	}
+	is.True(n.Ready())
+	is.Equal(noted, 1)
+}
+
 // A version that cannot be taken is refused whole. A proxy that holds one goes on with
 // it; one that holds none is not ready and says why.
 func TestRefusedVersionIsNamedAndTheHeldOneStaysInForce(t *testing.T) {
--- a/internal/source/feed.go
+++ b/internal/source/feed.go
@@ -77,4 +77,7 @@
 	Snapshot *config.Snapshot `json:"snapshot,omitempty"`
 	// Refused lists the problems for which the whole version is refused.
 	Refused config.Problems `json:"refused,omitempty"`
+	// Warnings lists the values of an accepted version that are unknown and were
+	// read by their strictest meaning.
+	Warnings config.Problems `json:"warnings,omitempty"`
 }
