Send large responses in pieces and refuse those that cannot leave

Cause: the proxies wrote whole bodies to the link, so short responses waited behind them, and a slot of the backend server was held until the receiver had its response.

The proxy beside the backend server refuses a request before it runs if the response would leave too late. Downloads are offered to the instance on the entry's own machine first. Metrics and log line.

--- a/internal/admission/events.go
+++ b/internal/admission/events.go
@@ -39,6 +39,8 @@
 		// Route is the route's name. Requests of a route have similar service
 		// times.
 		Route string
+		// Download means that the route is declared to have large responses.
+		Download bool
 		// Patience is the maximum wait for a slot at this instance, as a fraction
 		// of the slack: the time left until Target, less the expected service
 		// time. If the expected wait is longer, the request is refused so that
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -35,6 +35,10 @@
 	// truncated is set when the response was aborted because its body did not end
 	// in time or not properly.
 	truncated bool
+	// bodyRead is set when the whole body is in memory. held counts what is kept of it,
+	// nil if that is not counted.
+	bodyRead bool
+	held     *heldMemory
 }
 
 // Do sends the request to the address and reads the response header. The whole
@@ -52,6 +56,9 @@
 	}
 	c.beginExchange()
 	x := &Exchange{pool: p, conn: c, upload: out.upload, dialect: out.dialect, requestID: out.dialect.requestID(out.in)}
+	if out.link != nil {
+		x.held = &heldMemory{memory: out.link.memory}
+	}
 	_ = c.SetDeadline(deadline)
 	x.stopCancel = context.AfterFunc(ctx, func() { _ = c.SetDeadline(pastDeadline) })
 	if err := x.roundTrip(ctx, deadline, out); err != nil {
@@ -202,6 +209,13 @@
 	return x.upload.started() && x.upload.finished() && x.uploadErr == nil
 }
 
+// releaseBody releases the memory of the body.
+func (x *Exchange) releaseBody() {
+	if x.held != nil {
+		x.held.releaseAll()
+	}
+}
+
 // Close ends the exchange. The argument tells whether the response was read to
 // its end. The connection is reused only if the request was sent completely and
 // no data is left on the connection.
--- a/internal/forward/hop.go
+++ b/internal/forward/hop.go
@@ -27,6 +27,7 @@
 	hopKnownCrashes = "c"
 	hopRateLimit    = "l" // requests per second
 	hopMaxWaitShare = "w" // becomes admission.Arrived.Patience
+	hopDownload     = "d"
 )
 
 // formatHop returns the value of hopHeader. It contains the request identifier
@@ -49,6 +50,10 @@
 		v.Set(hopTarget, strconv.FormatInt(d.Target.Sub(now).Milliseconds(), 10))
 		v.Set(hopRoute, d.Route)
 	}
+	if d.Download {
+		v.Set(hopDownload, "1")
+		v.Set(hopRoute, d.Route)
+	}
 	if d.KnownCrashes > 0 {
 		v.Set(hopKnownCrashes, strconv.FormatUint(uint64(d.KnownCrashes), 10))
 	}
@@ -71,6 +76,7 @@
 		Repeatable: v.Has(hopRepeatable),
 		Instance:   v.Get(hopInstance),
 		Route:      v.Get(hopRoute),
+		Download:   v.Has(hopDownload),
 	}
 	if err != nil || a.Request == "" && !a.Repeatable {
 		return admission.Arrived{}, false
--- a/internal/forward/ingress.go
+++ b/internal/forward/ingress.go
@@ -58,7 +58,7 @@
 		e.dialect.writeRefusal(w, refusal, false)
 		return
 	}
-	c := &callerRequest{Ingress: e, w: w, r: r, organisation: e.dialect.organisation(r), startedAt: time.Now(), outgoing: &outgoingRequest{in: r, dialect: e.dialect, fromCaller: true, callerService: e.service, expectContinue: true}}
+	c := &callerRequest{Ingress: e, w: w, r: r, organisation: e.dialect.organisation(r), startedAt: time.Now(), outgoing: &outgoingRequest{in: r, dialect: e.dialect, fromCaller: true, callerService: e.service, expectContinue: true, link: e.local.link}}
 	if !c.readBody(budget) {
 		return
 	}
@@ -154,19 +154,21 @@
 		x.Close(false)
 		return c.reportFailure(d, start, refusal, load)
 	}
-	if err := x.verifyResponse(d.Deadline); err != nil {
+	if err := x.verifyResponse(c.r.Context(), d.Deadline); err != nil {
 		c.detail = err.Error()
 		return c.reportFailure(d, start, refusalForError(err), 0)
 	}
 	defer c.reportResponse(d, x, start)()
-	relayResponse(c.w, c.r, x, d.Deadline, versionField(d))
+	use := c.local.link.newUse("")
+	defer use.release()
+	relayResponse(c.w, c.r, x, delivery{deadline: d.Deadline, extra: versionField(d), use: use, sameMachine: sameMachine(c.w)})
 	return true
 }
 
 // attemptLocal makes one attempt at the local backend server.
 func (c *callerRequest) attemptLocal(d routing.Send, start time.Time) bool {
 	c.outgoing.retry = d.Retry
-	result := c.local.forwardRequest(c.r.Context(), c.outgoing, admission.Arrived{
+	arrived := admission.Arrived{
 		Request:      c.fleetRequestID(),
 		Organisation: c.slotOrganisation(),
 		Key:          c.dialect.idempotencyKey(c.r),
@@ -181,13 +183,16 @@
 		Patience:     d.MaxWaitShare,
 		RateLimit:    d.RateLimit,
 		RateLimited:  d.RateLimited,
-	})
+	}
+	use := c.local.link.newUse(routeKey(arrived))
+	defer use.release()
+	result := c.local.forwardRequest(c.r.Context(), c.outgoing, arrived)
 	c.outgoing.expectContinue = true
 	if result.exchange == nil {
 		return c.reportFailure(d, start, result.refusal, 0)
 	}
 	defer c.reportResponse(d, result.exchange, start)()
-	result.relay(c.w, c.r, versionField(d))
+	result.relay(c.w, c.r, delivery{extra: versionField(d), use: use, sameMachine: sameMachine(c.w)})
 	return true
 }
 
--- a/internal/forward/local.go
+++ b/internal/forward/local.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,6 +26,8 @@
 	dialect    *Dialect
 	// uploads paces the bodies that other proxies offer, nil if it does not.
 	uploads *uploadGate
+	// link is the link of this machine, nil if its bandwidth is unknown.
+	link *responseLink
 }
 
 // LimitUploads paces the bodies that other proxies offer over a link with the given
@@ -77,7 +80,7 @@
 	arrived.Deadline = now.Add(budget)
 	arrived.Organisation = r.Header.Get(OrganisationHeader)
 	arrived.Key = r.Header.Get(IdempotencyHeader)
-	out := &outgoingRequest{in: r, dialect: l.dialect, retry: r.Header.Get(RetryHeader) != ""}
+	out := &outgoingRequest{in: r, dialect: l.dialect, retry: r.Header.Get(RetryHeader) != "", link: l.link}
 	if refusal, ok := l.awaitUpload(r, arrived); !ok {
 		l.loadField().addTo(w.Header())
 		l.dialect.writeRefusal(w, refusal, true)
@@ -94,6 +97,13 @@
 		out.body = body
 	}
 	w.Header()["Date"] = nil // the entry proxy sets Date itself
+	use := l.link.newUse(routeKey(arrived))
+	defer use.release()
+	if refusal, ok := l.planResponse(r, use, arrived); !ok {
+		l.loadField().addTo(w.Header())
+		l.dialect.refuse(w, out.upload, refusal)
+		return
+	}
 	out.nonRepeatable = !arrived.Repeatable
 	result := l.forwardRequest(r.Context(), out, arrived)
 	if result.exchange == nil {
@@ -101,7 +111,7 @@
 		l.dialect.refuse(w, out.upload, result.refusal)
 		return
 	}
-	result.relay(w, r, l.loadField())
+	result.relay(w, r, delivery{extra: l.loadField(), use: use})
 }
 
 // forwardRequest waits for a slot, forwards the request to the backend server
@@ -182,6 +192,7 @@
 		refusal := notRun(reason, http.StatusServiceUnavailable)
 		refusal.RetryAfter = parseRetryAfter(x.Response.Header)
 		x.Close(false)
+		x.releaseBody()
 		c.reportEnd(refusal.Outcome, refusal.Reason)
 		return c.refuse(refusal)
 	}
@@ -215,7 +226,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return x, x.verifyResponse(c.deadline)
+	return x, x.verifyResponse(c.ctx, c.deadline)
 }
 
 // setBackendHeaders sets the headers for the backend server.
@@ -246,13 +257,27 @@
 	c.core.Admit(admission.Ended{ID: c.arrived.ID, Outcome: o, Reason: reason})
 }
 
-// relay forwards the response to its receiver and reports the end of the
-// request to admission.
-func (b backendResult) relay(w http.ResponseWriter, r *http.Request, extra field) {
-	ended := admission.Ended{ID: b.request.arrived.ID, Outcome: outcome.Unknown, Reason: outcome.ConnectionLost, Inconclusive: true}
-	defer func() { b.request.core.Admit(ended) }()
-	relayResponse(w, r, b.exchange, b.request.deadline, extra)
-	ended.Outcome, ended.Reason, ended.Inconclusive = outcome.Answered, "", false
+// relay forwards the response to its receiver. It reports the end of the request to
+// admission when the response has been read: the slot of the backend server is then
+// free, whether or not the receiver has the response.
+func (b backendResult) relay(w http.ResponseWriter, r *http.Request, d delivery) {
+	var once sync.Once
+	report := func(complete bool) {
+		once.Do(func() { b.request.reportRead(complete) })
+	}
+	defer report(false)
+	d.deadline, d.onRead = b.request.deadline, report
+	relayResponse(w, r, b.exchange, d)
+}
+
+// reportRead reports the end of a request whose response has been read, completely or
+// not.
+func (c *backendRequest) reportRead(complete bool) {
+	ended := admission.Ended{ID: c.arrived.ID, Outcome: outcome.Answered}
+	if !complete {
+		ended.Outcome, ended.Reason, ended.Inconclusive = outcome.Unknown, outcome.ConnectionLost, true
+	}
+	c.core.Admit(ended)
 }
 
 // refuse writes a refusal. If part of the request body may have been read, the
--- a/internal/forward/outgoingrequest.go
+++ b/internal/forward/outgoingrequest.go
@@ -34,6 +34,8 @@
 	// callerService is the service of the instance at which the request
 	// entered.
 	callerService string
+	// link is the shared link that the response will use, nil if it is unknown.
+	link *responseLink
 }
 
 // uploadLingerTimeout is how long the sender of a body gets to read a response
--- /dev/null
+++ b/internal/forward/pacedrelay.go
@@ -0,0 +1,153 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"heatherlift.example/heatherlift/internal/transfer"
+)
+
+// delivery is how a response goes to its receiver.
+type delivery struct {
+	deadline time.Time
+	extra    field
+	// use is nil if the bandwidth of the link is unknown. sameMachine means that the
+	// receiver is reached without the link.
+	use         *linkUse
+	sameMachine bool
+	// onRead, if set, is called once when the response has been read, completely or not.
+	onRead func(complete bool)
+}
+
+func (d *delivery) reportRead(complete bool) {
+	if d.onRead != nil {
+		d.onRead(complete)
+	}
+}
+
+// relayOverLink is relayResponse on a shared link. The response is read without waiting
+// for the receiver, and a large one is sent in pieces.
+func (rr *responseRelay) relayOverLink(d delivery) {
+	ctx, cancel := context.WithDeadline(rr.r.Context(), d.deadline)
+	defer cancel()
+	defer rr.x.releaseBody()
+	controller := http.NewResponseController(rr.w)
+	length := rr.x.Response.ContentLength
+	stop, err := rr.read(ctx, d)
+	defer stop()
+	large := length < 0 || length > transfer.LargeResponseBytes
+	if err == nil && large {
+		_ = controller.SetWriteDeadline(d.deadline)
+		if !d.sameMachine {
+			rr.pace = rr.newPace(ctx, d, length)
+		}
+	}
+	if err == nil {
+		err = rr.write(controller)
+	}
+	if err != nil {
+		rr.x.truncated = errors.Is(err, errResponseBody) && rr.r.Context().Err() == nil
+		stop()
+		rr.abort(controller)
+	}
+	if large {
+		_ = controller.Flush()
+		_ = controller.SetWriteDeadline(time.Time{})
+	}
+}
+
+// read makes the body of the response independent of the connection on which it arrives,
+// and ends the exchange when it has been read. The function stop has to be called when
+// the response is not needed any more.
+func (rr *responseRelay) read(ctx context.Context, d delivery) (stop func(), err error) {
+	x := rr.x
+	resp, ready := x.Response, time.Now()
+	end := func(bytes int64, complete bool) {
+		d.use.learn(x, bytes, ready, complete)
+		d.reportRead(complete)
+	}
+	if hasBody(resp) && !x.bodyRead {
+		if resp.ContentLength < 0 || resp.ContentLength > transfer.LargeResponseBytes {
+			return startReadAhead(ctx, x, d.use.link.memory, d.deadline, end).stop, nil
+		}
+		if err := rr.readShort(); err != nil {
+			x.Close(false)
+			d.reportRead(false)
+			return func() {}, err
+		}
+	}
+	x.Close(true)
+	end(max(0, resp.ContentLength), true)
+	return func() {}, nil
+}
+
+// readShort reads a short body into memory.
+func (rr *responseRelay) readShort() error {
+	resp := rr.x.Response
+	body := make([]byte, resp.ContentLength)
+	rr.x.held.take(resp.ContentLength)
+	if _, err := io.ReadFull(resp.Body, body); err != nil {
+		return errors.Wrapf(errResponseBody, "%v", err)
+	}
+	resp.Body = io.NopCloser(bytes.NewReader(body))
+	return nil
+}
+
+// newPace returns the function that waits until a piece of the body may leave. What is
+// short, also at the beginning of a body of unknown length, does not wait.
+func (rr *responseRelay) newPace(ctx context.Context, d delivery, length int64) *pace {
+	return &pace{ctx: ctx, use: d.use, length: length, deadline: d.deadline, pieceBytes: d.use.link.pacer.PieceBytes()}
+}
+
+// pace sends a body in pieces.
+type pace struct {
+	ctx        context.Context
+	use        *linkUse
+	length     int64
+	deadline   time.Time
+	pieceBytes int
+	sent       int64
+}
+
+// await waits until the next n bytes may leave.
+func (p *pace) await(n int) error {
+	p.sent += int64(n)
+	if p.length < 0 && p.sent <= transfer.LargeResponseBytes {
+		return nil
+	}
+	if !p.use.begun {
+		p.use.begin(p.length, p.deadline)
+	}
+	return p.use.await(p.ctx, n)
+}
+
+// next reads the next piece of the body. One of unknown length is sent as it arrives.
+func (p *pace) next(body io.Reader, buf []byte) (int, error) {
+	buf = buf[:min(len(buf), p.pieceBytes)]
+	if p.length < 0 {
+		return body.Read(buf)
+	}
+	n, err := io.ReadFull(body, buf)
+	if errors.Is(err, io.ErrUnexpectedEOF) && p.sent+int64(n) >= p.length {
+		err = io.EOF // the last piece is shorter
+	}
+	return n, err
+}
+
+// sameMachine reports whether the caller is on this machine. Its connection then has the
+// machine's own address at both ends.
+func sameMachine(w http.ResponseWriter) bool {
+	x, ok := w.(*callerExchange)
+	if !ok {
+		return false
+	}
+	remote, ok := x.conn.RemoteAddr().(*net.TCPAddr)
+	local, okLocal := x.conn.LocalAddr().(*net.TCPAddr)
+	return ok && okLocal && remote.IP.Equal(local.IP)
+}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -23,17 +23,23 @@
 // the response cannot be forwarded completely it panics with
 // http.ErrAbortHandler, so that the receiver sees an aborted connection and not a
 // complete response.
-func relayResponse(w http.ResponseWriter, r *http.Request, x *Exchange, deadline time.Time, extra field) {
+func relayResponse(w http.ResponseWriter, r *http.Request, x *Exchange, d delivery) {
 	rr := responseRelay{w: w, r: r, x: x}
-	rr.setHeader(extra)
+	rr.setHeader(d.extra)
+	if d.use != nil && x.Sent() {
+		rr.relayOverLink(d)
+		return
+	}
+	defer x.releaseBody()
 	small := x.Response.ContentLength >= 0 && x.Response.ContentLength <= smallResponseBytes
 	controller := http.NewResponseController(w)
 	if !small {
-		_ = controller.SetWriteDeadline(deadline)
+		_ = controller.SetWriteDeadline(d.deadline)
 	}
 	if err := rr.write(controller); err != nil {
 		x.truncated = errors.Is(err, errResponseBody) && r.Context().Err() == nil
 		x.Close(false)
+		d.reportRead(false)
 		rr.abort(controller)
 	}
 	if !small {
@@ -41,6 +47,7 @@
 		_ = controller.SetWriteDeadline(time.Time{})
 	}
 	x.Close(true)
+	d.reportRead(true)
 }
 
 // responseRelay is a response that is being forwarded to its receiver.
@@ -51,6 +58,8 @@
 	// closeDelimited is set when the end of the response is marked only by the
 	// end of the connection.
 	closeDelimited bool
+	// pace sends the body in pieces, nil if it is not paced.
+	pace *pace
 }
 
 func (rr *responseRelay) setHeader(extra field) {
@@ -79,7 +88,7 @@
 		return rr.writeHTTP10()
 	}
 	rr.w.WriteHeader(resp.StatusCode)
-	if err := copyBody(rr.w, resp.Body, controller, resp.ContentLength < 0); err != nil {
+	if err := rr.copyBody(controller, resp.ContentLength < 0); err != nil {
 		return err
 	}
 	for name, values := range resp.Trailer {
@@ -107,7 +116,7 @@
 	if _, err := rr.w.Write(buffered); err != nil {
 		return err
 	}
-	return copyBody(rr.w, resp.Body, nil, false)
+	return rr.copyBody(nil, false)
 }
 
 // abort aborts the connection to the receiver. If the response is
@@ -132,20 +141,21 @@
 	_ = c.Close()
 }
 
-// copyBody streams a response body to its receiver with a fixed-size buffer.
-func copyBody(w http.ResponseWriter, body io.Reader, controller *http.ResponseController, flush bool) error {
+// copyBody streams the response body to its receiver with a fixed-size buffer.
+func (rr *responseRelay) copyBody(controller *http.ResponseController, flush bool) error {
+	body := rr.x.Response.Body
 	if body == http.NoBody {
 		return nil
 	}
 	buf := copyBufferPool.Get().(*[]byte)
 	defer copyBufferPool.Put(buf)
 	for {
-		n, err := body.Read(*buf)
+		n, err := rr.readPart(body, *buf)
 		if n > 0 {
-			if _, werr := w.Write((*buf)[:n]); werr != nil {
+			if werr := rr.writePart((*buf)[:n]); werr != nil {
 				return werr
 			}
-			if flush {
+			if controller != nil && (flush || rr.pace != nil) {
 				_ = controller.Flush()
 			}
 		}
@@ -157,3 +167,20 @@
 		}
 	}
 }
+
+func (rr *responseRelay) readPart(body io.Reader, buf []byte) (int, error) {
+	if rr.pace == nil {
+		return body.Read(buf)
+	}
+	return rr.pace.next(body, buf)
+}
+
+func (rr *responseRelay) writePart(part []byte) error {
+	if rr.pace != nil {
+		if err := rr.pace.await(len(part)); err != nil {
+			return err
+		}
+	}
+	_, err := rr.w.Write(part)
+	return err
+}
--- a/internal/forward/rig_test.go
+++ b/internal/forward/rig_test.go
@@ -141,6 +141,20 @@
 	})
 }
 
+// waitForRun waits until the backend server has been sent a request.
+func (f *fakeCore) waitForRun(t *testing.T) {
+	t.Helper()
+	waitFor(t, "request runs", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.admission.State(time.Now()).Counters.Run > 0
+	})
+}
+
+func admissionWithSlots(n int) *admission.Admission {
+	return admission.New(admission.Config{Slots: n, QueueLength: n})
+}
+
 // waitFor polls until done returns true and fails the test after testTimeout.
 func waitFor(t *testing.T, condition string, done func() bool) {
 	t.Helper()
@@ -209,7 +223,10 @@
 	limitsInForce func() *config.CallerLimits
 	// linkMbps is the bandwidth of the sidecar proxy's link, 0 if unknown.
 	linkMbps float64
-	onReject func(caller string, status int)
+	local    *LocalForwarder
+	// held and paced are the bytes of responses in memory and those sent in pieces.
+	held, paced atomic.Int64
+	onReject    func(caller string, status int)
 }
 
 // newRig starts both proxies in front of a backend server with the handler.
@@ -228,6 +245,12 @@
 	t.Cleanup(pool.Close)
 	local := NewLocalForwarder(g.core, pool, backendAddr, true, g.dialect)
 	local.LimitUploads(g.linkMbps, func(bool) {})
+	local.PaceResponses(g.linkMbps, ResponseObserver{
+		Held:    func(delta int64) { g.held.Add(delta) },
+		Paced:   func(bytes int) { g.paced.Add(int64(bytes)) },
+		Decided: func(bool) {},
+	})
+	g.local = local
 	g.peerAddr = serveHTTP(t, local)
 	g.core.targets = []string{g.peerAddr}
 	g.ingress = NewIngress(g.core, pool, "entry", local, "", "desk")
--- a/internal/forward/verify.go
+++ b/internal/forward/verify.go
@@ -2,12 +2,15 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"heatherlift.example/heatherlift/internal/transfer"
 )
 
 const (
@@ -24,12 +27,13 @@
 // between proxies, then fails the attempt instead of aborting the caller's
 // connection. Larger bodies, and all responses of a dialect without signatures,
 // are streamed.
-func (x *Exchange) verifyResponse(deadline time.Time) error {
+func (x *Exchange) verifyResponse(ctx context.Context, deadline time.Time) error {
 	if x.dialect.SignatureHeader == "" {
 		return nil
 	}
-	if err := x.findMatchingResponse(); err != nil {
+	if err := x.findMatchingResponse(ctx, deadline); err != nil {
 		x.abort()
+		x.releaseBody()
 		return markExpired(err, deadline)
 	}
 	return nil
@@ -37,10 +41,10 @@
 
 // findMatchingResponse reads responses until one belongs to the request, and
 // buffers and verifies that one.
-func (x *Exchange) findMatchingResponse() error {
+func (x *Exchange) findMatchingResponse(ctx context.Context, deadline time.Time) error {
 	for range maxMismatchedResponses {
 		if x.requestID == "" || x.Response.Header.Get(x.dialect.RequestIDHeader) == x.requestID {
-			return x.bufferBody()
+			return x.bufferBody(ctx, deadline)
 		}
 		if err := x.skipMismatched(); err != nil {
 			return err
@@ -73,7 +77,7 @@
 // bufferBody reads the body into memory unless it is too large. A 2xx response
 // without the backend server's signature is an error, and so is a close-delimited
 // response that is too large.
-func (x *Exchange) bufferBody() error {
+func (x *Exchange) bufferBody(ctx context.Context, deadline time.Time) error {
 	resp := x.Response
 	if resp.StatusCode/100 == 2 && resp.Header.Get(x.dialect.SignatureHeader) == "" {
 		return errors.Wrap(ErrMalformedResponse, "2xx response without signature")
@@ -81,9 +85,9 @@
 	if resp.ContentLength > maxVerifiedBodyBytes {
 		return nil
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxVerifiedBodyBytes+1))
+	body, err := x.readVerified(ctx, deadline)
 	if err != nil {
-		return errors.Wrapf(ErrConnectionLost, "%v", err)
+		return err
 	}
 	if len(body) > maxVerifiedBodyBytes {
 		if !x.selfDelimited {
@@ -93,6 +97,7 @@
 		return nil
 	}
 	resp.Body = io.NopCloser(bytes.NewReader(body))
+	x.bodyRead = true
 	if resp.Request.Method != http.MethodHead {
 		resp.ContentLength = int64(len(body))
 		resp.TransferEncoding = nil
@@ -100,3 +105,46 @@
 	}
 	return nil
 }
+
+// readVerified reads up to maxVerifiedBodyBytes+1 bytes of the body into memory. On a
+// shared link the memory is counted, and that of a large body is acquired at once: a
+// response that holds a part and waits for more could keep others waiting for ever.
+func (x *Exchange) readVerified(ctx context.Context, deadline time.Time) ([]byte, error) {
+	resp := x.Response
+	if x.held != nil && hasBody(resp) {
+		n := resp.ContentLength
+		if n < 0 {
+			return x.readUnknownLength(ctx, deadline)
+		}
+		if err := x.held.acquire(ctx, deadline, n); err != nil {
+			return nil, err
+		}
+	}
+	return readUpTo(resp.Body, maxVerifiedBodyBytes+1)
+}
+
+// readUnknownLength is readVerified for a body of unknown length, of which the first
+// bytes need no memory to be free.
+func (x *Exchange) readUnknownLength(ctx context.Context, deadline time.Time) ([]byte, error) {
+	body := x.Response.Body
+	x.held.take(transfer.LargeResponseBytes)
+	first, err := readUpTo(body, transfer.LargeResponseBytes)
+	if err != nil || len(first) < transfer.LargeResponseBytes {
+		return first, err
+	}
+	const rest = maxVerifiedBodyBytes + 1 - transfer.LargeResponseBytes
+	if err := x.held.acquire(ctx, deadline, rest); err != nil {
+		return nil, err
+	}
+	second, err := readUpTo(body, rest)
+	x.held.release(rest - int64(len(second)))
+	return append(first, second...), err
+}
+
+func readUpTo(body io.Reader, n int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, n))
+	if err != nil {
+		return nil, errors.Wrapf(ErrConnectionLost, "%v", err)
+	}
+	return data, nil
+}
--- a/internal/host/metrics.go
+++ b/internal/host/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
+	"heatherlift.example/heatherlift/internal/forward"
 	"heatherlift.example/heatherlift/internal/node"
 	"heatherlift.example/heatherlift/internal/outcome"
 )
@@ -28,6 +29,9 @@
 	refusals        *prometheus.CounterVec
 	panics          *prometheus.CounterVec
 	uploadOffers    *prometheus.CounterVec
+	responsesHeld   prometheus.Gauge
+	responsesPaced  prometheus.Counter
+	responsePlans   *prometheus.CounterVec
 	log             *log.Logger
 }
 
@@ -59,10 +63,20 @@
 		uploadOffers: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "heatherlift_upload_offers_total", Help: "Bodies of uploads that other proxies offered to this one, by decision.",
 		}, []string{"decision"}),
+		responsesHeld: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "heatherlift_response_held_bytes", Help: "Bytes of responses that this proxy holds in memory for receivers that have not read them.",
+		}),
+		responsesPaced: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "heatherlift_response_paced_bytes_total", Help: "Bytes of large responses that were sent in pieces over the link of the machine.",
+		}),
+		responsePlans: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "heatherlift_response_plans_total", Help: "Requests of other proxies whose response needs link time, by decision.",
+		}, []string{"decision"}),
 		log: h.log,
 	}
 	m.registry.MustRegister(newAdmissionMetrics(h))
 	m.registry.MustRegister(peerBytes, m.attemptDuration, m.messagesRefused, m.sourceCalls, m.refusals, m.panics, m.uploadOffers)
+	m.registry.MustRegister(m.responsesHeld, m.responsesPaced, m.responsePlans)
 	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.registry.MustRegister(newRequestMetrics(h))
 	m.registry.MustRegister(newVersionMetrics(h))
@@ -96,11 +110,23 @@
 }
 
 func (m *metrics) countUploadOffer(admitted bool) {
-	decision := "refused"
+	m.uploadOffers.WithLabelValues(decisionLabel(admitted)).Inc()
+}
+
+// responseObserver returns the observer of responses on the link of the machine.
+func (m *metrics) responseObserver() forward.ResponseObserver {
+	return forward.ResponseObserver{
+		Held:    func(delta int64) { m.responsesHeld.Add(float64(delta)) },
+		Paced:   func(bytes int) { m.responsesPaced.Add(float64(bytes)) },
+		Decided: func(admitted bool) { m.responsePlans.WithLabelValues(decisionLabel(admitted)).Inc() },
+	}
+}
+
+func decisionLabel(admitted bool) string {
 	if admitted {
-		decision = "admitted"
+		return "admitted"
 	}
-	m.uploadOffers.WithLabelValues(decision).Inc()
+	return "refused"
 }
 
 func (m *metrics) countRefusal(r outcome.Refusal) {
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -175,6 +175,7 @@
 		Version:      c.version,
 		Repeatable:   c.match.Route.Repeatable,
 		Upload:       c.match.Route.Upload,
+		Download:     c.match.Route.Download,
 		Deadline:     c.deadline,
 		Target:       c.targetTime(),
 		Priority:     c.match.Route.Priority,
--- a/internal/routing/events.go
+++ b/internal/routing/events.go
@@ -140,7 +140,9 @@
 		Version    uint64
 		Repeatable bool
 		// Upload means that the request has a large body.
-		Upload   bool
+		Upload bool
+		// Download means that the response is large.
+		Download bool
 		Deadline time.Time
 		// Target is the time until which a response has its full value, zero if
 		// there is no such time.
--- a/internal/routing/offer.go
+++ b/internal/routing/offer.go
@@ -66,6 +66,9 @@
 func (r *Router) chooseByOffers(now time.Time, c *call) (*instance, float64) {
 	r.collectCandidates(now, c)
 	local := r.pickOfTwo(now, withoutErrorProne(now, r.candidates.local))
+	if i := r.reachedWithoutLink(now, c); i != nil {
+		local = i
+	}
 	remote := r.pickOfTwo(now, withoutErrorProne(now, r.candidates.remote))
 	cost := r.transferCost(c)
 	remoteAllowed := remote != nil && c.remoteOffers < maxRemoteOffers && cost < 1
@@ -97,6 +100,20 @@
 	return r.pickOfTwo(now, r.candidates.ejected), 0
 }
 
+// reachedWithoutLink returns the candidate on this machine for a download, nil if there
+// is none.
+func (r *Router) reachedWithoutLink(now time.Time, c *call) *instance {
+	if r.cfg.SelfAddress == "" || !c.match.Route.Download {
+		return nil
+	}
+	for _, i := range r.candidates.local {
+		if i.Address == r.cfg.SelfAddress && !i.errorProne(now) {
+			return i
+		}
+	}
+	return nil
+}
+
 // errorProne reports whether the backend server fails or refuses so many requests that
 // others get the next one first. What they do not accept still goes to it: a part of
 // its capacity is left.
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -12,6 +12,10 @@
 // Config configures a Router.
 type Config struct {
 	AvailabilityZone string
+	// SelfAddress is the address of this proxy in the list of instances if the link of
+	// its machine is known to be shared, otherwise empty. Downloads are offered to the
+	// instance there first, whose responses do not use the link to reach this proxy.
+	SelfAddress string
 	// MaxAttempts limits the attempts of one request, unless its route sets a
 	// limit.
 	MaxAttempts int
--- a/internal/routing/target_test.go
+++ b/internal/routing/target_test.go
@@ -260,3 +260,29 @@
 		}
 	}
 }
+
+// A download is offered to the instance on this machine first, so that its response uses
+// one link and not two. Other requests are placed as before.
+func TestDownloadIsOfferedToTheOwnMachineFirst(t *testing.T) {
+	is := is.New(t)
+	for _, download := range []bool{true, false} {
+		r := New(Config{AvailabilityZone: testZone, SelfAddress: "desk-06", MaxAttempts: 3, Seed: 1})
+		route := prefixRoute("look", "/a/", "desk")
+		route.Download, route.Repeatable = download, true
+		r.Step(start, SnapshotEnforced{Snapshot: publishedSnapshot(t, 1, route)})
+		r.Step(start, InstancesChanged{Instances: testInstances("desk", 12)})
+		others := 0
+		for id := range uint64(20) {
+			send := arrive(r, id).(Send)
+			is.Equal(send.Download, download)
+			if send.Instance != "desk-06" {
+				others++
+				continue
+			}
+			next := r.Step(start, AttemptEnded{ID: id, Outcome: outcome.NotRun, Reason: outcome.InstanceLeaving})[0].(Send)
+			is.True(next.Instance != "desk-06")
+			r.instances["desk-06"].downUntil = time.Time{}
+		}
+		is.Equal(others == 0, download)
+	}
+}
