--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -56,8 +56,8 @@
 	}
 	c.beginExchange()
 	x := &Exchange{pool: p, conn: c, upload: out.upload, dialect: out.dialect, requestID: out.dialect.requestID(out.in)}
-	if out.link != nil {
-		x.held = &heldMemory{memory: out.link.memory}
+	if out.use != nil {
+		x.held = &out.use.held
 	}
 	_ = c.SetDeadline(deadline)
 	x.stopCancel = context.AfterFunc(ctx, func() { _ = c.SetDeadline(pastDeadline) })
@@ -209,13 +209,6 @@
 	return x.upload.started() && x.upload.finished() && x.uploadErr == nil
 }
 
-// releaseBody releases the memory of the body.
-func (x *Exchange) releaseBody() {
-	if x.held != nil {
-		x.held.releaseAll()
-	}
-}
-
 // Close ends the exchange. The argument tells whether the response was read to
 // its end. The connection is reused only if the request was sent completely and
 // no data is left on the connection.
--- a/internal/forward/ingress.go
+++ b/internal/forward/ingress.go
@@ -58,7 +58,7 @@
 		e.dialect.writeRefusal(w, refusal, false)
 		return
 	}
-	c := &callerRequest{Ingress: e, w: w, r: r, organisation: e.dialect.organisation(r), startedAt: time.Now(), outgoing: &outgoingRequest{in: r, dialect: e.dialect, fromCaller: true, callerService: e.service, expectContinue: true, link: e.local.link}}
+	c := &callerRequest{Ingress: e, w: w, r: r, organisation: e.dialect.organisation(r), startedAt: time.Now(), outgoing: &outgoingRequest{in: r, dialect: e.dialect, fromCaller: true, callerService: e.service, expectContinue: true}}
 	if !c.readBody(budget) {
 		return
 	}
@@ -142,6 +142,9 @@
 	if d.Address == c.selfAddress && c.local != nil {
 		return c.attemptLocal(d, start)
 	}
+	use := c.local.link.newUse("")
+	defer use.release()
+	c.outgoing.use = use
 	c.setPeerHeaders(d)
 	fence := c.newAttemptFence(d)
 	x, err := c.pool.Do(c.r.Context(), d.Deadline, d.Address, c.outgoing)
@@ -159,8 +162,6 @@
 		return c.reportFailure(d, start, refusalForError(err), 0)
 	}
 	defer c.reportResponse(d, x, start)()
-	use := c.local.link.newUse("")
-	defer use.release()
 	relayResponse(c.w, c.r, x, delivery{deadline: d.Deadline, extra: versionField(d), use: use, sameMachine: sameMachine(c.w)})
 	return true
 }
@@ -186,6 +187,7 @@
 	}
 	use := c.local.link.newUse(routeKey(arrived))
 	defer use.release()
+	c.outgoing.use = use
 	result := c.local.forwardRequest(c.r.Context(), c.outgoing, arrived)
 	c.outgoing.expectContinue = true
 	if result.exchange == nil {
--- a/internal/forward/local.go
+++ b/internal/forward/local.go
@@ -80,7 +80,7 @@
 	arrived.Deadline = now.Add(budget)
 	arrived.Organisation = r.Header.Get(OrganisationHeader)
 	arrived.Key = r.Header.Get(IdempotencyHeader)
-	out := &outgoingRequest{in: r, dialect: l.dialect, retry: r.Header.Get(RetryHeader) != "", link: l.link}
+	out := &outgoingRequest{in: r, dialect: l.dialect, retry: r.Header.Get(RetryHeader) != ""}
 	if refusal, ok := l.awaitUpload(r, arrived); !ok {
 		l.loadField().addTo(w.Header())
 		l.dialect.writeRefusal(w, refusal, true)
@@ -99,6 +99,7 @@
 	w.Header()["Date"] = nil // the entry proxy sets Date itself
 	use := l.link.newUse(routeKey(arrived))
 	defer use.release()
+	out.use = use
 	if refusal, ok := l.planResponse(r, use, arrived); !ok {
 		l.loadField().addTo(w.Header())
 		l.dialect.refuse(w, out.upload, refusal)
@@ -192,7 +193,6 @@
 		refusal := notRun(reason, http.StatusServiceUnavailable)
 		refusal.RetryAfter = parseRetryAfter(x.Response.Header)
 		x.Close(false)
-		x.releaseBody()
 		c.reportEnd(refusal.Outcome, refusal.Reason)
 		return c.refuse(refusal)
 	}
--- a/internal/forward/outgoingrequest.go
+++ b/internal/forward/outgoingrequest.go
@@ -34,8 +34,9 @@
 	// callerService is the service of the instance at which the request
 	// entered.
 	callerService string
-	// link is the shared link that the response will use, nil if it is unknown.
-	link *responseLink
+	// use is what the response takes of the link and of memory, nil if the bandwidth of
+	// the link is unknown.
+	use *linkUse
 }
 
 // uploadLingerTimeout is how long the sender of a body gets to read a response
--- a/internal/forward/pacedrelay.go
+++ b/internal/forward/pacedrelay.go
@@ -36,7 +36,6 @@
 func (rr *responseRelay) relayOverLink(d delivery) {
 	ctx, cancel := context.WithDeadline(rr.r.Context(), d.deadline)
 	defer cancel()
-	defer rr.x.releaseBody()
 	controller := http.NewResponseController(rr.w)
 	length := rr.x.Response.ContentLength
 	stop, err := rr.read(ctx, d)
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -30,7 +30,6 @@
 		rr.relayOverLink(d)
 		return
 	}
-	defer x.releaseBody()
 	small := x.Response.ContentLength >= 0 && x.Response.ContentLength <= smallResponseBytes
 	controller := http.NewResponseController(w)
 	if !small {
--- a/internal/forward/responselink.go
+++ b/internal/forward/responselink.go
@@ -77,16 +77,19 @@
 	}
 }
 
-// linkUse is the use of the link by one response. A nil linkUse stands for a link whose
-// bandwidth is unknown.
+// linkUse is what one response takes of the link and of memory. A nil linkUse stands for
+// a link whose bandwidth is unknown.
 type linkUse struct {
 	link *responseLink
 	id   uint64
 	// route is the key of the estimate that learns from the response, empty for none.
 	route     string
 	arrivedAt time.Time
-	granted   chan struct{}
-	begun     bool
+	// granted receives the turn of the waiting piece. It is nil before the first one.
+	granted chan struct{}
+	begun   bool
+	// held is the memory of a body that is read before it is sent.
+	held heldMemory
 }
 
 // newUse returns the use of a response of the given route.
@@ -97,7 +100,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.lastID++
-	return &linkUse{link: l, id: l.lastID, route: route, arrivedAt: time.Now(), granted: make(chan struct{}, 1)}
+	return &linkUse{link: l, id: l.lastID, route: route, arrivedAt: time.Now(), held: heldMemory{memory: l.memory}}
 }
 
 // decide plans the response of another machine's request.
@@ -124,6 +127,9 @@
 // await waits until the next piece of the body may leave.
 func (u *linkUse) await(ctx context.Context, bytes int) error {
 	l := u.link
+	if u.granted == nil {
+		u.granted = make(chan struct{}, 1)
+	}
 	l.mu.Lock()
 	l.gate.Await(time.Now(), u.id)
 	l.granted[u.id] = u.granted
@@ -152,11 +158,12 @@
 	u.link.gate.Observe(time.Now(), u.route, bytes, ready.Sub(u.arrivedAt), complete)
 }
 
-// release returns the link time that is planned for the response.
+// release returns the link time that is planned for the response, and its memory.
 func (u *linkUse) release() {
 	if u == nil {
 		return
 	}
+	u.held.releaseAll()
 	u.link.mu.Lock()
 	defer u.link.mu.Unlock()
 	u.link.pacer.Withdraw(u.id)
--- a/internal/forward/verify.go
+++ b/internal/forward/verify.go
@@ -33,7 +33,6 @@
 	}
 	if err := x.findMatchingResponse(ctx, deadline); err != nil {
 		x.abort()
-		x.releaseBody()
 		return markExpired(err, deadline)
 	}
 	return nil
--- a/internal/transfer/response_test.go
+++ b/internal/transfer/response_test.go
@@ -259,10 +259,23 @@
 func TestHopelessRouteIsTriedAgain(t *testing.T) {
 	is := is.New(t)
 	g := NewResponseGate(10)
-	g.Observe(start, "photos", 5_000_000, 0, false) // broke off
+	for range 10 {
+		g.Observe(start, "photos", 5_000_000, 0, false) // broke off
+	}
+	mean := g.routes["photos"].mean
 	is.True(!g.Decide(start, download(1, start)).Admitted)
 	later := start.Add(sizeTTL)
 	is.True(g.Decide(later, download(1, later)).Planned)
 	g.Observe(later, "photos", 1000, 0, false) // says nothing of the length
-	is.Equal(g.routes["photos"].mean, 5e6)
+	is.Equal(g.routes["photos"].mean, mean)
+	g.Release(1)
+	for range 2 { // the few that are tried correct the estimate
+		later = later.Add(sizeTTL)
+		is.True(g.Decide(later, download(1, later)).Planned)
+		g.Observe(later, "photos", 90_000, 0, true)
+		g.Release(1)
+	}
+	is.True(g.Decide(later, download(1, later)).Planned)
+	g.Observe(later, "photos", 1<<40, 0, false) // does not end
+	is.True(g.Decide(later, download(2, later)).Bytes < 1_000_000)
 }
