--- a/internal/forward/hop_test.go
+++ b/internal/forward/hop_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"heatherlift.example/heatherlift/internal/routing"
 )
 
 // newHopRig starts an entry proxy whose peers are raw servers at the targets.
@@ -78,3 +80,17 @@
 	is.Equal(resp.StatusCode, http.StatusOK)
 	is.Equal(body, "hello")
 }
+
+// The proxy beside a backend server must learn the lengths of a declared download also if
+// the route has no target.
+func TestHopNamesTheRouteOfADownload(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	h := make(http.Header)
+	h.Set(hopHeader, formatHop(routing.Send{Route: "photos", Download: true, Repeatable: true}, "r", 1, now))
+	a, ok := parseHop(now, h)
+	is.True(ok)
+	is.True(a.Download)
+	is.Equal(a.Route, "photos")
+	is.True(a.Target.IsZero())
+}
