--- a/internal/forward/ingress.go
+++ b/internal/forward/ingress.go
@@ -142,6 +142,9 @@
 	if d.Address == c.selfAddress && c.local != nil {
 		return c.attemptLocal(d, start)
 	}
+	use := c.local.link.newUse("")
+	defer use.release()
+	c.outgoing.use = use
 	c.setPeerHeaders(d)
 	fence := c.newAttemptFence(d)
 	x, err := c.pool.Do(c.r.Context(), d.Deadline, d.Address, c.outgoing)
@@ -154,19 +157,19 @@
 		x.Close(false)
 		return c.reportFailure(d, start, refusal, load)
 	}
-	if err := x.verifyResponse(d.Deadline); err != nil {
+	if err := x.verifyResponse(c.r.Context(), d.Deadline); err != nil {
 		c.detail = err.Error()
 		return c.reportFailure(d, start, refusalForError(err), 0)
 	}
 	defer c.reportResponse(d, x, start)()
-	relayResponse(c.w, c.r, x, d.Deadline, versionField(d))
+	relayResponse(c.w, c.r, x, delivery{deadline: d.Deadline, extra: versionField(d), use: use, sameMachine: sameMachine(c.w)})
 	return true
 }
 
 // attemptLocal makes one attempt at the local backend server.
 func (c *callerRequest) attemptLocal(d routing.Send, start time.Time) bool {
 	c.outgoing.retry = d.Retry
-	result := c.local.forwardRequest(c.r.Context(), c.outgoing, admission.Arrived{
+	arrived := admission.Arrived{
 		Request:      c.fleetRequestID(),
 		Organisation: c.slotOrganisation(),
 		Key:          c.dialect.idempotencyKey(c.r),
@@ -181,13 +184,17 @@
 		Patience:     d.MaxWaitShare,
 		RateLimit:    d.RateLimit,
 		RateLimited:  d.RateLimited,
-	})
+	}
+	use := c.local.link.newUse(routeKey(arrived))
+	defer use.release()
+	c.outgoing.use = use
+	result := c.local.forwardRequest(c.r.Context(), c.outgoing, arrived)
 	c.outgoing.expectContinue = true
 	if result.exchange == nil {
 		return c.reportFailure(d, start, result.refusal, 0)
 	}
 	defer c.reportResponse(d, result.exchange, start)()
-	result.relay(c.w, c.r, versionField(d))
+	result.relay(c.w, c.r, delivery{extra: versionField(d), use: use, sameMachine: sameMachine(c.w)})
 	return true
 }
 
--- a/internal/forward/outgoingrequest.go
+++ b/internal/forward/outgoingrequest.go
@@ -34,6 +34,9 @@
 	// callerService is the service of the instance at which the request
 	// entered.
 	callerService string
+	// use is what the response takes of the link and of memory, nil if the bandwidth of
+	// the link is unknown.
+	use *linkUse
 }
 
 // uploadLingerTimeout is how long the sender of a body gets to read a response
