Read the warm-up of services and of instances

Cause: a service names the rate and the time of the warm-up of its backend servers, and entries state the remaining time; both were ignored.

The follower adds the revision, by which a new entry is told from one that is listed again.

--- a/internal/config/delta.go
+++ b/internal/config/delta.go
@@ -18,6 +18,8 @@
 	KeepRejected bool `json:"keep_rejected,omitempty"`
 	// Callers holds the limits of callers of the version.
 	Callers CallerLimits `json:"callers,omitzero"`
+	// Services holds the services of the version that name a warm-up.
+	Services map[string]ServiceLimits `json:"services,omitempty"`
 	// Base is the root of the snapshot to which Index applies; empty means
 	// that Index is complete.
 	Base Hash `json:"base,omitempty"`
@@ -55,7 +57,7 @@
 // scope. A nil base yields a full transfer. Target must hold the set of every
 // service in scope that its index lists: a missing set is left out of the delta.
 func Diff(base, target *Snapshot, scope Scope) *Delta {
-	d := &Delta{Version: target.Version, Root: target.Root, Callers: target.Callers}
+	d := &Delta{Version: target.Version, Root: target.Root, Callers: target.Callers, Services: target.Services}
 	if base == nil {
 		base = &Snapshot{}
 	}
@@ -164,7 +166,7 @@
 	if d.Base != base.Root && d.Base != "" {
 		return nil, errors.Wrapf(ErrBaseMismatch, "delta for base %s, have %s", d.Base.Short(), base.Root.Short())
 	}
-	out := &Snapshot{Version: d.Version, Root: d.Root, Callers: d.Callers, Rejected: d.Rejected}
+	out := &Snapshot{Version: d.Version, Root: d.Root, Callers: d.Callers, Services: d.Services, Rejected: d.Rejected}
 	if d.KeepRejected {
 		out.Rejected = base.Rejected
 	}
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -39,7 +39,7 @@
 type Snapshot struct {
 	// Version is the revision of the manifest in the configuration source.
 	Version uint64
-	// Root is the hash of Index, Callers and Rejected.
+	// Root is the hash of Index, Callers, Services and Rejected.
 	Root Hash
 	// Index maps each service of the version to the hash of its set.
 	Index map[string]Hash
@@ -47,13 +47,15 @@
 	Sets map[string]*ServiceSet
 	// Callers bounds what callers may send.
 	Callers CallerLimits
+	// Services holds the services that name a warm-up, nil if none does.
+	Services map[string]ServiceLimits
 	// Rejected lists the organisations whose new content was rejected, sorted
 	// by name.
 	Rejected []Rejection
 }
 
-// computeRoot hashes the index, the limits of callers, and the rejected
-// organisations with the text of their problems.
+// computeRoot hashes the index, the limits of callers and services, and the
+// rejected organisations with the text of their problems.
 func (s *Snapshot) computeRoot() Hash {
 	var text strings.Builder
 	for _, service := range slices.Sorted(maps.Keys(s.Index)) {
@@ -63,6 +65,7 @@
 		text.WriteByte('\n')
 	}
 	text.WriteString(s.Callers.text())
+	text.WriteString(servicesText(s.Services))
 	for _, r := range s.Rejected {
 		text.WriteString("rejected ")
 		text.WriteString(r.Organisation)
@@ -136,7 +139,7 @@
 }
 
 // Consistent checks the invariants of the snapshot: Root is the hash of Index,
-// Callers and Rejected, Index holds the hash of each set, each slice is stored under its own
+// Callers, Services and Rejected, Index holds the hash of each set, each slice is stored under its own
 // service and organisation, and no route has a dangling reference. It returns
 // ErrHashMismatch or ErrDanglingReference.
 func (s *Snapshot) Consistent() error {
--- a/internal/source/instances.go
+++ b/internal/source/instances.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -42,6 +43,11 @@
 	// Incarnation changes with each start of the backend server; it is 0 if the
 	// list does not provide it.
 	Incarnation uint64 `json:"incarnation,omitempty"`
+	// WarmUpLeft is the time for which the backend server was still cold when its entry
+	// was written, 0 if it was warm or the list does not provide it.
+	WarmUpLeft time.Duration `json:"warm_up_left,omitempty"`
+	// Revision is that at which the entry was written. The follower sets it.
+	Revision uint64 `json:"-"`
 }
 
 // InstanceList reads the platform's list of instances. It caches the last list
