Limit the requests to a cold backend server

Cause: a cold backend server that receives well more than its warm-up rate crashes, and nothing bounded what the proxies send it together.

Change: package warmup decides whether the backend server is cold (latest end that a health response, the entry or the last sign of a start shows), how many requests it may receive and when to ask it. While it is cold, the rate limiter of admission applies the lower of the named limit and the warm-up rate; neither ends the other. Besides the token bucket, the starts of the last 1.25 s are counted, so that no second with sends up to 250 ms late exceeds the bound, also when the backend server turns cold in full load. After a restart, the starts of the former process count as the whole budget for that time.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"heatherlift.example/heatherlift/internal/outcome"
+	"heatherlift.example/heatherlift/internal/warmup"
 )
 
 // Config holds the parameters of admission.
@@ -34,6 +35,9 @@
 	// MinRetryAfter is the minimum retry delay of a refusal, by default one
 	// second.
 	MinRetryAfter time.Duration
+	// ColdTolerance is by how much a cold backend server may receive more than the rate
+	// that its service names.
+	ColdTolerance warmup.Tolerance
 }
 
 const (
@@ -54,12 +58,18 @@
 	serviceTime serviceTimeEstimator
 	crashes     crashDetector
 	rate        rateLimiter
+	warmUp      warmup.Tracker
+	losses      warmup.Losses
+	// warmUpState is the state of the latest WarmUpChanged.
+	warmUpState warmup.State
 	// wakeAt is the time of the latest WakeAt.
 	wakeAt time.Time
 	// departure is set once the backend server has stated that it is about to end.
 	departure *departure
-	requests  *requestTable
-	queue     *fairQueue
+	// assigned means that the platform has listed the backend server.
+	assigned bool
+	requests *requestTable
+	queue    *fairQueue
 	// awaitingClaim holds the requests whose claim is not decided yet.
 	awaitingClaim   map[uint64]*request
 	waiting         map[uint64]*request
@@ -94,6 +104,7 @@
 // Step applies an event at the given time and returns its effects.
 func (a *Admission) Step(now time.Time, e Event) []Effect {
 	a.effects = nil
+	a.applyWarmUp(now) // it may have ended since the last event
 	switch e := e.(type) {
 	case Arrived:
 		a.handleArrived(now, e)
@@ -118,15 +129,25 @@
 		a.handleReported(now, e)
 	case FenceReceived:
 		a.handleFence(now, e)
+	case ServiceLimited:
+		a.handleServiceLimited(now, e)
+	case WarmUpListed:
+		a.warmUp.Listed(now, e.Left)
+	case WarmUpChecked:
+		a.handleWarmUpChecked(now, e)
+	case MayBeCold:
+		a.warmUp.Sign(now, warmup.Source(e.Cause))
 	case Tick:
 		a.sweep(now)
 	}
+	a.applyWarmUp(now)
 	if a.acceptMode(now) == acceptNone {
 		a.refuseAll(now)
 	}
 	a.expire(now)
 	a.dispatch(now)
 	a.wakeForToken(now)
+	a.askWarmUp(now)
 	return a.effects
 }
 
@@ -190,7 +211,7 @@
 		a.refuse(now, r, outcome.DeadlineExpired)
 	case a.shouldRedirect(now, r):
 		a.redirect(now, r)
-	case a.rate.limited && a.exceedsRate(now, r, a.waitingForToken(r)):
+	case a.rate.limited() && a.exceedsRate(now, r, a.waitingForToken(r)):
 		a.refuse(now, r, outcome.BackendServerLimited)
 	case a.likelyToMissDeadlineInQueue(now, r), a.missesTargetInSaturatedQueue(now, r):
 		a.refuse(now, r, a.overloadReason(now))
@@ -265,8 +286,13 @@
 		a.reportCrash(now, processReplaced)
 		a.monitor = healthMonitor{}
 		a.serviceTime = serviceTimeEstimator{}
-		a.rate, a.departure = rateLimiter{}, nil
+		a.rate.endNamed(now, false)
+		a.departure = nil
+		if a.assigned {
+			a.warmUp.Sign(now, warmup.ObservedStart)
+		}
 	}
+	a.assigned = true
 }
 
 // dispatch starts waiting requests while slots are free and the rate limit allows.
--- a/internal/admission/events.go
+++ b/internal/admission/events.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"heatherlift.example/heatherlift/internal/config"
 	"heatherlift.example/heatherlift/internal/outcome"
+	"heatherlift.example/heatherlift/internal/warmup"
 )
 
 // Event is an input of the state machine.
@@ -113,22 +115,43 @@
 		Call  uint64
 		Fence Fence
 	}
+	// ServiceLimited puts the limits of the backend server's service in force.
+	ServiceLimited struct{ Limits config.ServiceLimits }
+	// WarmUpListed reports that a new entry of the backend server in the platform's
+	// list states how long it is still cold, 0 if it is warm.
+	WarmUpListed struct{ Left time.Duration }
+	// WarmUpChecked is the response to the effect CheckWarmUp.
+	WarmUpChecked struct {
+		// Left is the remaining warm-up time that the backend server states, 0 if it
+		// is warm, valid if Stated is set.
+		Left   time.Duration
+		Stated bool
+		// Refused means that the connection was refused.
+		Refused bool
+	}
+	// MayBeCold reports that the backend server may have become cold. Cause is a
+	// warmup.Source, such as the end of an evacuation of its availability zone.
+	MayBeCold struct{ Cause string }
 	// Tick triggers periodic work.
 	Tick struct{}
 )
 
-func (Arrived) admissionEvent()       {}
-func (Claimed) admissionEvent()       {}
-func (Ended) admissionEvent()         {}
-func (Abandoned) admissionEvent()     {}
-func (Leave) admissionEvent()         {}
-func (Assigned) admissionEvent()      {}
-func (Draining) admissionEvent()      {}
-func (Checked) admissionEvent()       {}
-func (Loaded) admissionEvent()        {}
-func (Reported) admissionEvent()      {}
-func (FenceReceived) admissionEvent() {}
-func (Tick) admissionEvent()          {}
+func (Arrived) admissionEvent()        {}
+func (Claimed) admissionEvent()        {}
+func (Ended) admissionEvent()          {}
+func (Abandoned) admissionEvent()      {}
+func (Leave) admissionEvent()          {}
+func (Assigned) admissionEvent()       {}
+func (Draining) admissionEvent()       {}
+func (Checked) admissionEvent()        {}
+func (Loaded) admissionEvent()         {}
+func (Reported) admissionEvent()       {}
+func (FenceReceived) admissionEvent()  {}
+func (ServiceLimited) admissionEvent() {}
+func (WarmUpListed) admissionEvent()   {}
+func (WarmUpChecked) admissionEvent()  {}
+func (MayBeCold) admissionEvent()      {}
+func (Tick) admissionEvent()           {}
 
 // Effect is an output of the state machine.
 type Effect interface{ admissionEffect() }
@@ -178,6 +201,18 @@
 		Limited   bool
 		PerSecond float64
 	}
+	// CheckWarmUp asks the backend server, by its health check at the path, how long it
+	// is still cold; WarmUpChecked is the response. No further one follows before.
+	CheckWarmUp struct{ Path string }
+	// WarmUpChanged reports that the backend server has become cold or warm, or that
+	// another source shows that it is cold.
+	WarmUpChanged struct {
+		// Instance is the backend server, set by package node.
+		Instance string
+		warmup.State
+		// PerSecond is the rate that is enforced while it is cold.
+		PerSecond float64
+	}
 	// LeavingReported reports that the backend server states in its responses that
 	// it is about to end.
 	LeavingReported struct{}
@@ -198,4 +233,6 @@
 func (FingerprintAnswered) admissionEffect() {}
 func (WakeAt) admissionEffect()              {}
 func (RateLimitChanged) admissionEffect()    {}
+func (CheckWarmUp) admissionEffect()         {}
+func (WarmUpChanged) admissionEffect()       {}
 func (LeavingReported) admissionEffect()     {}
--- a/internal/admission/namedlimit.go
+++ b/internal/admission/namedlimit.go
@@ -15,12 +15,12 @@
 // arrive out of order: a higher limit applies only if the request started after the
 // lower one was learnt.
 func (a *Admission) setRateLimit(now time.Time, r *request, perSecond float64) {
-	known := a.rate
-	a.rate.responded = true
+	known := a.rate.named
+	a.rate.named.responded = true
 	if known.limited && perSecond > known.perSecond && r.startedAt.Before(known.learntAt) {
 		return
 	}
-	a.rate.set(now, perSecond)
+	a.rate.setNamed(now, perSecond)
 	if !known.limited || known.perSecond != perSecond {
 		a.emit(RateLimitChanged{Limited: true, PerSecond: perSecond})
 	}
@@ -29,31 +29,32 @@
 // adoptRateLimit applies a limit that the sender of a request has learnt from an earlier
 // response, as long as this proxy has seen none: it may have been restarted since.
 func (a *Admission) adoptRateLimit(now time.Time, e Arrived) {
-	if !e.RateLimited || a.rate.responded || a.rate.limited && a.rate.perSecond <= e.RateLimit {
+	named := a.rate.named
+	if !e.RateLimited || named.responded || named.limited && named.perSecond <= e.RateLimit {
 		return
 	}
-	a.rate.set(now, e.RateLimit)
+	a.rate.setNamed(now, e.RateLimit)
 	a.emit(RateLimitChanged{Limited: true, PerSecond: e.RateLimit})
 }
 
 // recordUnlimited ends the rate limit if the response to r does not name one. As in
 // setRateLimit, the request must have started after the limit was learnt.
-func (a *Admission) recordUnlimited(r *request, e Ended) {
+func (a *Admission) recordUnlimited(now time.Time, r *request, e Ended) {
 	if e.Outcome != outcome.Answered && e.Reason != outcome.BackendServerShed {
 		return
 	}
-	a.rate.responded = true
-	if r.namedLimit || !a.rate.limited || r.startedAt.Before(a.rate.learntAt) {
+	a.rate.named.responded = true
+	if r.namedLimit || !a.rate.named.limited || r.startedAt.Before(a.rate.named.learntAt) {
 		return
 	}
-	a.rate = rateLimiter{responded: true}
+	a.rate.endNamed(now, true)
 	a.emit(RateLimitChanged{})
 }
 
 // waitsForTokens reports whether only the rate limit keeps requests waiting, as slots are
 // free.
 func (a *Admission) waitsForTokens(now time.Time) bool {
-	return a.rate.limited && len(a.running) < a.concurrencyLimit(now)
+	return a.rate.limited() && len(a.running) < a.concurrencyLimit(now)
 }
 
 // wakeForToken emits WakeAt if a request waits only for a token.
@@ -92,7 +93,7 @@
 
 // tokenWait returns the time until the rate limit lets a new request start.
 func (a *Admission) tokenWait(now time.Time, r *request) time.Duration {
-	if !a.rate.limited {
+	if !a.rate.limited() {
 		return 0
 	}
 	return a.rate.wait(now, a.waitingForToken(r)+1)
@@ -102,7 +103,7 @@
 // token than the share of its slack: the time until its target less the expected service
 // time.
 func (a *Admission) waitsTooLongForToken(now time.Time, r *request, share float64) bool {
-	if !a.rate.limited || r.Target.IsZero() {
+	if !a.rate.limited() || r.Target.IsZero() {
 		return false
 	}
 	slack := r.Target.Sub(now) - a.serviceTime.expected(r.Route)
@@ -111,7 +112,7 @@
 
 // dropBeyondRate refuses waiting requests that the rate limit does not let start in time.
 func (a *Admission) dropBeyondRate(now time.Time) {
-	if !a.rate.limited || a.queue.len() == 0 {
+	if !a.rate.limited() || a.queue.len() == 0 {
 		return
 	}
 	waiting := sortedByID(a.waiting)
--- a/internal/admission/outcome.go
+++ b/internal/admission/outcome.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"heatherlift.example/heatherlift/internal/outcome"
+	"heatherlift.example/heatherlift/internal/warmup"
 )
 
 // handleEnded records the outcome of a running request.
@@ -19,7 +20,7 @@
 	if !r.Repeatable {
 		a.requests.set(now, r.Request, endState(ran), 0)
 	}
-	a.recordUnlimited(r, e)
+	a.recordUnlimited(now, r, e)
 	a.recordOutcome(now, r, e)
 }
 
@@ -56,6 +57,7 @@
 		a.limiter.slowStart()
 		if !e.Inconclusive {
 			a.reportCrash(now, connectionsRefused)
+			a.warmUp.Sign(now, warmup.ObservedStart)
 		}
 	case e.Reason == outcome.BackendServerCrashed:
 		a.crashes.recordLoss(now, r, true)
@@ -64,6 +66,9 @@
 	case e.Reason == outcome.ConnectionLost:
 		a.crashes.recordLoss(now, r, !e.Inconclusive)
 		a.monitor.recordFailure(now)
+		if !e.Inconclusive && a.losses.Record(now, len(a.running)) {
+			a.warmUp.Sign(now, warmup.ObservedStart)
+		}
 	}
 }
 
@@ -71,6 +76,7 @@
 // ended and will be cold after its restart.
 func (a *Admission) backendServerDown(now time.Time) {
 	a.limiter.slowStart()
+	a.warmUp.Refused(now, warmup.ObservedStart)
 	a.reportCrash(now, connectionsRefused)
 }
 
--- a/internal/admission/ratelimiter.go
+++ b/internal/admission/ratelimiter.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"heatherlift.example/heatherlift/internal/warmup"
 )
 
 const (
@@ -23,10 +25,8 @@
 	contentionTokens  = 2
 )
 
-// rateLimiter enforces the rate limit that the backend server names in its responses,
-// with a token bucket. All requests of all proxies pass it, because it runs in the
-// proxy beside the backend server.
-type rateLimiter struct {
+// namedLimit is the rate limit that the backend server names in its responses.
+type namedLimit struct {
 	limited   bool
 	perSecond float64
 	// learntAt is when the latest response that named the limit arrived.
@@ -34,6 +34,20 @@
 	// responded means that the backend server has responded to a request, with or
 	// without a limit.
 	responded bool
+}
+
+// rateLimiter enforces the lower of the rate limit that the backend server names in its
+// responses and that of its warm-up, with a token bucket. All requests of all proxies
+// pass it, because it runs in the proxy beside the backend server. Neither limit ends
+// the other.
+type rateLimiter struct {
+	named namedLimit
+	// warmUp is the budget of the warm-up while the backend server is cold, otherwise
+	// zero.
+	warmUp warmup.Budget
+	// starts holds the latest starts if the service names a warm-up.
+	starts     warmup.Starts
+	keepStarts bool
 	// tokens is the number of requests that may start at refilledAt.
 	tokens     float64
 	refilledAt time.Time
@@ -46,23 +60,71 @@
 	promisedAt time.Time
 }
 
-// set applies a limit. The bucket of a new limit is empty.
-func (l *rateLimiter) set(now time.Time, perSecond float64) {
-	if l.limited {
+// cold reports whether the budget of a warm-up applies.
+func (l *rateLimiter) cold() bool { return l.warmUp.Limit > 0 }
+
+// limited reports whether any limit applies.
+func (l *rateLimiter) limited() bool { return l.named.limited || l.cold() }
+
+// setNamed applies the rate limit that the backend server names.
+func (l *rateLimiter) setNamed(now time.Time, perSecond float64) {
+	l.change(now, func() {
+		l.named.limited, l.named.perSecond, l.named.learntAt = true, perSecond, now
+	})
+}
+
+// endNamed ends the rate limit that the backend server names. Responded is that of the
+// limit.
+func (l *rateLimiter) endNamed(now time.Time, responded bool) {
+	l.change(now, func() { l.named = namedLimit{responded: responded} })
+}
+
+// setWarmUp applies the budget of a warm-up, or ends it if it is zero.
+func (l *rateLimiter) setWarmUp(now time.Time, b warmup.Budget) {
+	if b != l.warmUp {
+		l.change(now, func() { l.warmUp = b })
+	}
+}
+
+// change changes the limits with apply. The bucket of a new limit is empty. The time of
+// contention and the promises end with the last limit.
+func (l *rateLimiter) change(now time.Time, apply func()) {
+	if l.limited() {
 		l.refill(now)
 	} else {
 		l.tokens, l.refilledAt = 0, now
 	}
-	l.limited, l.perSecond, l.learntAt = true, perSecond, now
+	apply()
+	if !l.limited() {
+		l.contendedAt, l.promised, l.promisedAt = time.Time{}, 0, time.Time{}
+		return
+	}
 	l.tokens = min(l.tokens, l.burst())
 }
 
 // rate returns the enforced rate in requests per second.
-func (l *rateLimiter) rate() float64 { return min(max(l.perSecond, minRate), maxRate) }
+func (l *rateLimiter) rate() float64 {
+	switch {
+	case !l.cold():
+		return l.namedRate()
+	case !l.named.limited:
+		return l.warmUp.PerSecond
+	}
+	return min(l.namedRate(), l.warmUp.PerSecond)
+}
+
+func (l *rateLimiter) namedRate() float64 { return min(max(l.named.perSecond, minRate), maxRate) }
 
 // burst returns the capacity of the bucket.
 func (l *rateLimiter) burst() float64 {
-	return min(minBurst+l.rate()*burstDuration.Seconds(), maxBurst)
+	burst := min(minBurst+l.rate()*burstDuration.Seconds(), maxBurst)
+	switch {
+	case !l.cold():
+		return burst
+	case !l.named.limited:
+		return l.warmUp.Burst
+	}
+	return min(burst, l.warmUp.Burst)
 }
 
 func (l *rateLimiter) refill(now time.Time) {
@@ -75,23 +137,29 @@
 
 // wait returns the time until the n-th next request may start, counted from 1.
 func (l *rateLimiter) wait(now time.Time, n int) time.Duration {
-	if !l.limited {
+	if !l.limited() {
 		return 0
 	}
 	missing := float64(n) - l.tokens - max(0, now.Sub(l.refilledAt).Seconds())*l.rate()
-	return max(0, time.Duration(math.Ceil(missing/l.rate()*float64(time.Second))))
+	wait := max(0, time.Duration(math.Ceil(missing/l.rate()*float64(time.Second))))
+	if l.cold() {
+		wait = max(wait, l.starts.Wait(now, n, l.warmUp.Limit))
+	}
+	return wait
 }
 
 // take takes a token for a request that starts, or reports false if there is none.
 func (l *rateLimiter) take(now time.Time) bool {
-	if !l.limited {
-		return true
+	if l.limited() {
+		if l.wait(now, 1) > 0 {
+			return false
+		}
+		l.refill(now)
+		l.tokens--
 	}
-	if l.wait(now, 1) > 0 {
-		return false
+	if l.keepStarts {
+		l.starts.Record(now)
 	}
-	l.refill(now)
-	l.tokens--
 	return true
 }
 
@@ -112,5 +180,5 @@
 // contended reports whether the rate limit is too low for all requests.
 func (l *rateLimiter) contended(now time.Time) bool {
 	window := max(minContentionTime, time.Duration(contentionTokens/l.rate()*float64(time.Second)))
-	return l.limited && !l.contendedAt.IsZero() && now.Sub(l.contendedAt) < window
+	return l.limited() && !l.contendedAt.IsZero() && now.Sub(l.contendedAt) < window
 }
--- a/internal/admission/state.go
+++ b/internal/admission/state.go
@@ -27,6 +27,8 @@
 	RateLimitReports uint64 `json:"rate_limit_reports"`
 	LeavingReports   uint64 `json:"leaving_reports"`
 	InvalidReports   uint64 `json:"invalid_reports"`
+	// WarmUpChecks counts the health checks requested because of the warm-up.
+	WarmUpChecks uint64 `json:"warm_up_checks,omitempty"`
 }
 
 func (c *Counters) countRefusal(reason outcome.Reason) {
@@ -64,6 +66,9 @@
 	// RateLimit is the rate limit that the backend server names, in requests per
 	// second, nil if it names none.
 	RateLimit *float64 `json:"rate_limit,omitempty"`
+	// WarmUp describes the warm-up of the backend server, nil if its service names
+	// none.
+	WarmUp *WarmUpState `json:"warm_up,omitempty"`
 	// ReportedLeaving reports that the backend server states that it is about to
 	// end.
 	ReportedLeaving bool `json:"reported_leaving"`
@@ -101,10 +106,11 @@
 		ServiceMargin:   a.serviceTime.margin,
 		Counters:        a.Counters(),
 	}
-	if a.rate.limited {
-		limit := a.rate.perSecond
+	if a.rate.named.limited {
+		limit := a.rate.named.perSecond
 		s.RateLimit = &limit
 	}
+	s.WarmUp = a.describeWarmUp(now)
 	for name, queue := range a.queue.organisations {
 		s.Organisations = append(s.Organisations, OrganisationState{
 			Organisation: name,
