Send cold instances a share of the requests that fits their rate

Cause: an instance whose entry states that it is cold got requests like a warm one, most of which its proxy would refuse.

Change: routing.Instance.ColdUntil. A cold instance is drawn with its share of what each warm one gets, the rate it can serve relative to that of all its slots; by its score it would get none from a proxy that sends it few. A zone that is cold as a whole keeps that share, the rest goes to warm instances of other zones. If all are cold, all are used, and refusals follow the path of limited instances. A refusal by a warm-up takes an instance out of the offers for 1 s at most, not up to 15 s, since it ends without a response that says so. Latencies of cold instances are not learned: with them, the instance stayed out of use once it was warm, since others always scored better. Without a named warm-up nothing changes: the same random numbers are drawn.

--- a/internal/routing/events.go
+++ b/internal/routing/events.go
@@ -32,6 +32,9 @@
 	// Load is the load that the instance reports: running and queued requests
 	// per slot, 0 if unknown.
 	Load float64 `json:"load"`
+	// ColdUntil is the end of the warm-up of the backend server, zero if it is not known
+	// to be cold.
+	ColdUntil time.Time `json:"cold_until,omitzero"`
 }
 
 // Event is an input of the state machine.
--- a/internal/routing/instance.go
+++ b/internal/routing/instance.go
@@ -142,7 +142,7 @@
 // zone.
 func (i *instance) saturated(now time.Time) bool {
 	w := decay(now.Sub(i.observedAt), observationHalfLife)
-	return float64(i.inFlight) >= float64(max(i.Slots, 1))*i.slowStartShare(now) ||
+	return float64(i.inFlight) >= float64(max(i.Slots, 1))*i.slowStartShare(now)*i.coldShare(now) ||
 		i.failureRate*w > saturatedRate ||
 		i.refusalRate*w > saturatedRate ||
 		i.reportedLoad(now) >= 1
@@ -172,9 +172,10 @@
 	return rate - outcomeWeight*rate
 }
 
-// observeLatency adds a latency sample. A rise has more weight than a fall.
+// observeLatency adds a latency sample. A rise has more weight than a fall. Samples of a
+// cold instance are left out: they would keep requests away from it once it is warm.
 func (i *instance) observeLatency(now time.Time, d time.Duration) {
-	if d <= 0 {
+	if d <= 0 || i.cold(now) {
 		return
 	}
 	if i.latency == 0 {
--- a/internal/routing/limited.go
+++ b/internal/routing/limited.go
@@ -16,6 +16,10 @@
 	// minLimitedBackoff and maxFirstLimitedBackoff.
 	minLimitedBackoff      = 100 * time.Millisecond
 	maxFirstLimitedBackoff = time.Second
+	// maxColdBackoff caps that time instead if the backend server has named no rate limit
+	// and its service names a warm-up: the refusal came from a warm-up, which takes
+	// seconds and ends without a response that says so.
+	maxColdBackoff = time.Second
 	// maxLimitedSends limits the sends of a request to instances whose rate limit
 	// is known to leave no room for it soon.
 	maxLimitedSends = 2
@@ -39,11 +43,15 @@
 // leaves room, and takes the instance out of the candidates for a time.
 func (r *Router) recordLimited(now time.Time, i *instance, wait time.Duration) {
 	i.reportedWaitAt, i.reportedWait = now, wait
+	longest := maxLimitedBackoff
+	if i.pool.coldPerSecond > 0 && !i.rateLimited {
+		longest = maxColdBackoff
+	}
 	backoff := max(minLimitedBackoff, min(wait, maxFirstLimitedBackoff), 2*i.limitedBackoff)
 	if i.AvailabilityZone != r.cfg.AvailabilityZone {
 		backoff = max(backoff, remoteBusyBackoff)
 	}
-	i.limitedBackoff = min(backoff, maxLimitedBackoff)
+	i.limitedBackoff = min(backoff, longest)
 	i.limitedUntil = now.Add(i.limitedBackoff/2 + r.jitter(i.limitedBackoff/2))
 }
 
--- a/internal/routing/offer.go
+++ b/internal/routing/offer.go
@@ -65,19 +65,19 @@
 // one has no alternative, the request is sent without a limit.
 func (r *Router) chooseByOffers(now time.Time, c *call) (*instance, float64) {
 	r.collectCandidates(now, c)
-	local := r.pickOfTwo(now, withoutErrorProne(now, r.candidates.local))
-	remote := r.pickOfTwo(now, withoutErrorProne(now, r.candidates.remote))
+	local := r.pick(now, withoutErrorProne(now, r.candidates.local))
+	remote := r.pick(now, withoutErrorProne(now, r.candidates.remote))
 	cost := r.transferCost(c)
 	remoteAllowed := remote != nil && c.remoteOffers < maxRemoteOffers && cost < 1
 	switch {
-	case local != nil && remoteAllowed && local.errorProne(now) && !remote.errorProne(now):
+	case local != nil && remoteAllowed && (local.errorProne(now) && !remote.errorProne(now) || r.leavesColdZone(now, local, remote)):
 		c.remoteOffers++
 		return remote, max(offerMaxWaitShare, cost)
 	case local != nil && (len(r.candidates.local) > 1 || c.tried == nil && len(r.candidates.busy) > 0):
 		return local, offerMaxWaitShare
 	case local != nil && remoteAllowed:
 		return local, max(offerMaxWaitShare, cost)
-	case local != nil && c.tried == nil && local.rateLimited:
+	case local != nil && c.tried == nil && (local.rateLimited || local.cold(now)):
 		return local, 1 // the others follow, at any cost
 	case local != nil && c.tried == nil:
 		return local, 0
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -25,6 +25,9 @@
 type pool struct {
 	instances   []*instance
 	meanLatency time.Duration
+	// coldPerSecond is the rate of requests that a cold instance can serve, 0 if the
+	// service names no warm-up.
+	coldPerSecond float64
 }
 
 // ejected returns the number of instances that are ejected at the given time.
@@ -133,7 +136,7 @@
 func (r *Router) pool(service string) *pool {
 	p, ok := r.pools[service]
 	if !ok {
-		p = &pool{}
+		p = &pool{coldPerSecond: r.cfg.ColdTolerance.Rate(r.services[service].WarmUpPerSecond)}
 		r.pools[service] = p
 	}
 	return p
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -7,6 +7,7 @@
 
 	"heatherlift.example/heatherlift/internal/config"
 	"heatherlift.example/heatherlift/internal/outcome"
+	"heatherlift.example/heatherlift/internal/warmup"
 )
 
 // Config configures a Router.
@@ -17,6 +18,9 @@
 	MaxAttempts int
 	// Retries limits the retries that each service gets from the whole fleet.
 	Retries RetryBudget
+	// ColdTolerance is by how much a cold backend server may receive more requests than
+	// the rate that its service names.
+	ColdTolerance warmup.Tolerance
 	// Seed seeds the random number generator for the selection of instances and
 	// for jitter.
 	Seed uint64
@@ -65,6 +69,8 @@
 	limiter   Limiter
 	table     *Table
 	pools     map[string]*pool
+	// services holds the services of the version in force that name a warm-up.
+	services  map[string]config.ServiceLimits
 	instances map[string]*instance
 	// departures holds the announced ends of instances by ID.
 	departures map[string]departure
@@ -165,6 +171,7 @@
 // in flight.
 func (r *Router) enforce(s *config.Snapshot) {
 	r.table = NewTable(s, r.table)
+	r.enforceServices(s.Services)
 	r.split = newTrafficSplit(r.rng)
 	clear(r.meanResponseBytes)
 	clear(r.majorityBudgets)
--- a/internal/routing/selection.go
+++ b/internal/routing/selection.go
@@ -148,11 +148,11 @@
 // none.
 func (r *Router) chooseByScore(now time.Time, c *call) *instance {
 	r.collectCandidates(now, c)
-	local := r.pickOfTwo(now, r.candidates.local)
-	remote := r.pickOfTwo(now, r.candidates.remote)
+	local := r.pick(now, r.candidates.local)
+	remote := r.pick(now, r.candidates.remote)
 	switch {
 	case local != nil && remote != nil:
-		if c.failedZone == r.cfg.AvailabilityZone || shouldSpill(now, local, remote) {
+		if c.failedZone == r.cfg.AvailabilityZone || shouldSpill(now, local, remote) || r.leavesColdZone(now, local, remote) {
 			r.stats.ZoneSpills++
 			return remote
 		}
