Ask backend servers for their remaining warm-up time

Cause: nothing passed the warm-up of the version in force, of the entries and of health responses to admission.

Change: package node passes the limits of its service and new entries of its backend server to admission; an entry counts once, by its revision, since the list is passed on with every change of another entry. The effect CheckWarmUp makes the host ask by the health check of the version in force, with a timeout of 2 s, independently of backend_server.health_interval; a failure is logged once until the result changes. The header is named by platform/, coldOver and coldSlack come from platform.bounds. Event MayBeCold is for the end of an evacuation. Log line warm-up, metric heatherlift_warmup_seconds_left, warm_up in the state dump.

--- a/internal/forward/dialect.go
+++ b/internal/forward/dialect.go
@@ -37,6 +37,9 @@
 	// LeavingHeader is the header, with the value 1, by which a backend server
 	// states in its responses that it is about to end.
 	LeavingHeader string
+	// WarmUpHeader is the header of a health response with the time, in milliseconds,
+	// for which the backend server is still cold, 0 if it is warm.
+	WarmUpHeader string
 	// StatusIndicatesExecution makes the status code state whether a request
 	// was run: 503 and 429 guarantee that it was not, 502 and 504 guarantee
 	// nothing.
--- a/internal/host/admissionmetrics.go
+++ b/internal/host/admissionmetrics.go
@@ -15,7 +15,7 @@
 	host *Host
 
 	requests, refused, running, waiting, slots *prometheus.Desc
-	rateLimit, leaving, reports                *prometheus.Desc
+	rateLimit, leaving, reports, warmUp        *prometheus.Desc
 	claims, keys, suspects                     *prometheus.Desc
 	incidents, quarantined, evidence           *prometheus.Desc
 }
@@ -33,6 +33,7 @@
 		slots:       desc("slots", "Current limit on concurrent requests to the backend server."),
 		rateLimit:   desc("rate_limit", "Rate limit that the local backend server names in its responses, in requests per second; absent if it names none."),
 		leaving:     desc("reported_leaving", "1 if the local backend server states in its responses that it is about to end, 0 otherwise."),
+		warmUp:      prometheus.NewDesc("heatherlift_warmup_seconds_left", "Remaining warm-up time of the local backend server, 0 if it is warm; absent if its service names no warm-up.", nil, nil),
 		reports:     desc("reports_total", "Responses in which the local backend server states something about itself, by what.", "what"),
 		claims:      desc("claims_total", "Claims by this proxy on idempotency keys, by result.", "result"),
 		keys:        desc("keys", "Idempotency keys that this proxy stores as one of their owners."),
@@ -79,6 +80,9 @@
 	if a.RateLimit != nil {
 		c <- prometheus.MustNewConstMetric(m.rateLimit, prometheus.GaugeValue, *a.RateLimit)
 	}
+	if a.WarmUp != nil {
+		c <- prometheus.MustNewConstMetric(m.warmUp, prometheus.GaugeValue, a.WarmUp.Left.Seconds())
+	}
 	leaving := 0
 	if a.ReportedLeaving {
 		leaving = 1
--- a/internal/host/build.go
+++ b/internal/host/build.go
@@ -37,6 +37,8 @@
 		c.Dist.Followed = true
 		c.Routing.Retries = adapter.Retries
 		c.Admission.MinRetryAfter = adapter.MinRetryAfter
+		c.Admission.ColdTolerance = adapter.ColdTolerance
+		c.Routing.ColdTolerance = adapter.ColdTolerance
 	}
 	return c
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,7 @@
 	"heatherlift.example/heatherlift/internal/routing"
 	"heatherlift.example/heatherlift/internal/settings"
 	"heatherlift.example/heatherlift/internal/source"
+	"heatherlift.example/heatherlift/internal/warmup"
 )
 
 const tickInterval = 100 * time.Millisecond
@@ -66,6 +68,10 @@
 	peerPool    *forward.Pool
 	backendPool *forward.Pool
 	runID       string
+	// warmUpFailure is the failure of the last health check for the warm-up, empty if
+	// it succeeded.
+	warmUpFailure   atomic.Pointer[string]
+	warmUpTransport *http.Transport
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -89,6 +95,9 @@
 	Dialect forward.Dialect
 	// Retries bounds the retries to a service across the fleet.
 	Retries routing.RetryBudget
+	// ColdTolerance is by how much a cold backend server may receive more requests
+	// than the rate that its service names.
+	ColdTolerance warmup.Tolerance
 	// MinRetryAfter is the lower bound of the Retry-After of a refusal. It may
 	// be below one second if callers accept fractions of a second.
 	MinRetryAfter time.Duration
@@ -104,15 +113,16 @@
 	}
 	now := time.Now()
 	h := &Host{
-		settings:    s,
-		log:         logger,
-		decisions:   decisionlog.New(logger),
-		node:        node.New(nodeConfig(s, now, adapter)),
-		dialect:     forward.NativeDialect(),
-		recorder:    recorder,
-		identity:    id,
-		backendPool: forward.NewPool(forward.DialTCP, s.BackendServer.Connections),
-		runID:       runID(s.ID, now),
+		settings:        s,
+		log:             logger,
+		decisions:       decisionlog.New(logger),
+		node:            node.New(nodeConfig(s, now, adapter)),
+		dialect:         forward.NativeDialect(),
+		recorder:        recorder,
+		identity:        id,
+		backendPool:     forward.NewPool(forward.DialTCP, s.BackendServer.Connections),
+		runID:           runID(s.ID, now),
+		warmUpTransport: &http.Transport{},
 	}
 	h.peerPool = forward.NewPool(h.dialPeer, 0)
 	h.metrics = newMetrics(h)
@@ -198,6 +208,10 @@
 		h.admitEffects.deliver(e.ID, e)
 	case admission.WakeAt:
 		time.AfterFunc(time.Until(e.At), func() { h.step(admission.Tick{}) })
+	case admission.CheckWarmUp:
+		h.spawn(func() { h.step(h.checkWarmUp(e.Path)) })
+	case admission.WarmUpChanged:
+		h.logWarmUp(e)
 	case admission.ReplyFence:
 		h.replies.deliver(e.Call, e.Reply)
 	}
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -104,6 +104,7 @@
 	err = h.group.Wait()
 	h.peerPool.Close()
 	h.backendPool.Close()
+	h.warmUpTransport.CloseIdleConnections()
 	h.source.Close()
 	if h.feed != nil {
 		h.feed.Close()
--- a/internal/node/admission.go
+++ b/internal/node/admission.go
@@ -38,6 +38,9 @@
 			n.recordCrashedRuns(now, effect, out)
 		case admission.RateLimitChanged:
 			n.journal.addRateLimit(now, n.backend.ID, effect)
+		case admission.WarmUpChanged:
+			effect.Instance = n.backend.ID
+			out.Admission = append(out.Admission, effect)
 		case admission.LeavingReported:
 			n.journal.add(now, "backend server reports that it leaves", n.backend.ID)
 		case admission.FingerprintAnswered:
--- a/internal/node/crashcalls_test.go
+++ b/internal/node/crashcalls_test.go
@@ -99,7 +99,11 @@
 		r.crash(p, run)
 		return
 	}
-	r.after(20*time.Millisecond+r.jitter(80*time.Millisecond), func() {
+	work := 20*time.Millisecond + r.jitter(80*time.Millisecond)
+	if r.now.Before(p.coldUntil) {
+		work *= 2
+	}
+	r.after(work, func() {
 		if end, ok := p.running[run]; ok && p.backendGeneration == backend && p.backendUp {
 			end(false)
 		}
@@ -209,6 +213,7 @@
 	old := source.Entry{ID: p.instance(), Revision: f.revision}
 	p.backendGeneration++
 	p.backendUp, p.listedLeaving, p.stated = true, false, statement{}
+	p.coldUntil = f.now.Add(time.Duration(f.warmUp.WarmUp))
 	f.storeChanged(old, f.entry(p))
 }
 
@@ -238,6 +243,9 @@
 	e := routing.AttemptEnded{
 		ID: r.id, Outcome: result.Outcome, Reason: result.Reason, RetryAfter: result.RetryAfter, Latency: time.Millisecond,
 	}
+	if r.zones > 0 {
+		e.Latency = r.now.Sub(r.sentAt)
+	}
 	if result.Outcome == outcome.Answered {
 		delete(r.routes, r.id)
 		e.Status = 200
--- a/internal/node/crashfleet_test.go
+++ b/internal/node/crashfleet_test.go
@@ -59,6 +59,8 @@
 	running           map[uint64]func(ended bool)
 	// stated is what the backend server states in its responses.
 	stated statement
+	// coldUntil is the end of its warm-up.
+	coldUntil time.Time
 	// listedLeaving means that the store lists the backend server as leaving.
 	listedLeaving bool
 }
@@ -93,6 +95,10 @@
 	// statements observes the requests to backend servers that state something about
 	// themselves.
 	statements *statementObserver
+	// warmUp is the warm-up that all services name, zones the number of availability
+	// zones, one if it is 0.
+	warmUp config.ServiceLimits
+	zones  int
 }
 
 // ending is how a backend server ends under the crashing request. The zero value ends it
@@ -105,12 +111,15 @@
 	drops             bool
 }
 
-func newCrashFleet(seed uint64, n int) *crashFleet {
+func newCrashFleet(seed uint64, n int, options ...func(*crashFleet)) *crashFleet {
 	f := &crashFleet{
 		virtualTime: virtualTime{now: epoch}, rng: rand.New(rand.NewPCG(seed, 1)), revision: 1,
 		routes: make(map[uint64]func(routing.Effect)), runs: make(map[uint64]func(admission.Effect)),
 		replies: make(map[uint64]func(quarantine.Message)), statements: newStatementObserver(),
 	}
+	for _, option := range options {
+		option(f)
+	}
 	for i := range n {
 		f.proxies = append(f.proxies, &crashProxy{index: i, backendUp: true, running: make(map[uint64]func(bool))})
 	}
@@ -141,13 +150,13 @@
 				ID: fmt.Sprintf("p-%d", p.index), Incarnation: uint64(f.now.UnixNano()), Service: p.service(), PeerAddress: p.address(),
 			}, Interval: time.Second},
 			Dist:           dist.Config{ID: fmt.Sprintf("p-%d", p.index), Followed: true, Seed: f.rng.Uint64()},
-			Routing:        routing.Config{AvailabilityZone: "z", MaxAttempts: 3, Seed: f.rng.Uint64()},
-			Admission:      admission.Config{QueueLength: 50, MinRetryAfter: 100 * time.Millisecond},
+			Routing:        routing.Config{AvailabilityZone: f.zone(p), MaxAttempts: 3, Seed: f.rng.Uint64(), ColdTolerance: coldTolerance},
+			Admission:      admission.Config{QueueLength: 50, MinRetryAfter: 100 * time.Millisecond, ColdTolerance: coldTolerance},
 			Listed:         true,
 			BackendAddress: p.address(),
 		})
 		f.step(p, Tick{})
-		f.step(p, StoreListed{Listing: source.Listing{Revision: f.revision, Configuration: crashConfiguration(), Instances: f.entries()}})
+		f.step(p, StoreListed{Listing: source.Listing{Revision: f.revision, Configuration: f.configuration(), Instances: f.entries()}})
 		f.tick(p, generation)
 	})
 }
@@ -164,6 +173,17 @@
 	})
 }
 
+// configuration returns the only version, with the warm-up of the services.
+func (f *crashFleet) configuration() *source.Configuration {
+	c := crashConfiguration()
+	services := make(map[string]config.ServiceLimits)
+	for i := range crashServices {
+		services[fmt.Sprintf("s-%d", i)] = f.warmUp
+	}
+	c.Snapshot = c.Snapshot.WithServices(services)
+	return c
+}
+
 func crashConfiguration() *source.Configuration {
 	org := &config.Organisation{Name: "a.example", Groups: map[string]config.Group{}, Limits: config.Limits{RequestsPerSecond: 100_000, Concurrency: 10_000}}
 	for i := range crashServices {
@@ -197,8 +217,8 @@
 		state = source.InstanceLeaving
 	}
 	return source.Entry{ID: p.instance(), Revision: f.revision, Instance: &source.Instance{
-		ID: p.instance(), Service: p.service(), AvailabilityZone: "z", State: state, Address: p.address(),
-		PeerAddress: p.address(), BackendAddress: p.address(), Slots: crashSlots,
+		ID: p.instance(), Service: p.service(), AvailabilityZone: f.zone(p), State: state, Address: p.address(),
+		PeerAddress: p.address(), BackendAddress: p.address(), Slots: crashSlots, WarmUpLeft: max(0, p.coldUntil.Sub(f.now)),
 	}}
 }
 
@@ -265,6 +285,8 @@
 			f.runs[effect.ID](effect)
 		case admission.WakeAt:
 			f.tickAdmission(p, effect.At)
+		case admission.CheckWarmUp:
+			f.checkWarmUp(p)
 		}
 	}
 	f.stepPeers(p, out)
--- a/internal/node/instances.go
+++ b/internal/node/instances.go
@@ -13,6 +13,8 @@
 // server to admission. If the list lacks this entry, admission refuses all
 // requests.
 func (n *Node) applyInstances(now time.Time, list []source.Instance, out *Effects) {
+	backend, listed := n.localBackend(list)
+	entryIsNew := n.listWarmUps(now, list, backend.ID)
 	instances := make([]routing.Instance, 0, len(list))
 	for _, i := range list {
 		instances = append(instances, routing.Instance{
@@ -23,10 +25,14 @@
 			Slots:            i.Slots,
 			Leaving:          i.State == source.InstanceLeaving,
 			Incarnation:      i.Incarnation,
+			ColdUntil:        n.coldUntil(i.ID),
 		})
 	}
-	if backend, ok := n.localBackend(list); ok {
+	if listed {
 		n.updateBackend(now, backend, out)
+		if entryIsNew {
+			n.stepAdmission(now, admission.WarmUpListed{Left: backend.WarmUpLeft}, out)
+		}
 	} else {
 		n.stepAdmission(now, admission.Draining{Draining: true}, out)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -102,6 +102,8 @@
 	started      bool
 	// backend is the local backend server's entry in the list of instances.
 	backend source.Instance
+	// warmUps holds what the entries of the instances state about their warm-ups.
+	warmUps map[string]listedWarmUp
 	leaving bool
 	// admitUntil is when a leaving proxy stops admitting requests from other
 	// proxies.
@@ -321,6 +323,7 @@
 	}
 	n.journal.addVersion(now, s)
 	out.Callers = &s.Callers
+	n.enforceServiceLimits(now, s, out)
 	n.stepRouting(now, routing.SnapshotEnforced{Snapshot: s}, out)
 	n.stepLimit(now, limit.VersionEnforced{Version: s.Version}, out)
 }
--- a/internal/node/trace.go
+++ b/internal/node/trace.go
@@ -40,6 +40,7 @@
 	admission.Arrived{}, admission.Ended{}, admission.Abandoned{}, admission.Draining{}, admission.Assigned{},
 	limit.Received{}, limit.Answered{}, limit.Failed{},
 	admission.Checked{}, admission.Loaded{}, admission.Reported{}, admission.FenceReceived{},
+	admission.WarmUpChecked{}, admission.MayBeCold{},
 	dedupe.ClaimReceived{}, dedupe.ClaimAnswered{}, dedupe.Settled{}, dedupe.SyncReceived{}, dedupe.SyncAnswered{},
 	quarantine.Received{}, quarantine.Replied{}, quarantine.Failed{},
 )
