--- a/internal/admission/invariant_test.go
+++ b/internal/admission/invariant_test.go
@@ -9,6 +9,7 @@
 
 	_ "heatherlift.example/heatherlift/internal/fixedseed"
 	"heatherlift.example/heatherlift/internal/outcome"
+	"heatherlift.example/heatherlift/internal/warmup"
 )
 
 // smallRequestLimit makes the request table evict entries early.
@@ -232,12 +233,24 @@
 	}).Draw(c.T, "signal"))
 }
 
+func (c *checker) reportWarmUp(*rapid.T) {
+	c.step(rapid.SampledFrom([]Event{
+		testServiceLimits(14), testServiceLimits(1), testServiceLimits(0),
+		MayBeCold{Cause: string(warmup.Evacuation)},
+		WarmUpListed{Left: time.Second},
+		WarmUpListed{},
+		WarmUpChecked{Left: time.Second, Stated: true},
+		WarmUpChecked{Stated: true},
+		WarmUpChecked{Refused: true},
+	}).Draw(c.T, "warm-up"))
+}
+
 func TestInvariants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := newChecker(t)
 		t.Repeat(map[string]func(*rapid.T){
 			"arrive": c.arrive, "arrive again": c.arrive, "claim": c.decideClaim, "end": c.end,
-			"limit": c.reportLimit, "abandon": c.abandon, "fence": c.fence, "pass": c.advance, "signal": c.reportHealth,
+			"limit": c.reportLimit, "abandon": c.abandon, "fence": c.fence, "pass": c.advance, "signal": c.reportHealth, "warm-up": c.reportWarmUp,
 		})
 		c.checkAllDecided()
 	})
--- a/internal/source/feed.go
+++ b/internal/source/feed.go
@@ -70,6 +70,13 @@
 	Instance *Instance `json:"instance,omitempty"`
 }
 
+// listed returns the instance with the revision of its entry.
+func (e Entry) listed() Instance {
+	i := *e.Instance
+	i.Revision = e.Revision
+	return i
+}
+
 // Configuration is a version of the configuration as published by the operator.
 type Configuration struct {
 	Version uint64 `json:"version"`
--- a/internal/source/follow.go
+++ b/internal/source/follow.go
@@ -381,9 +381,7 @@
 	hash := xxhash.New()
 	v.Instances = make([]Instance, 0, len(f.known))
 	for _, e := range f.sortedEntries() {
-		i := *e.Instance
-		i.Revision = e.Revision
-		v.Instances = append(v.Instances, i)
+		v.Instances = append(v.Instances, e.listed())
 		fmt.Fprintf(hash, "%s %d\n", e.ID, e.Revision)
 		if e.Era > 0 {
 			fmt.Fprintf(hash, "%d %s\n", e.Era, e.Instance.State)
