--- a/internal/host/build.go
+++ b/internal/host/build.go
@@ -40,6 +40,8 @@
 			c.Routing.SelfAddress = s.Listen.Forward
 		}
 		c.Admission.MinRetryAfter = adapter.MinRetryAfter
+		c.Admission.ColdTolerance = adapter.ColdTolerance
+		c.Routing.ColdTolerance = adapter.ColdTolerance
 	}
 	return c
 }
