Serve requests by priority class with a guaranteed tenth

Cause: organisations came before priorities, so that a kind of requests with a host of its own got as much slot time as the most urgent one; with one organisation the last class starved.

Change: classes by priority, and calls before new work within a priority; equal shares of organisations within a class; a tenth of the slot time for each class that waits.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -59,7 +59,7 @@
 	// departure is set once the backend server has stated that it is about to end.
 	departure *departure
 	requests  *requestTable
-	queue     *fairQueue
+	queue     *priorityQueue
 	// awaitingClaim holds the requests whose claim is not decided yet.
 	awaitingClaim   map[uint64]*request
 	waiting         map[uint64]*request
@@ -84,7 +84,7 @@
 		cfg:           cfg,
 		limiter:       newConcurrencyLimiter(cfg.Slots),
 		requests:      newRequestTable(cfg.RequestLimit),
-		queue:         newFairQueue(),
+		queue:         newPriorityQueue(),
 		awaitingClaim: make(map[uint64]*request),
 		waiting:       make(map[uint64]*request),
 		running:       make(map[uint64]*request),
@@ -229,17 +229,15 @@
 
 // enqueue adds a request to the queue. It then drops one request of the
 // organisation if its waiting requests exceed OrganisationQueueLength, and one of
-// the organisation with the most waiting requests if those of all organisations
-// exceed QueueLength.
+// the least urgent if those of all organisations exceed QueueLength.
 func (a *Admission) enqueue(now time.Time, r *request) {
-	r.queue = a.queue.queueOf(r.Organisation)
 	a.queue.push(now, r)
 	a.waiting[r.ID] = r
-	if r.queue.waiting.Len() > a.cfg.OrganisationQueueLength {
-		a.drop(now, r.queue.waiting.last(), a.overloadReason(now))
+	if a.queue.waitingOf[r.Organisation] > a.cfg.OrganisationQueueLength {
+		a.drop(now, a.queue.evictionCandidate(r, true), a.overloadReason(now))
 	}
 	if a.queue.len() > a.cfg.QueueLength {
-		a.drop(now, a.queue.evictionCandidate(), a.overloadReason(now))
+		a.drop(now, a.queue.evictionCandidate(r, false), a.overloadReason(now))
 	}
 }
 
@@ -275,7 +273,7 @@
 func (a *Admission) dispatch(now time.Time) {
 	limit := a.concurrencyLimit(now)
 	for a.queue.len() > 0 && len(a.running) < limit {
-		r := a.queue.peek()
+		r := a.queue.peek(a.serviceTime.mean)
 		if a.dropOrDemoteLate(now, r) {
 			continue
 		}
--- a/internal/admission/events.go
+++ b/internal/admission/events.go
@@ -33,6 +33,8 @@
 		Instance string
 		// Priority is the priority class of the request; 0 is the most urgent.
 		Priority int
+		// Call means that a backend server sent the request while it runs another.
+		Call bool
 		// Target is the soft deadline: an answer after it is worth less. It is
 		// zero if the value of an answer does not depend on time.
 		Target time.Time
--- a/internal/admission/namedlimit.go
+++ b/internal/admission/namedlimit.go
@@ -75,19 +75,14 @@
 // accepted for the tokens that come next.
 func (a *Admission) waitingForToken(r *request) int {
 	if r.Target.IsZero() {
-		return a.requestsAhead(r.Organisation)
+		return a.requestsAhead(r)
 	}
-	queue, ok := a.queue.organisations[r.Organisation]
-	if !ok {
-		return 0
-	}
-	n := 0
-	for _, waiting := range queue.waiting.items {
-		if waiting.Priority <= r.Priority {
-			n++
+	return a.queue.ahead(r.class(), func(queue *classQueue) int {
+		if own, ok := queue.organisations[r.Organisation]; ok {
+			return own.waiting.Len()
 		}
-	}
-	return n
+		return 0
+	})
 }
 
 // tokenWait returns the time until the rate limit lets a new request start.
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -32,13 +32,13 @@
 
 func (r *request) position(heapID int) *int { return &r.positions[heapID] }
 
-// runsBefore orders the requests of one organisation: by priority, then those that
+// runsBefore orders the requests of one organisation: by class, then those that
 // can still meet their target before late ones, then by target or deadline. Under
 // overload, a request that is late has lost most of its value and must not make
 // the next one late as well.
 func runsBefore(a, b *request) bool {
-	if a.Priority != b.Priority {
-		return a.Priority < b.Priority
+	if a.class() != b.class() {
+		return a.class().moreUrgentThan(b.class())
 	}
 	if a.late != b.late {
 		return b.late
@@ -65,10 +65,11 @@
 	return a.ID < b.ID
 }
 
-// organisationQueue holds the waiting requests of one organisation and accounts
-// for the slot time that it used.
+// organisationQueue holds the waiting requests of one organisation in one class and
+// accounts for the slot time that they used.
 type organisationQueue struct {
 	organisation string
+	class        *classQueue
 	waiting      indexedHeap[*request]
 	running      int
 	// virtualTime is the slot time charged to the organisation. When the
@@ -94,36 +95,36 @@
 	return a.organisation < b.organisation
 }
 
-// fairQueue shares slot time equally among the organisations with waiting requests,
-// by fair queueing with virtual time. The organisation with the least virtual time
+// fairQueue holds the waiting requests of one class. It shares slot time equally
+// among the organisations with waiting requests, by fair queueing with virtual time.
+// The organisation with the least virtual time
 // is served first; runsBefore orders its requests. An organisation that becomes
 // active starts at the virtual clock, so that it gains no credit while it is idle.
 type fairQueue struct {
 	organisations map[string]*organisationQueue
+	// length is the number of waiting requests.
+	length int
 	// active and longest hold the organisations with waiting requests, by
 	// virtual time and by queue length.
 	active       indexedHeap[*organisationQueue]
 	longest      indexedHeap[*organisationQueue]
-	deadlines    indexedHeap[*request]
 	virtualClock time.Duration
 }
 
-func newFairQueue() *fairQueue {
-	return &fairQueue{
+func newFairQueue() fairQueue {
+	return fairQueue{
 		organisations: make(map[string]*organisationQueue),
 		active:        indexedHeap[*organisationQueue]{heapID: virtualTimeHeap, less: hasLessVirtualTime},
 		longest:       indexedHeap[*organisationQueue]{heapID: lengthHeap, less: isLonger},
-		deadlines:     indexedHeap[*request]{heapID: deadlineHeap, less: hasEarlierDeadline},
 	}
 }
 
-func (q *fairQueue) len() int { return q.deadlines.Len() }
-
-// queueOf returns the queue of an organisation. It is created if necessary.
-func (q *fairQueue) queueOf(organisation string) *organisationQueue {
+// queueOf returns the queue of an organisation. It is created for the class if
+// necessary.
+func (q *fairQueue) queueOf(organisation string, class *classQueue) *organisationQueue {
 	queue, ok := q.organisations[organisation]
 	if !ok {
-		queue = &organisationQueue{organisation: organisation}
+		queue = &organisationQueue{organisation: organisation, class: class}
 		queue.waiting = indexedHeap[*request]{heapID: organisationHeap, less: runsBefore}
 		q.organisations[organisation] = queue
 	}
@@ -134,7 +135,7 @@
 	queue := r.queue
 	queue.lastUsed = now
 	queue.waiting.add(r)
-	q.deadlines.add(r)
+	q.length++
 	if queue.waiting.Len() == 1 {
 		queue.virtualTime = max(queue.virtualTime, q.virtualClock)
 		q.active.add(queue)
@@ -147,7 +148,7 @@
 func (q *fairQueue) remove(r *request) {
 	queue := r.queue
 	queue.waiting.remove(r)
-	q.deadlines.remove(r)
+	q.length--
 	if queue.waiting.Len() == 0 {
 		q.active.remove(queue)
 		q.longest.remove(queue)
@@ -156,22 +157,21 @@
 	q.longest.fix(queue)
 }
 
-// markLate marks a waiting request as late and reorders its queue.
-func (q *fairQueue) markLate(r *request) {
-	r.late = true
-	r.queue.waiting.fix(r)
-}
-
-// countBefore returns how many waiting requests of the organisation would run
-// before r.
-func (q *fairQueue) countBefore(queue *organisationQueue, r *request) int {
+// countBefore estimates how many waiting requests of the class would run before r,
+// which does not wait yet: those of its organisation that are ordered before it, and
+// as many of each other one.
+func (q *fairQueue) countBefore(r *request) int {
+	queue, ok := q.organisations[r.Organisation]
+	if !ok {
+		return 0
+	}
 	n := 0
 	for _, waiting := range queue.waiting.items {
 		if runsBefore(waiting, r) {
 			n++
 		}
 	}
-	return n
+	return min(q.length, n*q.active.Len())
 }
 
 // peek returns the request to run next.
@@ -209,10 +209,14 @@
 	}
 }
 
-// evictionCandidate returns a request to drop when the queue is full: one of the
-// last of the organisation with the most waiting requests.
-func (q *fairQueue) evictionCandidate() *request {
-	return q.longest.top().waiting.last()
+// aheadOf estimates how many waiting requests run before a new one of the
+// organisation.
+func (q *fairQueue) aheadOf(organisation string) int {
+	own := 0
+	if queue, ok := q.organisations[organisation]; ok {
+		own = queue.waiting.Len()
+	}
+	return min(q.length, (own+1)*q.active.Len())
 }
 
 // removeIdle removes organisations that have no requests and were last used before
--- a/internal/admission/refusal.go
+++ b/internal/admission/refusal.go
@@ -125,12 +125,9 @@
 // waitingBefore estimates how many waiting requests run before a new one.
 func (a *Admission) waitingBefore(r *request) int {
 	if r.Target.IsZero() {
-		return a.requestsAhead(r.Organisation)
+		return a.requestsAhead(r)
 	}
-	if queue, ok := a.queue.organisations[r.Organisation]; ok {
-		return a.queue.countBefore(queue, r)
-	}
-	return 0
+	return a.queue.ahead(r.class(), func(queue *classQueue) int { return queue.countBefore(r) })
 }
 
 // estimateSlotWait estimates how long a new request behind others would wait for a slot.
@@ -207,50 +204,69 @@
 }
 
 // missesTargetInSaturatedQueue reports whether the queue is saturated and a new
-// request would miss its target behind the requests that wait.
+// request would miss its target behind the requests that wait. Less urgent ones do not
+// count: they are dropped before it.
 func (a *Admission) missesTargetInSaturatedQueue(now time.Time, r *request) bool {
-	if !a.queueSaturated(now) {
+	if !a.rate.contended(now) && a.queue.lenUpTo(r.class()) < a.concurrencyLimit(now) {
 		return false
 	}
 	return a.waitsTooLongForToken(now, r, tokenWaitShare) || a.missesTarget(now, r, a.estimateWait(now, r))
 }
 
 // dropOrDemoteLate checks whether a waiting request can still meet its target. If
-// not, it drops the request when the queue is saturated, or else moves it behind
-// those that can. It reports whether the request was dropped or moved. Requests that
-// wait for tokens keep their place: those that came later were accepted for later
-// tokens.
+// not, it drops the least urgent late request when the queue is saturated, or else
+// moves the request behind those that can. It reports whether a request was dropped or
+// moved. Requests that wait for tokens keep their place: those that came later were
+// accepted for later tokens.
 func (a *Admission) dropOrDemoteLate(now time.Time, r *request) bool {
 	if r.late || !a.missesTarget(now, r, 0) || a.waitsForTokens(now) {
 		return false
 	}
 	if a.queueSaturated(now) {
-		a.drop(now, r, a.overloadReason(now))
+		a.drop(now, a.leastUrgentLate(now, r), a.overloadReason(now))
 		return true
 	}
 	a.queue.markLate(r)
 	return true
 }
 
+// leastUrgentLate returns a late request of the least urgent class that has any, which
+// is r if none is less urgent.
+func (a *Admission) leastUrgentLate(now time.Time, r *request) *request {
+	if a.queue.lenUpTo(r.class()) == a.queue.len() {
+		return r
+	}
+	last := r
+	for _, waiting := range a.waiting {
+		if !waiting.late && !a.missesTarget(now, waiting, 0) {
+			continue
+		}
+		if c := compareClasses(waiting.class(), last.class()); c > 0 || c == 0 && last != r && waiting.ID < last.ID {
+			last = waiting
+		}
+	}
+	return last
+}
+
 // sweepLate drops late requests that wait behind those of higher priority, where
-// dispatch does not see them, while the queue is saturated.
+// dispatch does not see them, while the queue is saturated: the least urgent first.
 func (a *Admission) sweepLate(now time.Time) {
 	if !a.queueSaturated(now) {
 		return
 	}
-	for _, r := range sortedByID(a.waiting) {
-		a.dropOrDemoteLate(now, r)
+	waiting := sortedByID(a.waiting)
+	slices.SortStableFunc(waiting, func(a, b *request) int { return compareClasses(b.class(), a.class()) })
+	for _, r := range waiting {
+		if a.waiting[r.ID] != nil {
+			a.dropOrDemoteLate(now, r)
+		}
 	}
 }
 
-// requestsAhead estimates how many waiting requests run before a new one of the
-// organisation.
-func (a *Admission) requestsAhead(organisation string) int {
-	ownWaiting := 0
-	if queue, ok := a.queue.organisations[organisation]; ok {
-		ownWaiting = queue.waiting.Len()
-	}
-	return min(a.queue.len(), (ownWaiting+1)*a.queue.active.Len())
+// requestsAhead estimates how many waiting requests run before a new one, whichever
+// targets they have.
+func (a *Admission) requestsAhead(r *request) int {
+	return a.queue.ahead(r.class(), func(queue *classQueue) int { return queue.aheadOf(r.Organisation) })
 }
 
 // queueingDelay returns the expected time until n waiting requests have started.
--- a/internal/admission/state.go
+++ b/internal/admission/state.go
@@ -36,11 +36,16 @@
 	c.Refused[reason]++
 }
 
-// OrganisationState describes the requests and the slot time of one organisation.
+// OrganisationState describes the requests and the slot time of one organisation in
+// one class.
 type OrganisationState struct {
 	Organisation string `json:"organisation"`
-	Waiting      int    `json:"waiting"`
-	Running      int    `json:"running"`
+	// Priority is that of the class; Calls means that it holds calls of backend
+	// servers.
+	Priority int  `json:"priority,omitempty"`
+	Calls    bool `json:"calls,omitempty"`
+	Waiting  int  `json:"waiting"`
+	Running  int  `json:"running"`
 	// VirtualTime is the virtual time of the organisation: the slot time charged
 	// to it, raised to the virtual clock whenever it becomes active.
 	VirtualTime time.Duration `json:"served_ns"`
@@ -84,7 +89,7 @@
 }
 
 // State returns a snapshot at the given time, with the organisations sorted by
-// name.
+// name and class.
 func (a *Admission) State(now time.Time) State {
 	s := State{
 		Leaving:         a.leaving,
@@ -105,18 +110,36 @@
 		limit := a.rate.perSecond
 		s.RateLimit = &limit
 	}
-	for name, queue := range a.queue.organisations {
-		s.Organisations = append(s.Organisations, OrganisationState{
-			Organisation: name,
-			Waiting:      queue.waiting.Len(),
-			Running:      queue.running,
-			VirtualTime:  queue.virtualTime,
-		})
+	for _, class := range a.queue.classes {
+		for name, queue := range class.organisations {
+			s.Organisations = append(s.Organisations, OrganisationState{
+				Organisation: name,
+				Priority:     class.class.priority,
+				Calls:        !class.class.newWork,
+				Waiting:      queue.waiting.Len(),
+				Running:      queue.running,
+				VirtualTime:  queue.virtualTime,
+			})
+		}
 	}
-	slices.SortFunc(s.Organisations, func(a, b OrganisationState) int { return cmp.Compare(a.Organisation, b.Organisation) })
+	slices.SortFunc(s.Organisations, func(a, b OrganisationState) int {
+		return cmp.Or(cmp.Compare(a.Organisation, b.Organisation), cmp.Compare(a.Priority, b.Priority), compareBool(b.Calls, a.Calls))
+	})
 	return s
 }
 
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // Counters returns a copy of the counters.
 func (a *Admission) Counters() Counters {
 	c := a.counters
