Mark calls of backend servers at the entry

Cause: calls waited behind new work of the same priority, while their callers occupied slots.

Change: the entry marks a request as a call if its connection comes from the machine's own address, only with the platform's store, where callers have other addresses. The mark is the key b of the hop header, which older proxies ignore. Lines attempt and refused carry it, heatherlift_calls_total counts it.

Conclusion: an operator can compare the counter with the calls of a service.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -172,6 +172,9 @@
 
 func (a *Admission) handleArrived(now time.Time, e Arrived) {
 	a.counters.Arrived++
+	if e.Call {
+		a.counters.Calls++
+	}
 	r := &request{Arrived: e, arrivedAt: now}
 	a.adoptRateLimit(now, e)
 	if !e.Repeatable {
--- a/internal/admission/state.go
+++ b/internal/admission/state.go
@@ -10,7 +10,9 @@
 
 // Counters holds event counts since the start of the process.
 type Counters struct {
-	Arrived   uint64                    `json:"arrived"`
+	Arrived uint64 `json:"arrived"`
+	// Calls counts the arrived requests that are calls of backend servers.
+	Calls     uint64                    `json:"calls,omitempty"`
 	Run       uint64                    `json:"run"`
 	Answered  uint64                    `json:"answered"`
 	Abandoned uint64                    `json:"abandoned"`
--- a/internal/forward/backendreport_test.go
+++ b/internal/forward/backendreport_test.go
@@ -59,11 +59,11 @@
 	parse := func(hop string) (admission.Arrived, bool) {
 		return parseHop(now, http.Header{http.CanonicalHeaderKey(hopHeader): {hop}})
 	}
-	a, ok := parse(formatHop(routing.Send{Repeatable: true, RateLimited: true, RateLimit: 23.4}, "q", 7, now))
+	a, ok := parse(formatHop(routing.Send{Repeatable: true, RateLimited: true, RateLimit: 23.4}, "q", 7, false, now))
 	is.True(ok)
 	is.True(a.RateLimited)
 	is.Equal(a.RateLimit, 23.4)
-	a, ok = parse(formatHop(routing.Send{Repeatable: true}, "q", 7, now))
+	a, ok = parse(formatHop(routing.Send{Repeatable: true}, "q", 7, false, now))
 	is.True(ok)
 	is.True(!a.RateLimited)
 	for _, invalid := range []string{"NaN", "-1", "x"} {
--- a/internal/forward/callerserver.go
+++ b/internal/forward/callerserver.go
@@ -258,7 +258,7 @@
 // serve reads requests until the connection closes.
 func (c *callerConn) serve() {
 	defer c.server.remove(c)
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(context.WithValue(context.Background(), http.LocalAddrContextKey, c.LocalAddr()))
 	defer cancel()
 	previous := make(chan struct{})
 	close(previous)
--- a/internal/forward/dialect.go
+++ b/internal/forward/dialect.go
@@ -37,6 +37,10 @@
 	// LeavingHeader is the header, with the value 1, by which a backend server
 	// states in its responses that it is about to end.
 	LeavingHeader string
+	// CallsFromOwnAddress means that callers have addresses of their own: a request
+	// whose connection comes from the address at which it arrives is a call that the
+	// local backend server makes while it runs another request.
+	CallsFromOwnAddress bool
 	// StatusIndicatesExecution makes the status code state whether a request
 	// was run: 503 and 429 guarantee that it was not, 502 and 504 guarantee
 	// nothing.
--- a/internal/forward/hop.go
+++ b/internal/forward/hop.go
@@ -26,13 +26,14 @@
 	hopRoute        = "r"
 	hopKnownCrashes = "c"
 	hopRateLimit    = "l" // requests per second
+	hopCall         = "b" // set for calls of backend servers
 	hopMaxWaitShare = "w" // becomes admission.Arrived.Patience
 )
 
 // formatHop returns the value of hopHeader. It contains the request identifier
 // only if the request must not be repeated, because the receiver tracks only
 // such requests.
-func formatHop(d routing.Send, request string, fingerprint uint64, now time.Time) string {
+func formatHop(d routing.Send, request string, fingerprint uint64, call bool, now time.Time) string {
 	v := url.Values{
 		hopFingerprint: {strconv.FormatUint(fingerprint, 36)},
 		hopInstance:    {d.Instance},
@@ -42,6 +43,9 @@
 	} else {
 		v.Set(hopRequest, request)
 	}
+	if call {
+		v.Set(hopCall, "1")
+	}
 	if d.Priority != 0 {
 		v.Set(hopPriority, strconv.Itoa(d.Priority))
 	}
@@ -69,6 +73,7 @@
 	a := admission.Arrived{
 		Request:    v.Get(hopRequest),
 		Repeatable: v.Has(hopRepeatable),
+		Call:       v.Has(hopCall),
 		Instance:   v.Get(hopInstance),
 		Route:      v.Get(hopRoute),
 	}
--- a/internal/forward/ingress.go
+++ b/internal/forward/ingress.go
@@ -23,6 +23,8 @@
 	dialect     *Dialect
 	// service is the service of the local backend server.
 	service string
+	// OnCall, if set, is called for each call of the local backend server.
+	OnCall func()
 }
 
 // NewIngress returns the handler for callers. The runID must be unique to this
@@ -39,10 +41,12 @@
 	id           uint64
 	organisation string
 	fingerprint  uint64
-	w            http.ResponseWriter
-	r            *http.Request
-	outgoing     *outgoingRequest
-	startedAt    time.Time
+	// call means that the local backend server sent the request.
+	call      bool
+	w         http.ResponseWriter
+	r         *http.Request
+	outgoing  *outgoingRequest
+	startedAt time.Time
 	// detail is the error text of the current attempt for the decision log.
 	detail string
 	// lastRefusal is the result of the previous attempt.
@@ -58,11 +62,14 @@
 		e.dialect.writeRefusal(w, refusal, false)
 		return
 	}
-	c := &callerRequest{Ingress: e, w: w, r: r, organisation: e.dialect.organisation(r), startedAt: time.Now(), outgoing: &outgoingRequest{in: r, dialect: e.dialect, fromCaller: true, callerService: e.service, expectContinue: true}}
+	c := &callerRequest{Ingress: e, w: w, r: r, organisation: e.dialect.organisation(r), call: e.dialect.isCall(r), startedAt: time.Now(), outgoing: &outgoingRequest{in: r, dialect: e.dialect, fromCaller: true, callerService: e.service, expectContinue: true}}
 	if !c.readBody(budget) {
 		return
 	}
 	defer c.outgoing.upload.waitUntilFinished()
+	if c.call && e.OnCall != nil {
+		e.OnCall()
+	}
 	c.id = e.core.NextID()
 	c.fingerprint = fingerprint(c.organisation, r, c.outgoing.body)
 	c.serve(routing.Arrived{
@@ -176,6 +183,7 @@
 		Deadline:     d.Deadline,
 		Instance:     d.Instance,
 		Priority:     d.Priority,
+		Call:         c.call,
 		Target:       d.Target,
 		Route:        d.Route,
 		Patience:     d.MaxWaitShare,
@@ -286,7 +294,7 @@
 	now := time.Now()
 	fields := append(c.outgoing.fields[:0],
 		field{DeadlineHeader, formatDeadline(d.Deadline.Sub(now))},
-		field{hopHeader, formatHop(d, c.fleetRequestID(), c.fingerprint, now)},
+		field{hopHeader, formatHop(d, c.fleetRequestID(), c.fingerprint, c.call, now)},
 	)
 	if org := c.slotOrganisation(); org != "" {
 		fields = append(fields, field{OrganisationHeader, org})
--- a/internal/host/admissionmetrics.go
+++ b/internal/host/admissionmetrics.go
@@ -61,6 +61,7 @@
 		c <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, float64(n))
 	}
 	counter(m.requests, a.Counters.Arrived, "arrived")
+	counter(m.requests, a.Counters.Calls, "call")
 	counter(m.requests, a.Counters.Run, "run")
 	counter(m.requests, a.Counters.Answered, "answered")
 	counter(m.requests, a.Counters.Abandoned, "abandoned")
--- a/internal/host/metrics.go
+++ b/internal/host/metrics.go
@@ -28,6 +28,7 @@
 	refusals        *prometheus.CounterVec
 	panics          *prometheus.CounterVec
 	uploadOffers    *prometheus.CounterVec
+	calls           prometheus.Counter
 	log             *log.Logger
 }
 
@@ -59,10 +60,13 @@
 		uploadOffers: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "heatherlift_upload_offers_total", Help: "Bodies of uploads that other proxies offered to this one, by decision.",
 		}, []string{"decision"}),
+		calls: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "heatherlift_calls_total", Help: "Requests that the local backend server sent to this proxy, by the address of their connections.",
+		}),
 		log: h.log,
 	}
 	m.registry.MustRegister(newAdmissionMetrics(h))
-	m.registry.MustRegister(peerBytes, m.attemptDuration, m.messagesRefused, m.sourceCalls, m.refusals, m.panics, m.uploadOffers)
+	m.registry.MustRegister(peerBytes, m.attemptDuration, m.messagesRefused, m.sourceCalls, m.refusals, m.panics, m.uploadOffers, m.calls)
 	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.registry.MustRegister(newRequestMetrics(h))
 	m.registry.MustRegister(newVersionMetrics(h))
--- a/internal/host/shutdown.go
+++ b/internal/host/shutdown.go
@@ -34,6 +34,7 @@
 	local := forward.NewLocalForwarder(h, h.backendPool, backend.Address, backend.ShedNotRun, h.dialect)
 	local.LimitUploads(h.settings.Platform.LinkMbps, h.metrics.countUploadOffer)
 	entry := forward.NewIngress(h, h.peerPool, h.runID, local, h.settings.Listen.Forward, h.settings.Service)
+	entry.OnCall = h.metrics.calls.Inc
 	callers := forward.NewCallerServer(forward.LogPanics(entry, h.log), readHeaderTimeout, idleTimeout)
 	callers.LimitsInForce = h.callerLimits.Load
 	callers.OnReject = h.logReject
