Soak cold backend servers, evacuations, downloads and uneven speeds

Cause: the soak had none of the faults of the users' demanding deployments.

Change: stand-in backend servers with a warm-up, large responses, health checks, changing speed and four figures in the load header; slow readers; optional kinds cold, cold-zone, evacuate, downloads and uneven with the checks cold, evacuated, whole and memory. Calls come from the machine's own address.

The kind evacuate needs a store with evacuations and fails without.

Conclusion: kinds of behaviour that is not built are drawn only if named.

--- a/bench/soak/callers.go
+++ b/bench/soak/callers.go
@@ -214,6 +214,9 @@
 	switch {
 	case err == nil:
 		a.result, a.answer = answered, answer
+		if standin.ResponseSize(a.Path) > 0 {
+			a.answer.Body = digest(answer.Body)
+		}
 	case errors.As(err, &timeout) && timeout.Timeout():
 		a.result = timedOut
 	case a.result != sendFailed:
--- a/bench/soak/calls.go
+++ b/bench/soak/calls.go
@@ -61,7 +61,7 @@
 	if a.Deadline <= 0 {
 		return false
 	}
-	conn, err := standin.Dial(address(m.processIP, callersPort), time.Second)
+	conn, err := standin.DialFrom(m.processIP, address(m.processIP, callersPort), time.Second)
 	if err != nil {
 		return false
 	}
--- a/bench/soak/cluster.go
+++ b/bench/soak/cluster.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -59,6 +60,14 @@
 	lossPercent atomic.Int64
 	// ending is the name of the ending of crashing requests, empty to draw one for each.
 	ending string
+	// warmUp is the warm-up of all services, zero for none. It applies to backend servers
+	// that start once the fleet has started.
+	warmUp  standin.WarmUp
+	started atomic.Bool
+	// downloadKind is the kind of the route of downloadPath, empty for no such route.
+	downloadKind string
+	// evacuationMu is held while an availability zone is evacuated.
+	evacuationMu sync.Mutex
 	// storeFaultMu serialises store faults, as the store has one at a time.
 	storeFaultMu sync.Mutex
 	// runningSteps waits for the steps of the plan that have not ended.
@@ -73,6 +82,12 @@
 		lab: l, seed: o.seed, rateLimit: o.rateLimit, ending: o.ending, callersPerMachine: max(1, defaultCallers/o.machines) * max(1, o.load), ctx: ctx, secondOctet: 10 + os.Getpid()%200, store: standin.NewStore(), observed: &observations{},
 	}
 	c.lossPercent.Store(int64(100 * o.loss))
+	if o.selects(kindCold, kindColdZone, kindEvacuate) {
+		c.warmUp = standin.WarmUp{Duration: warmUpTime, PerSecond: warmUpPerSecond}
+	}
+	if o.selects(kindDownloads) {
+		c.downloadKind = cmp.Or(o.downloadKind, repeatableKind)
+	}
 	c.storeAddress = address(fmt.Sprintf("127.%d.0.1", c.secondOctet), storePort)
 	listener, err := net.Listen("tcp", c.storeAddress)
 	if err != nil {
@@ -101,6 +116,7 @@
 			return nil, err
 		}
 	}
+	c.started.Store(true)
 	return c, nil
 }
 
@@ -171,6 +187,16 @@
 		c.startCrashingRequest(uint64(s.At))
 	case kindBurst, kindImpatience:
 		c.addCallers(s)
+	case kindCold:
+		m.cool(m.backend.Load(), coldNotice)
+	case kindColdZone:
+		c.coolZone(s)
+	case kindEvacuate:
+		c.evacuate(s)
+	case kindDownloads:
+		c.addDownloads(s)
+	case kindUneven:
+		c.varySpeeds(s)
 	case kindChange:
 		c.publish()
 	case kindStorm:
@@ -306,12 +332,17 @@
 		route(secondServicePath, services[1], true, 2), route(movedPath, v.movedService, true, 2),
 		route(uploadPath, services[1], false, 1),
 	}
+	if c.downloadKind != "" {
+		download := route(downloadPath, services[0], true, 2)
+		download.Download = c.downloadKind == "download"
+		routes = append(routes, download)
+	}
 	for n := uint64(1); n <= c.lastVersion; n++ {
 		routes = append(routes, route(addedPath(n), services[0], true, 2))
 	}
 	c.lastRoutes = routes
 	v.sent = time.Now()
-	c.store.Publish(v.number, routes, services)
+	c.store.Publish(v.number, routes, c.serviceEntries())
 	v.acked = time.Now()
 	c.observed.mu.Lock()
 	defer c.observed.mu.Unlock()
--- a/bench/soak/crashing.go
+++ b/bench/soak/crashing.go
@@ -40,7 +40,7 @@
 // backendKinds are the kinds that disturb backend servers or versions but no proxy.
 var backendKinds = []kind{
 	kindCrashingRequest, kindCrash, kindLostAnswers, kindSlowBackend, kindRelease, kindRestartBackend, kindLimit, kindLimitService,
-	kindAnnouncedEnd, kindChange, kindStorm, kindBurst, kindImpatience,
+	kindAnnouncedEnd, kindChange, kindStorm, kindBurst, kindImpatience, kindCold, kindColdZone, kindEvacuate, kindDownloads, kindUneven,
 }
 
 func isCrashing(path string) bool { return strings.HasPrefix(path, crashingPath) }
--- a/bench/soak/machine.go
+++ b/bench/soak/machine.go
@@ -106,6 +106,9 @@
 		s.Platform.Seeds = append(s.Platform.Seeds, address(fmt.Sprintf("127.%d.1.%d", c.secondOctet, i+1), peersPort))
 	}
 	s.Platform.Bounds = standin.RetryBounds(budgetRatio, budgetSlack, budgetWindow)
+	if c.downloadKind != "" {
+		s.Platform.LinkMbps = downloadLinkMbps
+	}
 	s.Peers.Plaintext = true
 	s.Shutdown = settings.Shutdown{Notice: config.Duration(2500 * time.Millisecond), Limit: config.Duration(2500 * time.Millisecond)} // as in deploy/proxy.toml
 	s.Log.Format = "json"
@@ -220,8 +223,12 @@
 	if m.rateLimit > 0 && m.index%limitedShare == 0 {
 		b.State(standin.Statement{Limited: true, RateLimit: m.rateLimit})
 	}
+	b.HealthTakesSlot = m.warmUp.Duration > 0 && m.seed%2 == 1
 	m.backend.Store(b)
 	m.server = server
+	if m.warmUp.Duration > 0 && m.started.Load() {
+		m.cool(b, 0)
+	}
 	go func() { _ = server.Serve(l) }()
 	m.putEntry(id, false)
 	return nil
@@ -230,11 +237,14 @@
 func (m *machine) storeEntry(leaving bool) standin.Instance {
 	return standin.Instance{
 		Service: m.service, Address: address(m.entryIP, backendPort), Zone: m.zone(),
-		Slots: backendSlots, Leaving: leaving, Born: time.Now(),
+		Slots: backendSlots, Leaving: leaving, Born: time.Now(), WarmUpLeft: m.backend.Load().WarmUpLeft(),
 	}
 }
 
-func (m *machine) zone() string { return fmt.Sprintf("z%d", m.index%zones) }
+func (m *machine) zone() string { return zoneOf(m.index) }
+
+// zoneOf returns the availability zone of the machine with an index.
+func zoneOf(machine int) string { return fmt.Sprintf("z%d", machine%zones) }
 
 // redeployBackend drains the backend server and replaces it.
 func (m *machine) redeployBackend() {
--- a/bench/soak/observations.go
+++ b/bench/soak/observations.go
@@ -42,7 +42,10 @@
 	// requests of callers.
 	run *standin.Arrival
 	// repeats is how often its caller had sent the same request before.
-	repeats     int
+	repeats int
+	// slowReader means that the caller reads the response so slowly that it may be cut
+	// off.
+	slowReader  bool
 	sent, ended time.Time
 	result      attemptResult
 	answer      standin.Response
@@ -99,6 +102,10 @@
 	disturbances []*disturbance
 	departures   []departure
 	limits       []limitChange
+	cold         []coldPeriod
+	evacuations  []*evacuation
+	// memory is the highest memory of each proxy in bytes.
+	memory map[string]int64
 	// failures describes unexpected exits, unclean stops and failed starts.
 	failures []string
 }
@@ -133,6 +140,12 @@
 	o.limits = append(o.limits, l)
 }
 
+func (o *observations) recordCold(p coldPeriod) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.cold = append(o.cold, p)
+}
+
 // recordDisturbance records a disturbance that starts now and returns a function
 // that ends it.
 func (o *observations) recordDisturbance(machine int, k kind) (end func()) {
--- a/bench/soak/random.go
+++ b/bench/soak/random.go
@@ -11,6 +11,8 @@
 	crashingStream  uint64 = 2 << 40
 	statementStream uint64 = 3 << 40
 	pressureStream  uint64 = 4 << 40
+	downloadStream  uint64 = 5 << 40
+	speedStream     uint64 = 6 << 40
 )
 
 // newRand returns the generator of one source, which has a number below 1<<40 among
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -62,6 +62,8 @@
 		}
 	}
 	is.Equal(len(kinds), len(allWeights)) // every kind occurs
+	optional := newPlan(1, time.Minute, defaultMachines, kindsOf(optionalWeights)...)
+	is.True(slices.ContainsFunc(optional, func(s step) bool { return s.Kind == kindEvacuate }))
 }
 
 func TestIncludedKindsAreInEveryPlan(t *testing.T) {
@@ -153,6 +155,24 @@
 				copyRun(o, func(r *standin.Arrival) { r.At = a.ended.Add(limitGrace + time.Duration(i)*time.Millisecond) })
 			}
 		},
+		"cold": func(o *observations, _ *attempt, r *standin.Arrival) {
+			o.cold = []coldPeriod{{process: r.Process, from: testStart, to: testStart.Add(warmUpTime), noticed: testStart}}
+			for i := range int(allowedCold()) {
+				copyRun(o, func(r *standin.Arrival) {
+					r.Executed = false
+					r.At = r.At.Add(time.Duration(i) * coldWindow / (1 + time.Duration(allowedCold())))
+				})
+			}
+		},
+		"evacuated": func(o *observations, a *attempt, r *standin.Arrival) {
+			o.evacuations = []*evacuation{{zone: zoneOf(r.Machine), acked: r.At.Add(-evacuationBound - 1)}}
+		},
+		"whole": func(_ *observations, a *attempt, r *standin.Arrival) {
+			a.Method, a.Body, a.Path = http.MethodGet, "", downloadPath+standin.SizeSuffix(1000)
+			r.Method, r.Body, r.Target = a.Method, 0, a.Path
+			a.answer.Body = digest(standin.ResponseBodyOf(a.ID, r.Instance, a.Path)[:999])
+		},
+		"memory": func(o *observations, _ *attempt, _ *standin.Arrival) { o.recordMemory("desk-0", memoryLimit+1) },
 		"leaving": func(o *observations, a *attempt, r *standin.Arrival) {
 			a.answer.Process, a.answer.Leaving = r.Process, true
 			later := *a
@@ -301,3 +321,39 @@
 		is.Equal(limit, w.limit)
 	}
 }
+
+// Spans of a second in which a cold backend server may not be known to be cold, or in
+// which its proxy was disturbed, are reported and are no violation.
+func TestColdSpansAreJudgedOnceTheyMustBeKnown(t *testing.T) {
+	is := is.New(t)
+	o, _, r := testRun()
+	o.cold = []coldPeriod{{process: r.Process, from: testStart, to: testStart.Add(warmUpTime), noticed: testStart.Add(coldNotice)}}
+	for range int(allowedCold()) {
+		again := *r
+		o.arrivals = append(o.arrivals, &again)
+	}
+	summary := func() coldSummary { return newChecker(o, testStart.Add(time.Hour)).summariseCold() }
+	is.Equal(summary().worst, 1+int(allowedCold()))
+	is.Equal(summary().breach, "")
+	o.cold[0].noticed = testStart
+	is.True(summary().breach != "")
+	o.disturbances = []*disturbance{{machine: r.Machine, kind: kindKill, from: testStart.Add(-time.Second), to: testStart}}
+	is.Equal(summary().breach, "")
+}
+
+// builtKinds are the optional kinds that the proxy is built for; TestOptionalKinds draws
+// from them.
+var builtKinds = []kind{kindDownloads, kindUneven}
+
+// Large responses arrive whole, also with slow readers, and the memory of the proxies
+// stays within its limit.
+func TestOptionalKinds(t *testing.T) {
+	r, err := runSeed(options{bin: buildProxy(t), seed: 1, machines: defaultMachines, length: 6 * time.Second, kinds: builtKinds})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Log(r)
+	if len(r.violations) > 0 || r.memory == 0 {
+		t.Error(r)
+	}
+}
