--- a/internal/forward/dialect.go
+++ b/internal/forward/dialect.go
@@ -40,6 +40,10 @@
 	// WarmUpHeader is the header of a health response with the time, in milliseconds,
 	// for which the backend server is still cold, 0 if it is warm.
 	WarmUpHeader string
+	// CallsFromOwnAddress means that callers have addresses of their own: a request
+	// whose connection comes from the address at which it arrives is a call that the
+	// local backend server makes while it runs another request.
+	CallsFromOwnAddress bool
 	// StatusIndicatesExecution makes the status code state whether a request
 	// was run: 503 and 429 guarantee that it was not, 502 and 504 guarantee
 	// nothing.
--- a/internal/forward/hop_test.go
+++ b/internal/forward/hop_test.go
@@ -87,7 +87,7 @@
 	is := is.New(t)
 	now := time.Now()
 	h := make(http.Header)
-	h.Set(hopHeader, formatHop(routing.Send{Route: "photos", Download: true, Repeatable: true}, "r", 1, now))
+	h.Set(hopHeader, formatHop(routing.Send{Route: "photos", Download: true, Repeatable: true}, "r", 1, false, now))
 	a, ok := parseHop(now, h)
 	is.True(ok)
 	is.True(a.Download)
--- a/internal/host/metrics.go
+++ b/internal/host/metrics.go
@@ -32,6 +32,7 @@
 	responsesHeld   prometheus.Gauge
 	responsesPaced  prometheus.Counter
 	responsePlans   *prometheus.CounterVec
+	calls           prometheus.Counter
 	log             *log.Logger
 }
 
@@ -72,10 +73,13 @@
 		responsePlans: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "heatherlift_response_plans_total", Help: "Requests of other proxies whose response needs link time, by decision.",
 		}, []string{"decision"}),
+		calls: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "heatherlift_calls_total", Help: "Requests that the local backend server sent to this proxy, by the address of their connections.",
+		}),
 		log: h.log,
 	}
 	m.registry.MustRegister(newAdmissionMetrics(h))
-	m.registry.MustRegister(peerBytes, m.attemptDuration, m.messagesRefused, m.sourceCalls, m.refusals, m.panics, m.uploadOffers)
+	m.registry.MustRegister(peerBytes, m.attemptDuration, m.messagesRefused, m.sourceCalls, m.refusals, m.panics, m.uploadOffers, m.calls)
 	m.registry.MustRegister(m.responsesHeld, m.responsesPaced, m.responsePlans)
 	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.registry.MustRegister(newRequestMetrics(h))
--- a/internal/host/shutdown.go
+++ b/internal/host/shutdown.go
@@ -35,6 +35,7 @@
 	local.LimitUploads(h.settings.Platform.LinkMbps, h.metrics.countUploadOffer)
 	local.PaceResponses(h.settings.Platform.LinkMbps, h.metrics.responseObserver())
 	entry := forward.NewIngress(h, h.peerPool, h.runID, local, h.settings.Listen.Forward, h.settings.Service)
+	entry.OnCall = h.metrics.calls.Inc
 	callers := forward.NewCallerServer(forward.LogPanics(entry, h.log), readHeaderTimeout, idleTimeout)
 	callers.LimitsInForce = h.callerLimits.Load
 	callers.OnReject = h.logReject
