Estimate the wait of a new request from the remaining work

The proxy beside a backend server learns the work of its routes from the times until responses and scales it with the slowness that the backend server states, or else with the learned one. Nothing decides by it yet.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -54,6 +54,7 @@
 	serviceTime serviceTimeEstimator
 	crashes     crashDetector
 	rate        rateLimiter
+	cost        costTracker
 	// wakeAt is the time of the latest WakeAt.
 	wakeAt time.Time
 	// departure is set once the backend server has stated that it is about to end.
@@ -83,6 +84,7 @@
 	return &Admission{
 		cfg:           cfg,
 		limiter:       newConcurrencyLimiter(cfg.Slots),
+		cost:          newCostTracker(),
 		requests:      newRequestTable(cfg.RequestLimit),
 		queue:         newFairQueue(),
 		awaitingClaim: make(map[uint64]*request),
@@ -266,6 +268,7 @@
 		a.monitor = healthMonitor{}
 		a.serviceTime = serviceTimeEstimator{}
 		a.rate, a.departure = rateLimiter{}, nil
+		a.cost = newCostTracker()
 	}
 }
 
--- a/internal/admission/events.go
+++ b/internal/admission/events.go
@@ -94,7 +94,8 @@
 		Draining bool
 	}
 	// Reported is what the backend server states about itself in its response to a
-	// running request. A response without such a statement is not reported.
+	// running request. A response without such a statement is reported only if the
+	// proxy reports costs to others.
 	Reported struct {
 		// ID is that of the request.
 		ID uint64
@@ -104,6 +105,12 @@
 		RateLimited bool
 		// Leaving means that the backend server is about to end.
 		Leaving bool
+		// Load is the load that it states, valid if Loaded is set.
+		Load   ServerLoad
+		Loaded bool
+		// Answered means that the backend server ran the request. It is set only if
+		// the proxy reports costs to others.
+		Answered bool
 		// Invalid means that a statement could not be read.
 		Invalid bool
 	}
--- a/internal/admission/outcome.go
+++ b/internal/admission/outcome.go
@@ -50,6 +50,7 @@
 		a.monitor.recordFailure(now)
 	case e.Reason == outcome.DeadlineExpired:
 		a.serviceTime.recordTimeout(duration)
+		a.recordUnfinished(now, r, duration)
 		a.crashes.recordLoss(now, r, false)
 	case e.Reason == outcome.ConnectFailed:
 		a.monitor.recordFailure(now)
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -23,6 +23,8 @@
 	late      bool
 	arrivedAt time.Time
 	startedAt time.Time
+	// responded means that the header of the response has arrived, if that was reported.
+	responded bool
 	// namedLimit means that the response names a rate limit.
 	namedLimit bool
 	// charged is the slot time charged to the organisation at the start.
--- a/internal/admission/report.go
+++ b/internal/admission/report.go
@@ -24,6 +24,7 @@
 	if e.Invalid {
 		a.counters.InvalidReports++
 	}
+	a.recordCost(now, r, e)
 	if e.Leaving {
 		a.counters.LeavingReports++
 		a.setDeparture(now, r)
--- a/internal/admission/state.go
+++ b/internal/admission/state.go
@@ -26,7 +26,9 @@
 	// a statement that could not be read.
 	RateLimitReports uint64 `json:"rate_limit_reports"`
 	LeavingReports   uint64 `json:"leaving_reports"`
-	InvalidReports   uint64 `json:"invalid_reports"`
+	// LoadReports counts the responses that state the load of the backend server.
+	LoadReports    uint64 `json:"load_reports"`
+	InvalidReports uint64 `json:"invalid_reports"`
 }
 
 func (c *Counters) countRefusal(reason outcome.Reason) {
