Report waits and service times between proxies and place by expected finish

With [requests] placement set to expected-finish or auto, the proxy beside a backend server adds the wait of a new request, the service time of this one and the slowness to Heatherlift-Load (0.42,12,85,250; about 10 bytes). A proxy that predates it fails to parse the whole value and reads no load. The load that a backend server states is read only then. The default, score, is unchanged.

The choice follows estimates of equally fast idle servers too closely; to be changed next.

--- a/internal/forward/dialect.go
+++ b/internal/forward/dialect.go
@@ -37,6 +37,10 @@
 	// LeavingHeader is the header, with the value 1, by which a backend server
 	// states in its responses that it is about to end.
 	LeavingHeader string
+	// ServerLoadHeader is the header in which a backend server states its load with
+	// each response, as RUNNING,WAITING,SLOTS[,PERCENT]: PERCENT is how long work takes
+	// there at this moment, 100 as usual.
+	ServerLoadHeader string
 	// StatusIndicatesExecution makes the status code state whether a request
 	// was run: 503 and 429 guarantee that it was not, 502 and 504 guarantee
 	// nothing.
--- a/internal/forward/ingress.go
+++ b/internal/forward/ingress.go
@@ -147,18 +147,18 @@
 	x, err := c.pool.Do(c.r.Context(), d.Deadline, d.Address, c.outgoing)
 	if err != nil {
 		c.detail = err.Error()
-		return c.reportFailure(d, start, fence.resolve(c.r.Context(), d.Deadline, refusalForError(err)), 0)
+		return c.reportFailure(d, start, fence.resolve(c.r.Context(), d.Deadline, refusalForError(err)), 0, routing.CostReport{})
 	}
 	if refusal, refused := parseRefusal(x.Response); refused {
-		load := parseLoad(x.Response.Header)
+		load, costs := parseLoad(x.Response.Header), c.peerCosts(d, x.Response.Header)
 		x.Close(false)
-		return c.reportFailure(d, start, refusal, load)
+		return c.reportFailure(d, start, refusal, load, costs)
 	}
 	if err := x.verifyResponse(d.Deadline); err != nil {
 		c.detail = err.Error()
-		return c.reportFailure(d, start, refusalForError(err), 0)
+		return c.reportFailure(d, start, refusalForError(err), 0, routing.CostReport{})
 	}
-	defer c.reportResponse(d, x, start)()
+	defer c.reportResponse(d, x, start, c.peerCosts(d, x.Response.Header))()
 	relayResponse(c.w, c.r, x, d.Deadline, versionField(d))
 	return true
 }
@@ -184,9 +184,9 @@
 	})
 	c.outgoing.expectContinue = true
 	if result.exchange == nil {
-		return c.reportFailure(d, start, result.refusal, 0)
+		return c.reportFailure(d, start, result.refusal, 0, result.costReport())
 	}
-	defer c.reportResponse(d, result.exchange, start)()
+	defer c.reportResponse(d, result.exchange, start, result.costReport())()
 	result.relay(c.w, c.r, versionField(d))
 	return true
 }
@@ -194,7 +194,7 @@
 // reportFailure reports a failed attempt to routing, which decides what to do
 // next. If the caller has disconnected, the request is abandoned. The result is
 // always false: the caller has no response yet.
-func (c *callerRequest) reportFailure(d routing.Send, start time.Time, r outcome.Refusal, load float64) bool {
+func (c *callerRequest) reportFailure(d routing.Send, start time.Time, r outcome.Refusal, load float64, costs routing.CostReport) bool {
 	c.logAttempt(d, start, true, "outcome", r.Outcome, "reason", r.Reason, "detail", c.detail)
 	c.detail = ""
 	if c.r.Context().Err() != nil {
@@ -210,6 +210,7 @@
 		RetryAfter: r.RetryAfter,
 		Status:     r.Status,
 		Load:       load,
+		Costs:      costs,
 	})
 	return false
 }
@@ -235,9 +236,10 @@
 // backend server states in it. It returns the function that reports the end of the
 // attempt, and whether the response was truncated; the reported latency is that until
 // the header.
-func (c *callerRequest) reportResponse(d routing.Send, x *Exchange, start time.Time) func() {
+func (c *callerRequest) reportResponse(d routing.Send, x *Exchange, start time.Time, costs routing.CostReport) func() {
 	resp := x.Response
 	report, _ := c.dialect.backendReport(resp.Header) // the proxy beside the backend server logs invalid ones
+	report = report.withoutLoad()
 	fields := append([]any{"outcome", outcome.Answered, "status", resp.StatusCode}, report.fields()...)
 	c.logAttempt(d, start, resp.StatusCode >= http.StatusInternalServerError || d.Attempt > 1, fields...)
 	if report != (backendReport{}) {
@@ -250,6 +252,7 @@
 		Status:  resp.StatusCode,
 		Load:    parseLoad(resp.Header),
 		Bytes:   resp.ContentLength,
+		Costs:   costs,
 	}
 	return func() {
 		if e.Truncated = x.truncated; e.Truncated {
@@ -259,6 +262,18 @@
 	}
 }
 
+// peerCosts returns the report on costs in the response of another proxy. An invalid one
+// is logged and ignored.
+func (c *callerRequest) peerCosts(d routing.Send, h http.Header) routing.CostReport {
+	costs, err := parseCostReport(h)
+	if err != nil {
+		logDecision(c.core, true, "invalid report", func() []any {
+			return []any{"request", c.dialect.requestID(c.r), "instance", d.Instance, "detail", err.Error()}
+		})
+	}
+	return costs
+}
+
 // slotOrganisation returns the organisation whose share of the backend server's
 // slots the request uses. With OrganisationFromHost it is empty: host names have
 // no share of their own.
--- a/internal/forward/local.go
+++ b/internal/forward/local.go
@@ -9,6 +9,7 @@
 
 	"heatherlift.example/heatherlift/internal/admission"
 	"heatherlift.example/heatherlift/internal/outcome"
+	"heatherlift.example/heatherlift/internal/routing"
 	"heatherlift.example/heatherlift/internal/transfer"
 )
 
@@ -25,6 +26,8 @@
 	dialect    *Dialect
 	// uploads paces the bodies that other proxies offer, nil if it does not.
 	uploads *uploadGate
+	// reportsCosts is set by ReportCosts.
+	reportsCosts bool
 }
 
 // LimitUploads paces the bodies that other proxies offer over a link with the given
@@ -53,6 +56,9 @@
 	outgoing  *outgoingRequest
 	arrived   admission.Arrived
 	startedAt time.Time
+	// serviceTime is the time from the start of the exchange with the backend server
+	// to the header of the response.
+	serviceTime time.Duration
 	// detail is the error of a failed exchange.
 	detail string
 }
@@ -65,6 +71,14 @@
 	refusal  outcome.Refusal
 }
 
+// costReport returns the report on the request.
+func (b backendResult) costReport() routing.CostReport {
+	if b.exchange == nil {
+		return b.request.LocalForwarder.costReport(b.request.arrived, 0)
+	}
+	return b.request.LocalForwarder.costReport(b.request.arrived, b.request.serviceTime)
+}
+
 // ServeHTTP implements http.Handler for other proxies.
 func (l *LocalForwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
@@ -79,7 +93,7 @@
 	arrived.Key = r.Header.Get(IdempotencyHeader)
 	out := &outgoingRequest{in: r, dialect: l.dialect, retry: r.Header.Get(RetryHeader) != ""}
 	if refusal, ok := l.awaitUpload(r, arrived); !ok {
-		l.loadField().addTo(w.Header())
+		l.loadField(l.costReport(arrived, 0)).addTo(w.Header())
 		l.dialect.writeRefusal(w, refusal, true)
 		return
 	}
@@ -97,11 +111,11 @@
 	out.nonRepeatable = !arrived.Repeatable
 	result := l.forwardRequest(r.Context(), out, arrived)
 	if result.exchange == nil {
-		l.loadField().addTo(w.Header())
+		l.loadField(result.costReport()).addTo(w.Header())
 		l.dialect.refuse(w, out.upload, result.refusal)
 		return
 	}
-	result.relay(w, r, l.loadField())
+	result.relay(w, r, l.loadField(result.costReport()))
 }
 
 // forwardRequest waits for a slot, forwards the request to the backend server
@@ -166,7 +180,9 @@
 // sendToBackend forwards the request to the backend server.
 func (c *backendRequest) sendToBackend() backendResult {
 	c.setBackendHeaders()
+	sentAt := time.Now()
 	x, err := c.roundTrip()
+	c.serviceTime = time.Since(sentAt)
 	if err != nil {
 		refusal := refusalForError(err)
 		c.detail = err.Error()
@@ -176,7 +192,7 @@
 	}
 	reason, refused := c.notRunReason(x.Response)
 	if reason != outcome.OtherInstance {
-		c.passReport(x.Response.Header)
+		c.passReport(x.Response.Header, !refused)
 	}
 	if refused {
 		refusal := notRun(reason, http.StatusServiceUnavailable)
--- a/internal/host/build.go
+++ b/internal/host/build.go
@@ -78,6 +78,7 @@
 		Routing: routing.Config{
 			AvailabilityZone: s.AvailabilityZone,
 			MaxAttempts:      s.Requests.MaxAttempts,
+			Placement:        placement(s.Requests.Placement),
 			Seed:             seed,
 		},
 		Admission: admission.Config{
@@ -88,6 +89,17 @@
 	}
 }
 
+// placement returns the placement policy of a setting.
+func placement(setting string) routing.Placement {
+	switch setting {
+	case settings.PlacementExpectedFinish:
+		return routing.PlaceByExpectedFinish
+	case settings.PlacementAuto:
+		return routing.PlaceByStatedSlowness
+	}
+	return routing.PlaceByScore
+}
+
 // runID identifies one run of the process. It differs after each restart.
 func runID(id string, start time.Time) string {
 	return id + "-" + strconv.FormatInt(start.UnixNano(), 36)
--- a/internal/host/forwardcore.go
+++ b/internal/host/forwardcore.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"heatherlift.example/heatherlift/internal/admission"
 	"heatherlift.example/heatherlift/internal/decisionlog"
@@ -93,3 +94,10 @@
 	h.view(func(n *node.Node) { load = n.LoadPerSlot() })
 	return load
 }
+
+// CostReport implements forward.CostReporter.
+func (h *Host) CostReport(e admission.Arrived) (report admission.CostReport, ok bool) {
+	now := time.Now()
+	h.view(func(n *node.Node) { report, ok = n.CostReport(now, e) })
+	return report, ok
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -125,6 +125,9 @@
 		h.feed = adapter.Feed(h.metrics.countSourceCall)
 		h.dialect = adapter.Dialect
 	}
+	if !h.reportsCosts() {
+		h.dialect.ServerLoadHeader = ""
+	}
 	recorder.writeConfig(nodeConfig(s, now, adapter))
 	return h, nil
 }
@@ -137,6 +140,9 @@
 	return ok
 }
 
+// reportsCosts reports whether the fleet places requests by reports on costs.
+func (h *Host) reportsCosts() bool { return h.settings.Requests.Placement != settings.PlacementScore }
+
 // view calls f while it holds the reducer's lock.
 func (h *Host) view(f func(n *node.Node)) {
 	h.mu.Lock()
--- a/internal/host/shutdown.go
+++ b/internal/host/shutdown.go
@@ -33,6 +33,9 @@
 	backend := h.settings.BackendServer
 	local := forward.NewLocalForwarder(h, h.backendPool, backend.Address, backend.ShedNotRun, h.dialect)
 	local.LimitUploads(h.settings.Platform.LinkMbps, h.metrics.countUploadOffer)
+	if h.reportsCosts() {
+		local.ReportCosts()
+	}
 	entry := forward.NewIngress(h, h.peerPool, h.runID, local, h.settings.Listen.Forward, h.settings.Service)
 	callers := forward.NewCallerServer(forward.LogPanics(entry, h.log), readHeaderTimeout, idleTimeout)
 	callers.LimitsInForce = h.callerLimits.Load
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -52,6 +52,11 @@
 	// sentAt.
 	current *instance
 	sentAt  time.Time
+	// estimate is what was expected of that attempt, with biasUsed as the part of the
+	// wait that corrects earlier errors, and sentWork its work at usual speed. They are
+	// zero if requests are placed by score only.
+	estimate           Estimate
+	biasUsed, sentWork time.Duration
 	// namedLimit means that the response names a rate limit.
 	namedLimit bool
 	// fingerprint and knownCrashes are those of the request's Arrived.
@@ -166,6 +171,8 @@
 	}
 	c.tried = append(c.tried, chosen)
 	why := Choice{Candidates: r.candidates.usable(), InFlight: chosen.inFlight, Load: chosen.Load, LoadAge: now.Sub(chosen.loadAt)}
+	r.recordSent(now, c, chosen)
+	why.Estimate = c.estimate
 	chosen.inFlight++
 	r.emit(Send{
 		ID:           c.id,
@@ -219,6 +226,7 @@
 	i := c.current
 	refused := e.Outcome == outcome.NotRun && isOverload(e.Reason)
 	i.recordLoad(now, e.Load)
+	r.recordCosts(now, c, e)
 	i.applyRetryAfter(now, e)
 	if e.Outcome == outcome.Answered {
 		i.recordAccepted(c.namedLimit)
@@ -273,6 +281,7 @@
 	}
 	if c.current != nil {
 		c.current.observeUnanswered(now, now.Sub(c.sentAt))
+		c.current.forgetSent(c)
 	}
 	c.releaseInstance()
 	r.finish(c)
--- a/internal/routing/events.go
+++ b/internal/routing/events.go
@@ -60,6 +60,20 @@
 		// chain.
 		Retry bool
 	}
+	// CostReport is what the proxy beside an instance reports with a response or
+	// refusal. Known is not set if it reports nothing.
+	CostReport struct {
+		Known bool `json:"known,omitempty"`
+		// Wait is the expected wait there of a new request like the one that ended.
+		Wait time.Duration `json:"wait_ns,omitempty"`
+		// ServiceTime is the time from the start of that request to the header of its
+		// response, 0 if it was refused.
+		ServiceTime time.Duration `json:"service_ns,omitempty"`
+		// Slowness is the factor by which work takes longer there than usual. Stated
+		// means that the backend server itself states it.
+		Slowness float64 `json:"slowness,omitempty"`
+		Stated   bool    `json:"stated,omitempty"`
+	}
 	// AttemptEnded reports the result of an attempt that was started by Send.
 	AttemptEnded struct {
 		ID      uint64
@@ -75,6 +89,8 @@
 		// Load is the load that the instance reports with its response: running
 		// and queued requests per slot, 0 if unknown.
 		Load float64
+		// Costs is the instance's report on costs.
+		Costs CostReport
 		// Bytes is the length of the response body, -1 if it is unknown.
 		Bytes int64
 		// Truncated means that the body of the response did not end properly or in
@@ -124,6 +140,9 @@
 	// that report.
 	Load    float64
 	LoadAge time.Duration
+	// Estimate is what was expected of the attempt, zero if requests are placed by
+	// score only.
+	Estimate Estimate
 }
 
 // Effect is an output of the state machine.
--- a/internal/routing/instance.go
+++ b/internal/routing/instance.go
@@ -55,6 +55,8 @@
 	observedAt  time.Time
 	samples     int
 
+	costs costState
+
 	// loadAt is the time of the last reported load.
 	loadAt time.Time
 	// readySince is the beginning of the slow start, zero if there is none.
--- a/internal/routing/offer.go
+++ b/internal/routing/offer.go
@@ -65,12 +65,12 @@
 // one has no alternative, the request is sent without a limit.
 func (r *Router) chooseByOffers(now time.Time, c *call) (*instance, float64) {
 	r.collectCandidates(now, c)
-	local := r.pickOfTwo(now, withoutErrorProne(now, r.candidates.local))
-	remote := r.pickOfTwo(now, withoutErrorProne(now, r.candidates.remote))
+	local := r.pick(now, c, withoutErrorProne(now, r.candidates.local))
+	remote := r.pick(now, c, withoutErrorProne(now, r.candidates.remote))
 	cost := r.transferCost(c)
 	remoteAllowed := remote != nil && c.remoteOffers < maxRemoteOffers && cost < 1
 	switch {
-	case local != nil && remoteAllowed && local.errorProne(now) && !remote.errorProne(now):
+	case local != nil && remoteAllowed && (local.errorProne(now) && !remote.errorProne(now) || r.onlyRemoteInTime(now, c, local, remote)):
 		c.remoteOffers++
 		return remote, max(offerMaxWaitShare, cost)
 	case local != nil && (len(r.candidates.local) > 1 || c.tried == nil && len(r.candidates.busy) > 0):
@@ -94,7 +94,7 @@
 		}
 		return limited, 1 // as long as the target allows, since another one follows
 	}
-	return r.pickOfTwo(now, r.candidates.ejected), 0
+	return r.pick(now, c, r.candidates.ejected), 0
 }
 
 // errorProne reports whether the backend server fails or refuses so many requests that
@@ -137,7 +137,7 @@
 	case remote != nil:
 		return remote
 	case len(r.candidates.busy) > 0:
-		return r.pickOfTwo(now, r.candidates.busy)
+		return r.pick(now, c, r.candidates.busy)
 	}
 	return nil
 }
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -25,6 +25,7 @@
 type pool struct {
 	instances   []*instance
 	meanLatency time.Duration
+	costs       poolCosts
 }
 
 // ejected returns the number of instances that are ejected at the given time.
@@ -95,6 +96,7 @@
 	for _, record := range list {
 		i := r.instances[record.ID]
 		if i == nil || i.Incarnation != record.Incarnation || i.Service != record.Service {
+			r.pool(record.Service).costs.model.Forget(record.ID) // another process may be faster
 			i = &instance{Instance: record, pool: r.pool(record.Service), loadAt: now}
 			if !initial {
 				i.readySince = now
@@ -133,7 +135,7 @@
 func (r *Router) pool(service string) *pool {
 	p, ok := r.pools[service]
 	if !ok {
-		p = &pool{}
+		p = &pool{costs: newPoolCosts()}
 		r.pools[service] = p
 	}
 	return p
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -15,6 +15,8 @@
 	// MaxAttempts limits the attempts of one request, unless its route sets a
 	// limit.
 	MaxAttempts int
+	// Placement is the policy by which instances are chosen.
+	Placement Placement
 	// Retries limits the retries that each service gets from the whole fleet.
 	Retries RetryBudget
 	// Seed seeds the random number generator for the selection of instances and
@@ -141,6 +143,9 @@
 	return r.table
 }
 
+// Zone returns the availability zone of this proxy.
+func (r *Router) Zone() string { return r.cfg.AvailabilityZone }
+
 // InFlight returns the number of requests in progress.
 func (r *Router) InFlight() int {
 	return len(r.calls)
--- a/internal/routing/selection.go
+++ b/internal/routing/selection.go
@@ -148,8 +148,8 @@
 // none.
 func (r *Router) chooseByScore(now time.Time, c *call) *instance {
 	r.collectCandidates(now, c)
-	local := r.pickOfTwo(now, r.candidates.local)
-	remote := r.pickOfTwo(now, r.candidates.remote)
+	local := r.pick(now, c, r.candidates.local)
+	remote := r.pick(now, c, r.candidates.remote)
 	switch {
 	case local != nil && remote != nil:
 		if c.failedZone == r.cfg.AvailabilityZone || shouldSpill(now, local, remote) {
@@ -167,9 +167,9 @@
 	}
 	switch {
 	case len(r.candidates.ejected) > 0:
-		return r.pickOfTwo(now, r.candidates.ejected)
+		return r.pick(now, c, r.candidates.ejected)
 	case c.match.Route.Repeatable:
-		return r.pickOfTwo(now, r.candidates.suspect)
+		return r.pick(now, c, r.candidates.suspect)
 	}
 	return nil
 }
@@ -183,6 +183,14 @@
 	return local.expectedLatency(now) > slowZoneRatio*remote.expectedLatency(now)
 }
 
+// pick selects an instance for the request, nil if the list is empty.
+func (r *Router) pick(now time.Time, c *call, list []*instance) *instance {
+	if len(list) > 1 && r.placesByFinish(now, list[0].pool) {
+		return r.pickByFinish(now, c, list)
+	}
+	return r.pickOfTwo(now, list)
+}
+
 // pickOfTwo selects two instances at random and returns the one with the lower
 // score, nil if the list is empty.
 func (r *Router) pickOfTwo(now time.Time, list []*instance) *instance {
--- a/internal/routing/sim_test.go
+++ b/internal/routing/sim_test.go
@@ -46,8 +46,9 @@
 // server is a backend server with slots and a bounded queue.
 type server struct {
 	routing.Instance
-	busy  int
-	queue []*job
+	number int
+	busy   int
+	queue  []*job
 	// slowdown returns the factor by which the service time is longer, and
 	// fault returns the failure mode, both at a given time.
 	slowdown func(at time.Duration) float64
@@ -59,6 +60,8 @@
 	nextPolicy policy
 	// runs counts the runs, if this is the last service of the call chain.
 	runs int
+	// admission, if set, takes the place of the queue.
+	admission *simAdmission
 }
 
 // job is one attempt at a server.
@@ -81,6 +84,11 @@
 	status      int
 	// runs counts the runs at the last level.
 	runs int
+	// path and work are set for requests to servers with admission.
+	path string
+	work time.Duration
+	// remote counts the sends to other availability zones.
+	sends, remote int
 }
 
 type timer struct {
@@ -119,6 +127,9 @@
 	// requests holds the requests of the callers.
 	requests []*request
 	sends    int
+	// mode and stated are those of a costScenario.
+	mode   reportMode
+	stated bool
 }
 
 func newSim() *sim {
@@ -153,6 +164,9 @@
 	if root.method == "POST" {
 		path = "/write"
 	}
+	if root.path != "" {
+		path = root.path
+	}
 	s.applyEffects(p, p.Step(s.now(), routing.Arrived{ID: id, Organisation: org, Method: root.method, Path: path, Retry: retry}))
 }
 
@@ -165,7 +179,14 @@
 			s.sends++
 			j := &job{send: e, from: p, root: s.roots[e.ID], sentAt: s.at}
 			target := s.servers[e.Instance]
-			s.after(s.delay(), func() { s.enqueue(target, j) })
+			if r, ok := p.(*routing.Router); ok && r.Zone() != target.AvailabilityZone {
+				j.root.remote++
+			}
+			if target.admission != nil {
+				s.after(s.delay(), func() { s.admit(target, j) })
+			} else {
+				s.after(s.delay(), func() { s.enqueue(target, j) })
+			}
 			s.after(e.Deadline.Sub(s.now()), func() { s.endAttempt(j, outcome.Unknown, outcome.DeadlineExpired, 0, 0) })
 		}
 	}
@@ -184,16 +205,18 @@
 
 // endAttempt reports the result of an attempt to its policy, once.
 func (s *sim) endAttempt(j *job, o outcome.Outcome, reason outcome.Reason, status int, retryAfter time.Duration) {
+	s.end(j, routing.AttemptEnded{Outcome: o, Reason: reason, Status: status, RetryAfter: retryAfter})
+}
+
+func (s *sim) end(j *job, e routing.AttemptEnded) {
 	if j.ended {
 		return
 	}
 	j.ended = true
-	id := j.send.ID
-	effects := j.from.Step(s.now(), routing.AttemptEnded{
-		ID: id, Outcome: o, Reason: reason, Status: status, RetryAfter: retryAfter, Latency: s.at - j.sentAt,
-	})
-	if o == outcome.Answered && len(effects) == 0 {
-		s.finish(id, o, status)
+	e.ID, e.Latency = j.send.ID, s.at-j.sentAt
+	effects := j.from.Step(s.now(), e)
+	if e.Outcome == outcome.Answered && len(effects) == 0 {
+		s.finish(e.ID, e.Outcome, e.Status)
 		return
 	}
 	s.applyEffects(j.from, effects)
--- a/internal/settings/field.go
+++ b/internal/settings/field.go
@@ -49,6 +49,7 @@
 	{"distribution.watch_wait", durationRule{time.Second, time.Minute}, "time that a watch of the source waits"},
 	{"distribution.gossip_interval", durationRule{10 * time.Millisecond, time.Minute}, "time between two rounds of gossip"},
 	{"requests.max_attempts", intRule{1, 10}, "attempts of one request, the first included"},
+	{"requests.placement", enumRule{PlacementScore, PlacementExpectedFinish, PlacementAuto}, "how the instance for a request is chosen: by what this proxy has seen of it, by the least expected finish that other proxies report as well, or by the latter while the backend servers of a service state how slow they are; the same in the whole fleet"},
 	{"peers.plaintext", boolRule{}, "proxies do not authenticate each other"},
 	{"peers.certificate", textRule{optional: true}, "certificate and its chain, a file in PEM"},
 	{"peers.key", textRule{optional: true}, "private key of the certificate, a file in PEM"},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -116,6 +116,9 @@
 	// MaxAttempts is the maximum number of attempts of one request, including
 	// the first; a route can set its own.
 	MaxAttempts int `toml:"max_attempts"`
+	// Placement is "score", "expected-finish", or "auto" for the latter while the
+	// backend servers of a service state how slow they are.
+	Placement string `toml:"placement"`
 }
 
 // Peers configures how proxies authenticate each other.
@@ -156,6 +159,13 @@
 	ModeNaive = "naive"
 )
 
+// Values of Requests.Placement.
+const (
+	PlacementScore          = "score"
+	PlacementExpectedFinish = "expected-finish"
+	PlacementAuto           = "auto"
+)
+
 // Values of Platform.Kind.
 const (
 	PlatformServices = "services"
@@ -180,7 +190,7 @@
 			WatchWait:      config.Duration(30 * time.Second),
 			GossipInterval: config.Duration(time.Second),
 		},
-		Requests: Requests{MaxAttempts: 3},
+		Requests: Requests{MaxAttempts: 3, Placement: PlacementScore},
 		Peers:    Peers{Name: "heatherlift-proxy", ReloadInterval: config.Duration(10 * time.Second)},
 		Shutdown: Shutdown{Notice: config.Duration(3 * time.Second), Limit: config.Duration(30 * time.Second)},
 		Log:      Log{Level: "info", Format: "logfmt"},
