Show why a request was placed, and describe cost and placement

go test ./internal/routing ./internal/forward ./internal/settings ./internal/host ./docs ./platform: passed.

--- a/internal/forward/decisionlog.go
+++ b/internal/forward/decisionlog.go
@@ -28,6 +28,9 @@
 func (c *callerRequest) logAttempt(d routing.Send, start time.Time, notable bool, fields ...any) {
 	logDecision(c.core, notable, "attempt", func() []any {
 		choice := d.Choice
+		if choice.Estimate != (routing.Estimate{}) {
+			fields = append(choice.Estimate.LogFields(), fields...)
+		}
 		return append([]any{
 			"request", c.dialect.requestID(c.r),
 			"route", d.Route,
--- a/internal/forward/ingress.go
+++ b/internal/forward/ingress.go
@@ -246,13 +246,14 @@
 		c.core.Route(routing.Reported{ID: c.id, RateLimit: report.rateLimit, RateLimited: report.rateLimited, Leaving: report.leaving})
 	}
 	e := routing.AttemptEnded{
-		ID:      c.id,
-		Outcome: outcome.Answered,
-		Latency: time.Since(start),
-		Status:  resp.StatusCode,
-		Load:    parseLoad(resp.Header),
-		Bytes:   resp.ContentLength,
-		Costs:   costs,
+		ID:       c.id,
+		Outcome:  outcome.Answered,
+		Latency:  time.Since(start),
+		Expected: d.Choice.Estimate.Finish(),
+		Status:   resp.StatusCode,
+		Load:     parseLoad(resp.Header),
+		Bytes:    resp.ContentLength,
+		Costs:    costs,
 	}
 	return func() {
 		if e.Truncated = x.truncated; e.Truncated {
--- a/internal/host/admissionmetrics.go
+++ b/internal/host/admissionmetrics.go
@@ -86,6 +86,7 @@
 	gauge(m.leaving, leaving)
 	counter(m.reports, a.Counters.RateLimitReports, "rate-limit")
 	counter(m.reports, a.Counters.LeavingReports, "leaving")
+	counter(m.reports, a.Counters.LoadReports, "load")
 	counter(m.reports, a.Counters.InvalidReports, "invalid")
 	gauge(m.keys, d.Keys)
 	gauge(m.suspects, len(q.Suspects))
--- a/internal/host/forwardcore.go
+++ b/internal/host/forwardcore.go
@@ -18,6 +18,9 @@
 func (h *Host) Route(e routing.Event) {
 	if ended, ok := e.(routing.AttemptEnded); ok && ended.Outcome == outcome.Answered {
 		h.metrics.attemptDuration.Observe(ended.Latency.Seconds())
+		if ended.Expected > 0 {
+			h.metrics.observeEstimate(ended.Expected, ended.Latency)
+		}
 	}
 	h.mustStep(e)
 }
--- a/internal/host/metrics.go
+++ b/internal/host/metrics.go
@@ -17,12 +17,19 @@
 	attemptBucketCount = 18
 )
 
+// Exponential buckets of the histogram of estimate errors, with a factor of 2.
+const (
+	minEstimateErrorBucket   = time.Millisecond
+	estimateErrorBucketCount = 12
+)
+
 // metrics holds the metrics of a proxy. It implements peer.Observer.
 type metrics struct {
 	registry        *prometheus.Registry
 	bytesSent       prometheus.Counter
 	bytesReceived   prometheus.Counter
 	attemptDuration prometheus.Histogram
+	estimateError   *prometheus.HistogramVec
 	messagesRefused *prometheus.CounterVec
 	sourceCalls     *prometheus.CounterVec
 	refusals        *prometheus.CounterVec
@@ -44,6 +51,11 @@
 			Help:    "Time from sending an attempt to receiving the response header, for answered attempts.",
 			Buckets: prometheus.ExponentialBuckets(minAttemptBucket.Seconds(), 2, attemptBucketCount),
 		}),
+		estimateError: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "heatherlift_estimate_error_seconds",
+			Help:    "Difference between the expected time until a response header and the actual one, by whether the response was later or earlier than expected.",
+			Buckets: prometheus.ExponentialBuckets(minEstimateErrorBucket.Seconds(), 2, estimateErrorBucketCount),
+		}, []string{"response"}),
 		messagesRefused: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "heatherlift_peer_messages_refused_total", Help: "Messages and connections of other proxies that were refused, by cause.",
 		}, []string{"cause"}),
@@ -62,7 +74,7 @@
 		log: h.log,
 	}
 	m.registry.MustRegister(newAdmissionMetrics(h))
-	m.registry.MustRegister(peerBytes, m.attemptDuration, m.messagesRefused, m.sourceCalls, m.refusals, m.panics, m.uploadOffers)
+	m.registry.MustRegister(peerBytes, m.attemptDuration, m.estimateError, m.messagesRefused, m.sourceCalls, m.refusals, m.panics, m.uploadOffers)
 	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.registry.MustRegister(newRequestMetrics(h))
 	m.registry.MustRegister(newVersionMetrics(h))
@@ -82,6 +94,15 @@
 	m.bytesReceived.Add(float64(received))
 }
 
+// observeEstimate records how far an estimate of the time until a response was off.
+func (m *metrics) observeEstimate(expected, actual time.Duration) {
+	if actual > expected {
+		m.estimateError.WithLabelValues("later").Observe((actual - expected).Seconds())
+		return
+	}
+	m.estimateError.WithLabelValues("earlier").Observe((expected - actual).Seconds())
+}
+
 // MessageRefused implements peer.Observer.
 func (m *metrics) MessageRefused(cause string) {
 	m.messagesRefused.WithLabelValues(cause).Inc()
--- a/internal/routing/events.go
+++ b/internal/routing/events.go
@@ -83,6 +83,8 @@
 		RetryAfter time.Duration
 		// Latency is the time from Send to the header of the response.
 		Latency time.Duration
+		// Expected is the latency that was expected at the Send, 0 if none was.
+		Expected time.Duration
 		// Status is the HTTP status of the response or refusal, 0 if there was
 		// none.
 		Status int
--- a/internal/routing/explain.go
+++ b/internal/routing/explain.go
@@ -47,6 +47,10 @@
 	SlowStart float64 `json:"slow_start"`
 	// Score ranks the candidates; lower is better.
 	Score float64 `json:"score"`
+	// Estimate and FinishScore are what ranks them while requests of the service are
+	// placed by expected finish, absent otherwise.
+	Estimate    *Estimate `json:"estimate,omitempty"`
+	FinishScore float64   `json:"finish_score,omitempty"`
 }
 
 // Explain describes how a request would be handled at the given time, without
@@ -72,7 +76,12 @@
 	r.explainOrganisation(now, org, match, &out)
 	if p, ok := r.pools[match.Group.Service]; ok {
 		for _, i := range p.instances {
-			out.Candidates = append(out.Candidates, i.explain(now, &match.Group))
+			candidate := i.explain(now, &match.Group)
+			if r.placesByFinish(now, p) {
+				e := i.estimate(now, match.Route.Name)
+				candidate.Estimate, candidate.FinishScore = &e, i.finishScore(now, e)
+			}
+			out.Candidates = append(out.Candidates, candidate)
 		}
 	}
 	return out
--- a/internal/routing/offer.go
+++ b/internal/routing/offer.go
@@ -70,7 +70,11 @@
 	cost := r.transferCost(c)
 	remoteAllowed := remote != nil && c.remoteOffers < maxRemoteOffers && cost < 1
 	switch {
-	case local != nil && remoteAllowed && (local.errorProne(now) && !remote.errorProne(now) || r.onlyRemoteInTime(now, c, local, remote)):
+	case local != nil && remoteAllowed && local.errorProne(now) && !remote.errorProne(now):
+		c.remoteOffers++
+		return remote, max(offerMaxWaitShare, cost)
+	case local != nil && remoteAllowed && r.onlyRemoteInTime(now, c, local, remote):
+		r.stats.PlacedForTarget++
 		c.remoteOffers++
 		return remote, max(offerMaxWaitShare, cost)
 	case local != nil && (len(r.candidates.local) > 1 || c.tried == nil && len(r.candidates.busy) > 0):
--- a/internal/routing/placement.go
+++ b/internal/routing/placement.go
@@ -94,6 +94,11 @@
 // Finish returns the expected time until the response.
 func (e Estimate) Finish() time.Duration { return e.Wait + e.Work }
 
+// LogFields returns the estimate as fields of a log line.
+func (e Estimate) LogFields() []any {
+	return []any{"wait_ms", e.Wait.Milliseconds(), "work_ms", e.Work.Milliseconds(), "report_age_ms", max(e.ReportAge.Milliseconds(), -1)}
+}
+
 // estimate returns what to expect of a request of a route at the instance.
 func (i *instance) estimate(now time.Time, route string) Estimate {
 	slowness := i.presentSlowness(now)
@@ -160,6 +165,7 @@
 		i.forgetSent(c)
 		return
 	}
+	r.stats.CostReports++
 	p := i.pool
 	p.costs.reportedAt = now
 	if report.Stated {
@@ -178,6 +184,9 @@
 	if r.cfg.Placement == PlaceByScore {
 		return
 	}
+	if r.placesByFinish(now, i.pool) {
+		r.stats.PlacedByFinish++
+	}
 	model := i.pool.costs.model
 	c.estimate, c.biasUsed = i.estimate(now, c.match.Route.Name), i.waitBias(now)
 	c.sentWork = time.Duration(float64(model.Work(c.match.Route.Name)) * model.Slowness(now, i.ID))
--- a/internal/routing/placement_test.go
+++ b/internal/routing/placement_test.go
@@ -114,6 +114,8 @@
 		report(r, start, local1, costs)
 		is.Equal(r.placesByFinish(start, pool), p != PlaceByScore)
 		is.True(!r.placesByFinish(start.Add(costReportTTL), pool))
+		explained := r.Explain(start, "a.example", "GET", "/a/").Candidates[0]
+		is.Equal(explained.Estimate != nil, p != PlaceByScore)
 		costs.Stated = false
 		report(r, start.Add(costReportTTL), local1, costs)
 		is.Equal(r.placesByFinish(start.Add(costReportTTL), pool), p == PlaceByExpectedFinish)
--- a/internal/routing/stats.go
+++ b/internal/routing/stats.go
@@ -28,6 +28,13 @@
 	// there were saturated, slow or failing. Routes with a target are not
 	// counted.
 	ZoneSpills uint64 `json:"spills"`
+	// PlacedByFinish counts attempts whose instance was chosen by expected finish,
+	// PlacedForTarget those that left the availability zone because only the instance
+	// elsewhere was expected to meet the target. CostReports counts the reports on costs
+	// of other proxies.
+	PlacedByFinish  uint64 `json:"placed_by_finish"`
+	PlacedForTarget uint64 `json:"placed_for_target"`
+	CostReports     uint64 `json:"cost_reports"`
 	// RateLimited and ConcurrencyLimited count requests refused by a limit.
 	RateLimited        uint64 `json:"rate_limited"`
 	ConcurrencyLimited uint64 `json:"concurrency_limited"`
