Count requests of a test without a race, and test the setting

The race detector found that the stand-in of TestForwarderReportsCostsOnlyIfAsked counted requests of two connections without synchronisation. An unknown placement is reported with file and key.

go test -race ./internal/forward ./internal/settings: passed.

--- a/internal/forward/load_test.go
+++ b/internal/forward/load_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -87,11 +88,10 @@
 		is := is.New(t)
 		g := &rig{runs: &runCounter{}, dialect: fullDialect()}
 		g.dialect.ServerLoadHeader = "X-Server-Load"
-		requests := 0
+		var requests atomic.Int64
 		g.start(t, rawServer(t, func(c net.Conn, r *bufio.Reader) {
-			requests++
 			notRun := ""
-			if requests > 1 {
+			if requests.Add(1) > 1 {
 				notRun = g.dialect.NotRunHeader + ": 1\r\n"
 			}
 			respondOnce(c, r, signedResponse("r1", notRun+"X-Server-Load: 1,0,4,200\r\nContent-Length: 0\r\n\r\n"))
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -53,6 +53,7 @@
 		{"url", `"http://127.0.0.1:7000"`, `"ftp://x"`, "p.toml:platform.source:"},
 		{"plaintext with key", "plaintext = true", "plaintext = true\nkey = \"k\"", "p.toml:peers.key: must be empty"},
 		{"no certificate", "plaintext = true", "", "p.toml:peers.certificate: missing"},
+		{"placement", "plaintext = true", "plaintext = true\n[requests]\nplacement = \"fastest\"", `p.toml:requests.placement: "fastest": want one of score, expected-finish, auto`},
 		{"missing id", `id = "desk-1"`, "", `p.toml:id: ""`},
 	}
 	for _, c := range cases {
