--- a/bench/soak/cold.go
+++ b/bench/soak/cold.go
@@ -14,10 +14,10 @@
 	// service, as in the users' deployments.
 	warmUpTime      = 3 * time.Second
 	warmUpPerSecond = 14
-	// In any span of coldWindow, a cold backend server may get coldOver times
-	// warmUpPerSecond and coldSlack more.
-	coldOver   = 1.5
-	coldSlack  = 8
+	// In any span of coldWindow, a cold backend server may get coldFactor times
+	// warmUpPerSecond and coldTolerance more.
+	coldFactor   = 1.5
+	coldTolerance  = 8
 	coldWindow = time.Second
 	// coldNotice is the time until the proxies must know of a backend server that
 	// became cold without a start or the end of an evacuation: a second between two
@@ -46,7 +46,7 @@
 
 // allowedCold returns the number of requests that a cold backend server may get in
 // coldWindow.
-func allowedCold() float64 { return warmUpPerSecond*coldOver*coldWindow.Seconds() + coldSlack }
+func allowedCold() float64 { return warmUpPerSecond*coldFactor*coldWindow.Seconds() + coldTolerance }
 
 // serviceEntries returns the services as versions name them.
 func (c *cluster) serviceEntries() []standin.Service {
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -62,6 +62,7 @@
 	losses      warmup.Losses
 	// warmUpState is the state of the latest WarmUpChanged.
 	warmUpState warmup.State
+	cost        costTracker
 	// wakeAt is the time of the latest WakeAt.
 	wakeAt time.Time
 	// departure is set once the backend server has stated that it is about to end.
@@ -93,6 +94,7 @@
 	return &Admission{
 		cfg:           cfg,
 		limiter:       newConcurrencyLimiter(cfg.Slots),
+		cost:          newCostTracker(),
 		requests:      newRequestTable(cfg.RequestLimit),
 		queue:         newPriorityQueue(),
 		awaitingClaim: make(map[uint64]*request),
@@ -292,6 +294,7 @@
 		if a.assigned {
 			a.warmUp.Sign(now, warmup.ObservedStart)
 		}
+		a.cost = newCostTracker()
 	}
 	a.assigned = true
 }
--- a/internal/forward/dialect.go
+++ b/internal/forward/dialect.go
@@ -44,6 +44,10 @@
 	// whose connection comes from the address at which it arrives is a call that the
 	// local backend server makes while it runs another request.
 	CallsFromOwnAddress bool
+	// ServerLoadHeader is the header in which a backend server states its load with
+	// each response, as RUNNING,WAITING,SLOTS[,PERCENT]: PERCENT is how long work takes
+	// there at this moment, 100 as usual.
+	ServerLoadHeader string
 	// StatusIndicatesExecution makes the status code state whether a request
 	// was run: 503 and 429 guarantee that it was not, 502 and 504 guarantee
 	// nothing.
--- a/internal/forward/ingress.go
+++ b/internal/forward/ingress.go
@@ -157,18 +157,18 @@
 	x, err := c.pool.Do(c.r.Context(), d.Deadline, d.Address, c.outgoing)
 	if err != nil {
 		c.detail = err.Error()
-		return c.reportFailure(d, start, fence.resolve(c.r.Context(), d.Deadline, refusalForError(err)), 0)
+		return c.reportFailure(d, start, fence.resolve(c.r.Context(), d.Deadline, refusalForError(err)), 0, routing.CostReport{})
 	}
 	if refusal, refused := parseRefusal(x.Response); refused {
-		load := parseLoad(x.Response.Header)
+		load, costs := parseLoad(x.Response.Header), c.peerCosts(d, x.Response.Header)
 		x.Close(false)
-		return c.reportFailure(d, start, refusal, load)
+		return c.reportFailure(d, start, refusal, load, costs)
 	}
 	if err := x.verifyResponse(c.r.Context(), d.Deadline); err != nil {
 		c.detail = err.Error()
-		return c.reportFailure(d, start, refusalForError(err), 0)
+		return c.reportFailure(d, start, refusalForError(err), 0, routing.CostReport{})
 	}
-	defer c.reportResponse(d, x, start)()
+	defer c.reportResponse(d, x, start, c.peerCosts(d, x.Response.Header))()
 	relayResponse(c.w, c.r, x, delivery{deadline: d.Deadline, extra: versionField(d), use: use, sameMachine: sameMachine(c.w)})
 	return true
 }
@@ -199,9 +199,9 @@
 	result := c.local.forwardRequest(c.r.Context(), c.outgoing, arrived)
 	c.outgoing.expectContinue = true
 	if result.exchange == nil {
-		return c.reportFailure(d, start, result.refusal, 0)
+		return c.reportFailure(d, start, result.refusal, 0, result.costReport())
 	}
-	defer c.reportResponse(d, result.exchange, start)()
+	defer c.reportResponse(d, result.exchange, start, result.costReport())()
 	result.relay(c.w, c.r, delivery{extra: versionField(d), use: use, sameMachine: sameMachine(c.w)})
 	return true
 }
@@ -209,7 +209,7 @@
 // reportFailure reports a failed attempt to routing, which decides what to do
 // next. If the caller has disconnected, the request is abandoned. The result is
 // always false: the caller has no response yet.
-func (c *callerRequest) reportFailure(d routing.Send, start time.Time, r outcome.Refusal, load float64) bool {
+func (c *callerRequest) reportFailure(d routing.Send, start time.Time, r outcome.Refusal, load float64, costs routing.CostReport) bool {
 	c.logAttempt(d, start, true, "outcome", r.Outcome, "reason", r.Reason, "detail", c.detail)
 	c.detail = ""
 	if c.r.Context().Err() != nil {
@@ -225,6 +225,7 @@
 		RetryAfter: r.RetryAfter,
 		Status:     r.Status,
 		Load:       load,
+		Costs:      costs,
 	})
 	return false
 }
@@ -250,21 +251,24 @@
 // backend server states in it. It returns the function that reports the end of the
 // attempt, and whether the response was truncated; the reported latency is that until
 // the header.
-func (c *callerRequest) reportResponse(d routing.Send, x *Exchange, start time.Time) func() {
+func (c *callerRequest) reportResponse(d routing.Send, x *Exchange, start time.Time, costs routing.CostReport) func() {
 	resp := x.Response
 	report, _ := c.dialect.backendReport(resp.Header) // the proxy beside the backend server logs invalid ones
+	report = report.withoutLoad()
 	fields := append([]any{"outcome", outcome.Answered, "status", resp.StatusCode}, report.fields()...)
 	c.logAttempt(d, start, resp.StatusCode >= http.StatusInternalServerError || d.Attempt > 1, fields...)
 	if report != (backendReport{}) {
 		c.core.Route(routing.Reported{ID: c.id, RateLimit: report.rateLimit, RateLimited: report.rateLimited, Leaving: report.leaving})
 	}
 	e := routing.AttemptEnded{
-		ID:      c.id,
-		Outcome: outcome.Answered,
-		Latency: time.Since(start),
-		Status:  resp.StatusCode,
-		Load:    parseLoad(resp.Header),
-		Bytes:   resp.ContentLength,
+		ID:       c.id,
+		Outcome:  outcome.Answered,
+		Latency:  time.Since(start),
+		Expected: d.Choice.Estimate.Finish(),
+		Status:   resp.StatusCode,
+		Load:     parseLoad(resp.Header),
+		Bytes:    resp.ContentLength,
+		Costs:    costs,
 	}
 	return func() {
 		if e.Truncated = x.truncated; e.Truncated {
@@ -274,6 +278,18 @@
 	}
 }
 
+// peerCosts returns the report on costs in the response of another proxy. An invalid one
+// is logged and ignored.
+func (c *callerRequest) peerCosts(d routing.Send, h http.Header) routing.CostReport {
+	costs, err := parseCostReport(h)
+	if err != nil {
+		logDecision(c.core, true, "invalid report", func() []any {
+			return []any{"request", c.dialect.requestID(c.r), "instance", d.Instance, "detail", err.Error()}
+		})
+	}
+	return costs
+}
+
 // slotOrganisation returns the organisation whose share of the backend server's
 // slots the request uses. With OrganisationFromHost it is empty: host names have
 // no share of their own.
--- a/internal/host/forwardcore.go
+++ b/internal/host/forwardcore.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"heatherlift.example/heatherlift/internal/admission"
 	"heatherlift.example/heatherlift/internal/decisionlog"
@@ -17,6 +18,9 @@
 func (h *Host) Route(e routing.Event) {
 	if ended, ok := e.(routing.AttemptEnded); ok && ended.Outcome == outcome.Answered {
 		h.metrics.attemptDuration.Observe(ended.Latency.Seconds())
+		if ended.Expected > 0 {
+			h.metrics.observeEstimate(ended.Expected, ended.Latency)
+		}
 	}
 	h.mustStep(e)
 }
@@ -93,3 +97,10 @@
 	h.view(func(n *node.Node) { load = n.LoadPerSlot() })
 	return load
 }
+
+// CostReport implements forward.CostReporter.
+func (h *Host) CostReport(e admission.Arrived) (report admission.CostReport, ok bool) {
+	now := time.Now()
+	h.view(func(n *node.Node) { report, ok = n.CostReport(now, e) })
+	return report, ok
+}
--- a/internal/routing/cold.go
+++ b/internal/routing/cold.go
@@ -45,16 +45,16 @@
 // pick selects an instance of the list, nil if it is empty. A cold one is selected by
 // chance, with its share of what each of the others gets: by its score it would get none
 // of the requests of a proxy that sends it few. If all are cold, all are used.
-func (r *Router) pick(now time.Time, list []*instance) *instance {
+func (r *Router) pick(now time.Time, c *call, list []*instance) *instance {
 	warm := warmFirst(now, list)
 	if warm == 0 || warm == len(list) {
-		return r.pickOfTwo(now, list)
+		return r.pickByPolicy(now, c, list)
 	}
 	drawn := list[r.rng.IntN(len(list))]
 	if drawn.cold(now) && r.rng.Float64() < drawn.coldShare(now) {
 		return drawn
 	}
-	return r.pickOfTwo(now, list[:warm])
+	return r.pickByPolicy(now, c, list[:warm])
 }
 
 // warmFirst moves the warm instances to the front of the list and returns their number. It
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -28,6 +28,7 @@
 	// coldPerSecond is the rate of requests that a cold instance can serve, 0 if the
 	// service names no warm-up.
 	coldPerSecond float64
+	costs         poolCosts
 }
 
 // ejected returns the number of instances that are ejected at the given time.
@@ -98,6 +99,7 @@
 	for _, record := range list {
 		i := r.instances[record.ID]
 		if i == nil || i.Incarnation != record.Incarnation || i.Service != record.Service {
+			r.pool(record.Service).costs.model.Forget(record.ID) // another process may be faster
 			i = &instance{Instance: record, pool: r.pool(record.Service), loadAt: now}
 			if !initial {
 				i.readySince = now
@@ -136,7 +138,7 @@
 func (r *Router) pool(service string) *pool {
 	p, ok := r.pools[service]
 	if !ok {
-		p = &pool{coldPerSecond: r.cfg.ColdTolerance.Rate(r.services[service].WarmUpPerSecond)}
+		p = &pool{costs: newPoolCosts(), coldPerSecond: r.cfg.ColdTolerance.Rate(r.services[service].WarmUpPerSecond)}
 		r.pools[service] = p
 	}
 	return p
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -20,6 +20,8 @@
 	// MaxAttempts limits the attempts of one request, unless its route sets a
 	// limit.
 	MaxAttempts int
+	// Placement is the policy by which instances are chosen.
+	Placement Placement
 	// Retries limits the retries that each service gets from the whole fleet.
 	Retries RetryBudget
 	// ColdTolerance is by how much a cold backend server may receive more requests than
@@ -151,6 +153,9 @@
 	return r.table
 }
 
+// Zone returns the availability zone of this proxy.
+func (r *Router) Zone() string { return r.cfg.AvailabilityZone }
+
 // InFlight returns the number of requests in progress.
 func (r *Router) InFlight() int {
 	return len(r.calls)
