Mark refusals for the link for large responses only

A download refused for lack of link time marked its instance as busy for all routes of the sender, for up to 100 ms, or 1 s in other availability zones, and a refusal as last resort raised its refusal rate. Short requests lost sound candidates.

Such refusals now carry the header Heatherlift-Link-Busy between proxies and set a mark of their own, which concerns only routes with large responses. Other proxies ignore the header and treat the refusal as before. The caller does not see it.

--- a/internal/forward/dialect.go
+++ b/internal/forward/dialect.go
@@ -59,6 +59,7 @@
 	VersionHeader:      true,
 	loadHeader:         true,
 	hopHeader:          true,
+	linkBusyHeader:     true,
 }
 
 // isEndToEnd reports whether a header is forwarded end to end, because it is
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -47,6 +47,10 @@
 // response.
 const loadHeader = "Heatherlift-Load"
 
+// linkBusyHeader, with the value 1, marks a refusal between proxies for lack of link time
+// for the response. Proxies that do not know it take the refusal for one of the queue.
+const linkBusyHeader = "Heatherlift-Link-Busy"
+
 // isReservedHeader reports whether a header name is reserved for this package.
 // That includes names with an underscore after the prefix, which some backend
 // servers treat like a hyphen.
@@ -125,6 +129,9 @@
 	}
 	h.Set(OutcomeHeader, string(r.Outcome))
 	h.Set(ReasonHeader, string(r.Reason))
+	if r.LinkBusy {
+		h.Set(linkBusyHeader, "1")
+	}
 	h.Set("Content-Type", "application/json")
 	if r.RetryAfter > 0 {
 		h.Set("Retry-After", d.formatRetryAfter(r.RetryAfter))
@@ -153,6 +160,7 @@
 		Reason:     outcome.Reason(resp.Header.Get(ReasonHeader)),
 		Status:     resp.StatusCode,
 		RetryAfter: parseRetryAfter(resp.Header),
+		LinkBusy:   o == outcome.NotRun && resp.Header.Get(linkBusyHeader) != "",
 	}, true
 }
 
--- a/internal/forward/ingress.go
+++ b/internal/forward/ingress.go
@@ -217,6 +217,7 @@
 		RetryAfter: r.RetryAfter,
 		Status:     r.Status,
 		Load:       load,
+		LinkBusy:   r.LinkBusy,
 	})
 	return false
 }
@@ -224,6 +225,7 @@
 // refuse sends a refusal to the caller. If an earlier attempt may have run the
 // request, the outcome is unknown even if the last attempt did not run it.
 func (c *callerRequest) refuse(r outcome.Refusal) {
+	r.LinkBusy = false // concerns proxies only
 	if c.maybeRun && r.Outcome == outcome.NotRun {
 		r.Outcome = outcome.Unknown
 		r.RetryAfter = 0
--- a/internal/forward/responselink.go
+++ b/internal/forward/responselink.go
@@ -192,7 +192,7 @@
 	if arrived.Patience > 0 {
 		refusal.Reason = outcome.InstanceBusy
 	}
-	refusal.RetryAfter = d.RetryAfter
+	refusal.RetryAfter, refusal.LinkBusy = d.RetryAfter, true
 	logDecision(l.core, true, "response refused", func() []any {
 		return []any{
 			"request", l.dialect.requestID(r),
--- a/internal/forward/responselink_test.go
+++ b/internal/forward/responselink_test.go
@@ -217,6 +217,8 @@
 		is.Equal(resp.Header.Get(OutcomeHeader), string(outcome.NotRun))
 		is.Equal(resp.Header.Get(ReasonHeader), string(reason))
 		is.True(resp.Header.Get("Retry-After") != "")
+		refusal, _ := parseRefusal(resp)
+		is.True(refusal.LinkBusy)
 	}
 	is.Equal(g.runs.count("/refused"), 0)
 	_ = first.Close()
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -87,4 +87,7 @@
 	// RetryAfter is the time after which the caller may retry, 0 if it should
 	// not retry.
 	RetryAfter time.Duration `json:"retry_after_ns"`
+	// LinkBusy means that the link of the instance's machine has no time for the
+	// response. It concerns only requests with large responses.
+	LinkBusy bool `json:"link_busy,omitempty"`
 }
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -54,6 +54,9 @@
 	sentAt  time.Time
 	// namedLimit means that the response names a rate limit.
 	namedLimit bool
+	// linkRefused means that an instance refused the request because its machine's link
+	// has no time for the response.
+	linkRefused bool
 	// fingerprint and knownCrashes are those of the request's Arrived.
 	fingerprint  uint64
 	knownCrashes uint32
@@ -218,7 +221,8 @@
 // result of an attempt.
 func (r *Router) recordAttempt(now time.Time, c *call, e AttemptEnded) {
 	i := c.current
-	refused := e.Outcome == outcome.NotRun && isOverload(e.Reason)
+	c.linkRefused = c.linkRefused || e.LinkBusy
+	refused := e.Outcome == outcome.NotRun && isOverload(e.Reason) && !e.LinkBusy
 	i.recordLoad(now, e.Load)
 	i.applyRetryAfter(now, e)
 	if e.Outcome == outcome.Answered {
--- a/internal/routing/events.go
+++ b/internal/routing/events.go
@@ -77,6 +77,9 @@
 		Load float64
 		// Bytes is the length of the response body, -1 if it is unknown.
 		Bytes int64
+		// LinkBusy means that the instance refused the request because its machine's
+		// link has no time for the response. Short requests are not concerned.
+		LinkBusy bool
 		// Truncated means that the body of the response did not end properly or in
 		// time, after a part of it had reached the caller.
 		Truncated bool
--- a/internal/routing/instance.go
+++ b/internal/routing/instance.go
@@ -39,6 +39,13 @@
 	saturatedRate = 0.3
 )
 
+// busyMark is a refusal for lack of capacity: the instance reported reportedWait at
+// reportedWaitAt, and until busyUntil it is a candidate only for the fallback.
+type busyMark struct {
+	reportedWaitAt, busyUntil time.Time
+	reportedWait              time.Duration
+}
+
 // instance is the state that this proxy keeps for an instance.
 type instance struct {
 	Instance
@@ -61,11 +68,12 @@
 	readySince time.Time
 	heldUntil  time.Time
 
-	// reportedWait is the wait that the instance reported at reportedWaitAt,
-	// when it refused a request because of a long wait or a full queue. Until
-	// busyUntil it is a candidate only for the fallback.
-	reportedWaitAt, busyUntil time.Time
-	reportedWait              time.Duration
+	// busyMark is set when the instance refused a request because of a long wait or a
+	// full queue.
+	busyMark
+	// linkBusy is set when it refused one because its machine's link has no time for
+	// the response. It concerns only requests with large responses.
+	linkBusy busyMark
 	// rateLimit is the rate limit that the backend server named in the latest
 	// response, in requests per second, valid if rateLimited is set. Until
 	// limitedUntil the limit leaves no room for a request.
--- a/internal/routing/limited.go
+++ b/internal/routing/limited.go
@@ -30,7 +30,7 @@
 	}
 	c.limitedSends++
 	chosen = slices.MinFunc(limited, func(a, b *instance) int {
-		return cmp.Compare(a.remainingWait(now), b.remainingWait(now))
+		return cmp.Compare(a.remaining(now), b.remaining(now))
 	})
 	return chosen, len(limited) == 1 || c.limitedSends == maxLimitedSends
 }
--- a/internal/routing/offer.go
+++ b/internal/routing/offer.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"heatherlift.example/heatherlift/internal/outcome"
+	"heatherlift.example/heatherlift/internal/transfer"
 )
 
 const (
@@ -144,7 +145,7 @@
 		if i.AvailabilityZone != r.cfg.AvailabilityZone {
 			continue
 		}
-		if best == nil || i.remainingWait(now) < best.remainingWait(now) {
+		if best == nil || r.remainingWait(now, c, i) < r.remainingWait(now, c, best) {
 			best = i
 		}
 	}
@@ -159,20 +160,43 @@
 	return nil
 }
 
-// remainingWait returns what is left of the wait that the instance reported.
-func (i *instance) remainingWait(now time.Time) time.Duration {
-	return max(0, i.reportedWait-now.Sub(i.reportedWaitAt))
+// needsLinkTime reports whether the response is so large that the link of an instance's
+// machine may have no time for it. Where this proxy does not know yet, a refusal of the
+// request itself tells.
+func (r *Router) needsLinkTime(c *call) bool {
+	route := c.match.Route
+	return c.hasTarget() && (route.Download || c.linkRefused || r.meanResponseBytes[route.Name] > transfer.LargeResponseBytes)
+}
+
+// isBusy reports whether the instance is marked as busy for the call.
+func (r *Router) isBusy(now time.Time, c *call, i *instance) bool {
+	return now.Before(i.busyUntil) || now.Before(i.linkBusy.busyUntil) && r.needsLinkTime(c)
+}
+
+// remainingWait returns what is left of the wait that the instance reported for
+// requests such as the call.
+func (r *Router) remainingWait(now time.Time, c *call, i *instance) time.Duration {
+	wait := i.remaining(now)
+	if r.needsLinkTime(c) {
+		wait = max(wait, i.linkBusy.remaining(now))
+	}
+	return wait
+}
+
+// remaining returns what is left of the reported wait.
+func (b *busyMark) remaining(now time.Time) time.Duration {
+	return max(0, b.reportedWait-now.Sub(b.reportedWaitAt))
 }
 
 // recordBusy stores the wait that an instance reported when it refused a
 // request, and marks the instance as busy for a time.
-func (r *Router) recordBusy(now time.Time, i *instance, wait time.Duration) {
-	i.reportedWaitAt, i.reportedWait = now, wait
+func (r *Router) recordBusy(now time.Time, i *instance, mark *busyMark, wait time.Duration) {
+	mark.reportedWaitAt, mark.reportedWait = now, wait
 	backoff := min(wait/2, maxLocalBusyBackoff)
 	if i.AvailabilityZone != r.cfg.AvailabilityZone {
 		backoff = remoteBusyBackoff
 	}
-	i.busyUntil = now.Add(backoff)
+	mark.busyUntil = now.Add(backoff)
 }
 
 // transferCost returns the expected cost of transferring the response between
@@ -201,7 +225,11 @@
 	}
 	switch e.Reason {
 	case outcome.InstanceBusy, outcome.Overload:
-		r.recordBusy(now, i, e.RetryAfter)
+		mark := &i.busyMark
+		if e.LinkBusy {
+			mark = &i.linkBusy
+		}
+		r.recordBusy(now, i, mark, e.RetryAfter)
 	case outcome.ConnectFailed, outcome.InstanceLeaving:
 		i.downUntil = now.Add(unreachableBackoff)
 	case outcome.OtherInstance:
--- a/internal/routing/selection.go
+++ b/internal/routing/selection.go
@@ -106,7 +106,7 @@
 		switch {
 		case s == Limited:
 			r.candidates.addLimited(now, i)
-		case s == Usable && now.Before(i.busyUntil):
+		case s == Usable && r.isBusy(now, c, i):
 			r.candidates.busy = append(r.candidates.busy, i)
 		case !c.hasTried(i):
 			r.candidates.add(i, s, r.cfg.AvailabilityZone)
