Relay short responses over a link without timer and context

On a shared link every response made a context with a timer, also those with a short body, which is read at once and needs neither.

--- a/internal/forward/pacedrelay.go
+++ b/internal/forward/pacedrelay.go
@@ -34,56 +34,73 @@
 // relayOverLink is relayResponse on a shared link. The response is read without waiting
 // for the receiver, and a large one is sent in pieces.
 func (rr *responseRelay) relayOverLink(d delivery) {
-	ctx, cancel := context.WithDeadline(rr.r.Context(), d.deadline)
-	defer cancel()
 	controller := http.NewResponseController(rr.w)
 	length := rr.x.Response.ContentLength
-	stop, err := rr.read(ctx, d)
-	defer stop()
-	large := length < 0 || length > transfer.LargeResponseBytes
-	if err == nil && large {
-		_ = controller.SetWriteDeadline(d.deadline)
-		if !d.sameMachine {
-			rr.pace = rr.newPace(ctx, d, length)
-		}
-	}
-	if err == nil {
-		err = rr.write(controller)
+	var err error
+	if length < 0 || length > transfer.LargeResponseBytes {
+		err = rr.relayLarge(controller, d, length)
+	} else {
+		err = rr.relayShort(controller, d)
 	}
 	if err != nil {
 		rr.x.truncated = errors.Is(err, errResponseBody) && rr.r.Context().Err() == nil
-		stop()
 		rr.abort(controller)
 	}
-	if large {
-		_ = controller.Flush()
-		_ = controller.SetWriteDeadline(time.Time{})
+}
+
+// relayLarge forwards a response whose body may be large.
+func (rr *responseRelay) relayLarge(controller *http.ResponseController, d delivery, length int64) error {
+	ctx, cancel := context.WithDeadline(rr.r.Context(), d.deadline)
+	defer cancel()
+	defer rr.readLarge(ctx, d)()
+	_ = controller.SetWriteDeadline(d.deadline)
+	if !d.sameMachine {
+		rr.pace = rr.newPace(ctx, d, length)
+	}
+	if err := rr.write(controller); err != nil {
+		return err
 	}
+	_ = controller.Flush()
+	_ = controller.SetWriteDeadline(time.Time{})
+	return nil
 }
 
-// read makes the body of the response independent of the connection on which it arrives,
-// and ends the exchange when it has been read. The function stop has to be called when
-// the response is not needed any more.
-func (rr *responseRelay) read(ctx context.Context, d delivery) (stop func(), err error) {
-	x := rr.x
-	resp, ready := x.Response, time.Now()
+// readLarge makes the body of the response independent of the connection on which it
+// arrives, and ends the exchange when it has been read. The function stop has to be
+// called when the response is not needed any more.
+func (rr *responseRelay) readLarge(ctx context.Context, d delivery) (stop func()) {
+	x, ready := rr.x, time.Now()
+	if !hasBody(x.Response) || x.bodyRead {
+		rr.endRead(d, max(0, x.Response.ContentLength), ready)
+		return func() {}
+	}
 	end := func(bytes int64, complete bool) {
 		d.use.learn(x, bytes, ready, complete)
 		d.reportRead(complete)
 	}
-	if hasBody(resp) && !x.bodyRead {
-		if resp.ContentLength < 0 || resp.ContentLength > transfer.LargeResponseBytes {
-			return startReadAhead(ctx, x, d.use.link.memory, d.deadline, end).stop, nil
-		}
+	return startReadAhead(ctx, x, d.use.link.memory, d.deadline, end).stop
+}
+
+// relayShort forwards a response with a short body, which is read first. It needs no
+// timer and no goroutine.
+func (rr *responseRelay) relayShort(controller *http.ResponseController, d delivery) error {
+	ready := time.Now()
+	if hasBody(rr.x.Response) && !rr.x.bodyRead {
 		if err := rr.readShort(); err != nil {
-			x.Close(false)
+			rr.x.Close(false)
 			d.reportRead(false)
-			return func() {}, err
+			return err
 		}
 	}
-	x.Close(true)
-	end(max(0, resp.ContentLength), true)
-	return func() {}, nil
+	rr.endRead(d, rr.x.Response.ContentLength, ready)
+	return rr.write(controller)
+}
+
+// endRead ends the exchange of a response that is in memory.
+func (rr *responseRelay) endRead(d delivery, bytes int64, ready time.Time) {
+	rr.x.Close(true)
+	d.use.learn(rr.x, bytes, ready, true)
+	d.reportRead(true)
 }
 
 // readShort reads a short body into memory.
