Do not blame an instance for a lack of memory at this proxy

A response that was given up at its deadline because this proxy had no memory for it counted as broken off, hence as a failure of its instance, which could be ejected. It does not count any more; the receiver's connection is aborted as before.

TestLackOfMemoryIsNotBlamedOnTheInstance failed before and passes 20 of 20.

--- a/internal/forward/errors.go
+++ b/internal/forward/errors.go
@@ -24,6 +24,8 @@
 	errRequestHeaderTooLarge = errors.New("request header too large")
 	// errResponseBody marks a response body that could not be read to its end.
 	errResponseBody = errors.New("could not read response body")
+	// errNoMemory marks a response that this proxy had no memory for until its deadline.
+	errNoMemory = errors.New("no memory for the response in time")
 	// errBody marks a request body that could not be read from its sender.
 	errBody = errors.New("could not read request body")
 )
--- a/internal/forward/memory.go
+++ b/internal/forward/memory.go
@@ -49,7 +49,7 @@
 		ctx, cancel := context.WithDeadline(ctx, deadline)
 		defer cancel()
 		if err := m.memory.large.Acquire(ctx, n); err != nil {
-			return errors.Wrapf(ErrConnectionLost, "no memory for the response in time: %v", err)
+			return errors.Mark(errors.Wrapf(ErrConnectionLost, "no memory for the response in time: %v", err), errNoMemory)
 		}
 	}
 	m.limited += n
--- a/internal/forward/pacedrelay.go
+++ b/internal/forward/pacedrelay.go
@@ -43,7 +43,7 @@
 		err = rr.relayShort(controller, d)
 	}
 	if err != nil {
-		rr.x.truncated = errors.Is(err, errResponseBody) && rr.r.Context().Err() == nil
+		rr.x.truncated = errors.Is(err, errResponseBody) && !errors.Is(err, errNoMemory) && rr.r.Context().Err() == nil
 		rr.abort(controller)
 	}
 }
--- a/internal/forward/readahead.go
+++ b/internal/forward/readahead.go
@@ -36,6 +36,8 @@
 	filled, consumed int
 	err              error
 	stopped          bool
+	// starved is set while reading waits for memory that other responses hold.
+	starved bool
 }
 
 // startReadAhead replaces the body of the response by one that is read ahead. The
@@ -115,9 +117,11 @@
 func (a *readAhead) addChunk() error {
 	added := heldMemory{memory: a.memory.memory}
 	if a.started {
+		a.setStarved(true)
 		if err := added.acquire(a.ctx, a.deadline, copyBufferBytes); err != nil {
 			return err
 		}
+		a.setStarved(false)
 	} else {
 		a.started = true
 		added.take(copyBufferBytes)
@@ -130,6 +134,22 @@
 	return nil
 }
 
+func (a *readAhead) setStarved(starved bool) {
+	a.mu.Lock()
+	a.starved = starved
+	a.mu.Unlock()
+}
+
+// endError returns the error of a body that is given up since the context has ended.
+func (a *readAhead) endError() error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.starved {
+		return errors.Mark(a.ctx.Err(), errNoMemory)
+	}
+	return a.ctx.Err()
+}
+
 func (a *readAhead) add(n int) {
 	a.mu.Lock()
 	a.filled += n
@@ -169,7 +189,7 @@
 		select {
 		case <-a.changed:
 		case <-a.ctx.Done():
-			return 0, a.ctx.Err()
+			return 0, a.endError()
 		}
 	}
 }
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -162,7 +162,7 @@
 			return nil
 		}
 		if err != nil {
-			return errors.Wrapf(errResponseBody, "%v", err)
+			return errors.Mark(errors.Wrap(err, "response body"), errResponseBody)
 		}
 	}
 }
--- a/internal/forward/responselink_test.go
+++ b/internal/forward/responselink_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -224,3 +225,26 @@
 	_ = first.Close()
 	g.waitUntilReleased(t)
 }
+
+// A response that is given up because this proxy has no memory for it must not count as
+// broken off: the instance would be ejected for a shortage that is not its own.
+func TestLackOfMemoryIsNotBlamedOnTheInstance(t *testing.T) {
+	is := is.New(t)
+	const length = 600 << 10
+	address := rawServer(t, respondEach(contentLength(length), strings.Repeat("x", length)))
+	pool := NewPool(DialTCP, 0)
+	t.Cleanup(pool.Close)
+	link := newResponseLink(1000, ResponseObserver{Held: func(int64) {}, Paced: func(int) {}})
+	is.True(link.memory.large.TryAcquire(maxHeldBytes))
+	use := link.newUse("")
+	defer use.release()
+	r := httptest.NewRequest(http.MethodGet, "/a", nil)
+	deadline := time.Now().Add(100 * time.Millisecond)
+	x, err := pool.Do(t.Context(), deadline.Add(time.Second), address, &outgoingRequest{in: r, dialect: &Dialect{}, use: use})
+	is.NoErr(err)
+	func() {
+		defer func() { is.Equal(recover(), http.ErrAbortHandler) }()
+		relayResponse(httptest.NewRecorder(), r, x, delivery{deadline: deadline, use: use})
+	}()
+	is.True(!x.truncated)
+}
