Report the end of a relayed request without a closure

The closure and its sync.Once cost two allocations per request, also where no link is named. An atomic flag of the request takes their place.

--- a/internal/forward/local.go
+++ b/internal/forward/local.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"net/http"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -58,6 +58,9 @@
 	startedAt time.Time
 	// detail is the error of a failed exchange.
 	detail string
+	// reported is set when the end of a request with a response has been reported. The
+	// response may be read by another goroutine than that of its receiver.
+	reported atomic.Bool
 }
 
 // backendResult is the result of a backendRequest: an exchange whose response
@@ -261,18 +264,17 @@
 // admission when the response has been read: the slot of the backend server is then
 // free, whether or not the receiver has the response.
 func (b backendResult) relay(w http.ResponseWriter, r *http.Request, d delivery) {
-	var once sync.Once
-	report := func(complete bool) {
-		once.Do(func() { b.request.reportRead(complete) })
-	}
-	defer report(false)
-	d.deadline, d.onRead = b.request.deadline, report
+	defer b.request.reportRead(false)
+	d.deadline, d.request = b.request.deadline, b.request
 	relayResponse(w, r, b.exchange, d)
 }
 
 // reportRead reports the end of a request whose response has been read, completely or
-// not.
+// not. Only the first call counts.
 func (c *backendRequest) reportRead(complete bool) {
+	if c.reported.Swap(true) {
+		return
+	}
 	ended := admission.Ended{ID: c.arrived.ID, Outcome: outcome.Answered}
 	if !complete {
 		ended.Outcome, ended.Reason, ended.Inconclusive = outcome.Unknown, outcome.ConnectionLost, true
--- a/internal/forward/pacedrelay.go
+++ b/internal/forward/pacedrelay.go
@@ -21,13 +21,14 @@
 	// receiver is reached without the link.
 	use         *linkUse
 	sameMachine bool
-	// onRead, if set, is called once when the response has been read, completely or not.
-	onRead func(complete bool)
+	// request is told when the response has been read, completely or not. It is nil for
+	// a response of another proxy.
+	request *backendRequest
 }
 
 func (d *delivery) reportRead(complete bool) {
-	if d.onRead != nil {
-		d.onRead(complete)
+	if d.request != nil {
+		d.request.reportRead(complete)
 	}
 }
 
