--- /dev/null
+++ b/internal/forward/callerconn.go
@@ -0,0 +1,325 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
+
+	"heatherlift.example/heatherlift/internal/config"
+)
+
+// callerConn is a connection from a caller.
+type callerConn struct {
+	net.Conn
+	server        *CallerServer
+	headerScanner headerScanner
+	// malformed is set when a request header on the connection is ambiguous.
+	// Only the reading goroutine uses it.
+	malformed bool
+	reader    *bufio.Reader
+	// headerBytesLeft is the number of bytes that the header being read may
+	// still take, or unlimitedBytes.
+	headerBytesLeft int
+	// headerTooLarge is set when the header being read exceeded its limit.
+	headerTooLarge bool
+	// readsLate is set while a read that timed out is tried once more. Only the
+	// reading goroutine uses it.
+	readsLate     bool
+	pipelineSlots chan struct{}
+	handlers      sync.WaitGroup
+
+	mu sync.Mutex
+	// inProgress counts the requests whose response is not completely written.
+	inProgress int
+	// lastRequest is the request read most recently. responseStarted is set
+	// when its response header has been written.
+	lastRequest     *callerExchange
+	responseStarted bool
+	// closing is set when no further request is accepted.
+	closing bool
+}
+
+func newCallerConn(s *CallerServer, c net.Conn) *callerConn {
+	conn := &callerConn{Conn: c, server: s, headerBytesLeft: unlimitedBytes, pipelineSlots: make(chan struct{}, maxPipelinedRequests)}
+	conn.reader = bufio.NewReaderSize(conn, 4<<10)
+	return conn
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(b []byte) (int, error) {
+	if c.headerBytesLeft == 0 {
+		c.headerTooLarge = true
+		return 0, errRequestHeaderTooLarge
+	}
+	if c.headerBytesLeft > 0 && len(b) > c.headerBytesLeft {
+		b = b[:c.headerBytesLeft]
+	}
+	n, err := c.Conn.Read(b)
+	if c.readsLate && errors.Is(err, os.ErrDeadlineExceeded) && c.extendRead() {
+		n, err = c.Conn.Read(b)
+	}
+	if c.headerBytesLeft > 0 {
+		c.headerBytesLeft -= n
+	}
+	if n > 0 && c.headerScanner.scan(b[:n]) {
+		c.malformed = true
+	}
+	return n, err
+}
+
+// extendRead allows one more read after a timeout. It returns false if the
+// connection accepts no further request.
+func (c *callerConn) extendRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readsLate = false
+	if c.closing {
+		return false
+	}
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lateReadTimeout))
+	return true
+}
+
+// serve reads requests until the connection closes.
+func (c *callerConn) serve() {
+	defer c.server.remove(c)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	previous := make(chan struct{})
+	close(previous)
+	for {
+		x, ok := c.nextRequest(ctx, previous)
+		if !ok {
+			break
+		}
+		previous = x.done
+		c.handlers.Go(x.serve)
+		if !x.waitForBody() {
+			break
+		}
+	}
+	c.cancelOnDisconnect(cancel)
+	c.handlers.Wait()
+	c.linger()
+}
+
+// cancelOnDisconnect cancels the requests in progress if the caller disconnects
+// before the last response is written. Further input from the caller is
+// discarded.
+func (c *callerConn) cancelOnDisconnect(cancel context.CancelFunc) {
+	for c.requestsInProgress() > 0 {
+		if _, err := c.reader.Discard(1); err != nil {
+			if !errors.Is(err, os.ErrDeadlineExceeded) {
+				cancel()
+			}
+			return
+		}
+	}
+}
+
+func (c *callerConn) requestsInProgress() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.inProgress
+}
+
+// nextRequest waits for a request. It returns false if there is none.
+func (c *callerConn) nextRequest(ctx context.Context, previous chan struct{}) (*callerExchange, bool) {
+	c.pipelineSlots <- struct{}{}
+	if !c.waitForRequest() {
+		return nil, false
+	}
+	limits := c.server.limits()
+	_ = c.Conn.SetReadDeadline(time.Now().Add(time.Duration(limits.HeaderTimeout)))
+	c.readsLate = true
+	req, status := c.readRequest(limits)
+	c.readsLate = false
+	_ = c.Conn.SetReadDeadline(time.Time{})
+	if status == 0 {
+		return nil, false
+	}
+	x := newCallerExchange(ctx, c, req, previous)
+	x.body.bytesLeft = limits.BodyBytes
+	if status != http.StatusOK {
+		x.rejectStatus = status
+		c.server.reportReject(x)
+	}
+	if !c.startRequest(x) {
+		return nil, false
+	}
+	return x, true
+}
+
+// waitForRequest waits for the first byte of the next request.
+func (c *callerConn) waitForRequest() bool {
+	c.mu.Lock()
+	if c.closing {
+		c.mu.Unlock()
+		return false
+	}
+	if c.inProgress == 0 {
+		c.startIdleTimeout()
+	}
+	c.mu.Unlock()
+	c.readsLate = true
+	_, err := c.reader.Peek(1)
+	c.readsLate = false
+	return err == nil
+}
+
+// startIdleTimeout bounds the wait for the next request.
+func (c *callerConn) startIdleTimeout() {
+	_ = c.Conn.SetReadDeadline(time.Now().Add(time.Duration(c.server.limits().IdleTimeout)))
+}
+
+// startRequest registers a request. It returns false if the connection started
+// closing in the meantime; the request is then discarded without being run.
+func (c *callerConn) startRequest(x *callerExchange) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		return false
+	}
+	c.inProgress++
+	c.lastRequest, c.responseStarted = x, false
+	if x.requiresClose() || c.server.draining.Load() {
+		c.closing = true
+	}
+	return true
+}
+
+// finishRequest unregisters a request whose response has been written.
+func (c *callerConn) finishRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inProgress--
+	if c.inProgress == 0 && !c.closing {
+		c.startIdleTimeout()
+	}
+	<-c.pipelineSlots
+}
+
+// startResponse records that the response of x starts and reports whether the
+// connection closes after it. In that case no further request is accepted.
+func (c *callerConn) startResponse(x *callerExchange, closeAfter bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lastRequest == x {
+		c.responseStarted = true
+		c.closing = c.closing || c.server.draining.Load()
+	}
+	if closeAfter {
+		c.closing = true
+	}
+	last := c.closing && (c.lastRequest == x || closeAfter)
+	if last {
+		_ = c.Conn.SetReadDeadline(pastDeadline)
+	}
+	return last
+}
+
+// closeIfIdle half-closes the connection if no request is in progress.
+func (c *callerConn) closeIfIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.inProgress > 0 || c.closing {
+		return
+	}
+	c.closing = true
+	c.closeWrite()
+	_ = c.Conn.SetReadDeadline(pastDeadline)
+}
+
+// stopReadingIfBusy stops accepting requests if requests are in progress and the
+// last response can still carry "Connection: close". Requests pipelined after it
+// stay unread.
+func (c *callerConn) stopReadingIfBusy() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = c.closing || c.inProgress > 0 && !c.responseStarted
+}
+
+// isClosing reports whether the connection accepts no further request.
+func (c *callerConn) isClosing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing
+}
+
+func (c *callerConn) closeWrite() {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
+	}
+}
+
+// linger reads and discards further input before it closes the connection:
+// closing a socket with unread data resets it and loses the last response. If
+// the caller has disconnected or timed out, the connection is closed at once.
+func (c *callerConn) linger() {
+	defer c.Conn.Close()
+	if !c.isClosing() {
+		return
+	}
+	c.closeWrite()
+	_ = c.Conn.SetReadDeadline(time.Now().Add(callerLingerTimeout))
+	_, _ = io.Copy(io.Discard, c.Conn)
+}
+
+// readRequest reads a request header. The returned status is 200 if the request
+// is valid, the status of the error response if it is not, and 0 if the
+// connection failed or timed out before the header was complete.
+func (c *callerConn) readRequest(limits config.CallerLimits) (*http.Request, int) {
+	// What is buffered was read before, and may hold more than this header.
+	c.headerBytesLeft = max(0, limits.HeaderBytes-c.reader.Buffered())
+	available := c.reader.Buffered() + c.headerBytesLeft
+	req, err := http.ReadRequest(c.reader)
+	headerBytes := available - c.headerBytesLeft - c.reader.Buffered()
+	c.headerBytesLeft = unlimitedBytes
+	var netErr net.Error
+	switch {
+	case c.headerTooLarge, err == nil && headerBytes > limits.HeaderBytes:
+		return nil, http.StatusRequestHeaderFieldsTooLarge
+	case err == nil && req.ContentLength > limits.BodyBytes:
+		return req, http.StatusRequestEntityTooLarge
+	case err == nil:
+		return req, c.validateRequest(req)
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &netErr):
+		return nil, 0
+	case strings.Contains(err.Error(), "transfer encoding"): // net/http exports no error for this case
+		return nil, http.StatusNotImplemented
+	default:
+		return nil, http.StatusBadRequest
+	}
+}
+
+// validateRequest returns 200 if the request header is valid and the status of
+// the error response if it is not.
+func (c *callerConn) validateRequest(req *http.Request) int {
+	hostFields := len(req.Header["Host"])
+	switch {
+	case c.malformed, req.ProtoMajor != 1, req.ProtoAtLeast(1, 1) && req.Host == "", hostFields > 0:
+		return http.StatusBadRequest
+	case !httpguts.ValidHostHeader(req.Host):
+		return http.StatusBadRequest
+	}
+	for name, values := range req.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return http.StatusBadRequest
+		}
+		for _, v := range values {
+			if !httpguts.ValidHeaderFieldValue(v) {
+				return http.StatusBadRequest
+			}
+		}
+	}
+	return http.StatusOK
+}
