--- a/bench/soak/cold.go
+++ b/bench/soak/cold.go
@@ -16,9 +16,9 @@
 	warmUpPerSecond = 14
 	// In any span of coldWindow, a cold backend server may get coldFactor times
 	// warmUpPerSecond and coldTolerance more.
-	coldFactor   = 1.5
-	coldTolerance  = 8
-	coldWindow = time.Second
+	coldFactor    = 1.5
+	coldTolerance = 8
+	coldWindow    = time.Second
 	// coldNotice is the time until the proxies must know of a backend server that
 	// became cold without a start or the end of an evacuation: a second between two
 	// health checks, and as long as two checks may wait for a slot.
--- a/internal/forward/ingress.go
+++ b/internal/forward/ingress.go
@@ -226,6 +226,7 @@
 		Status:     r.Status,
 		Load:       load,
 		Costs:      costs,
+		LinkBusy:   r.LinkBusy,
 	})
 	return false
 }
@@ -233,6 +234,7 @@
 // refuse sends a refusal to the caller. If an earlier attempt may have run the
 // request, the outcome is unknown even if the last attempt did not run it.
 func (c *callerRequest) refuse(r outcome.Refusal) {
+	r.LinkBusy = false // concerns proxies only
 	if c.maybeRun && r.Outcome == outcome.NotRun {
 		r.Outcome = outcome.Unknown
 		r.RetryAfter = 0
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -59,6 +59,9 @@
 	biasUsed, sentWork time.Duration
 	// namedLimit means that the response names a rate limit.
 	namedLimit bool
+	// linkRefused means that an instance refused the request because its machine's link
+	// has no time for the response.
+	linkRefused bool
 	// fingerprint and knownCrashes are those of the request's Arrived.
 	fingerprint  uint64
 	knownCrashes uint32
@@ -225,7 +228,8 @@
 // result of an attempt.
 func (r *Router) recordAttempt(now time.Time, c *call, e AttemptEnded) {
 	i := c.current
-	refused := e.Outcome == outcome.NotRun && isOverload(e.Reason)
+	c.linkRefused = c.linkRefused || e.LinkBusy
+	refused := e.Outcome == outcome.NotRun && isOverload(e.Reason) && !e.LinkBusy
 	i.recordLoad(now, e.Load)
 	r.recordCosts(now, c, e)
 	i.applyRetryAfter(now, e)
