Never choose instances of an evacuated availability zone

Cause: the operator may request that nothing is sent to a zone, and no state of an instance says so. Change: routing.Instance.Evacuated and the state Evacuated, which excludes an instance from all choices, also as a fallback, and from the ejection limit. A request for a service whose instances are all evacuated is refused at once with the reason evacuated, 503, not run, Retry-After 1 s without jitter.

--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -47,6 +47,9 @@
 	// BackendServerShed means that the backend server itself refused the request
 	// without running it.
 	BackendServerShed Reason = "backend-server-shed"
+	// Evacuated means that all backend servers of the service are in evacuated
+	// availability zones.
+	Evacuated Reason = "evacuated"
 	// DuplicateKey means that a request with the same idempotency key, or an
 	// earlier arrival of the same request, may have been run or may still run.
 	DuplicateKey Reason = "duplicate-key"
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -18,6 +18,9 @@
 	// minLimitedRetryAfter is the shortest Retry-After of a request that rate limits
 	// leave no room for.
 	minLimitedRetryAfter = 50 * time.Millisecond
+	// evacuatedRetryAfter is the Retry-After of a request for a service that is evacuated
+	// altogether. It is short, since nobody knows when the evacuation ends.
+	evacuatedRetryAfter = time.Second
 )
 
 // call is a request in progress.
@@ -125,6 +128,9 @@
 // retry delay is that of the limited instance that was asked last, or the shortest one
 // known.
 func (r *Router) refusalWithoutInstance(now time.Time, c *call, last outcome.Refusal) outcome.Refusal {
+	if r.candidates.allEvacuated() && (c.sends == 0 || last.Reason == outcome.InstanceLeaving) && !c.mayHaveRun {
+		return notRunRefusal(outcome.Evacuated, http.StatusServiceUnavailable, evacuatedRetryAfter)
+	}
 	limited := last.Reason == outcome.BackendServerLimited && c.limitedSends == 0
 	if end := r.candidates.earliestLimitEnd; !end.IsZero() && (c.sends == 0 || limited) {
 		return notRunRefusal(outcome.BackendServerLimited, http.StatusServiceUnavailable, max(end.Sub(now), minLimitedRetryAfter))
@@ -299,7 +305,9 @@
 	if c.mayHaveRun {
 		refusal.Outcome = outcome.Unknown
 	}
-	if refusal.Reason != outcome.BackendServerLimited { // whose times are spread already
+	// The times of the former are spread already, and requests refused because of an
+	// evacuation are refused as they arrive.
+	if refusal.Reason != outcome.BackendServerLimited && refusal.Reason != outcome.Evacuated {
 		refusal.RetryAfter = r.withJitter(refusal.RetryAfter)
 	}
 	r.refuse(c.id, refusal)
--- a/internal/routing/events.go
+++ b/internal/routing/events.go
@@ -24,6 +24,9 @@
 	Slots int `json:"slots"`
 	// Leaving reports that the instance is shutting down.
 	Leaving bool `json:"leaving"`
+	// Evacuated reports that the availability zone is evacuated: nothing is sent to
+	// the instance.
+	Evacuated bool `json:"evacuated,omitempty"`
 	// Suspect reports that the instance may have failed or may be separated
 	// from this proxy by a network partition.
 	Suspect bool `json:"suspect"`
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -27,11 +27,12 @@
 	meanLatency time.Duration
 }
 
-// ejected returns the number of instances that are ejected at the given time.
+// ejected returns the number of instances that are ejected at the given time. Evacuated
+// ones do not count, since they get no requests anyway.
 func (p *pool) ejected(now time.Time) int {
 	n := 0
 	for _, i := range p.instances {
-		if now.Before(i.ejectedUntil) {
+		if !i.Evacuated && now.Before(i.ejectedUntil) {
 			n++
 		}
 	}
@@ -41,7 +42,13 @@
 // maxEjected returns the number of instances that may be ejected at the same
 // time.
 func (p *pool) maxEjected() int {
-	return int(float64(len(p.instances)) * maxEjectedShare)
+	n := 0
+	for _, i := range p.instances {
+		if !i.Evacuated {
+			n++
+		}
+	}
+	return int(float64(n) * maxEjectedShare)
 }
 
 // enforceEjectionLimit ends ejections, those that expire first, until no more
@@ -50,7 +57,7 @@
 	for p.ejected(now) > p.maxEjected() {
 		var earliest *instance
 		for _, i := range p.instances {
-			if now.Before(i.ejectedUntil) && (earliest == nil || i.ejectedUntil.Before(earliest.ejectedUntil)) {
+			if !i.Evacuated && now.Before(i.ejectedUntil) && (earliest == nil || i.ejectedUntil.Before(earliest.ejectedUntil)) {
 				earliest = i
 			}
 		}
--- a/internal/routing/selection.go
+++ b/internal/routing/selection.go
@@ -34,6 +34,8 @@
 	// Leaving instances are listed as leaving or have announced their end. They get no
 	// new requests.
 	Leaving State = "leaving"
+	// Evacuated instances are in an availability zone to which nothing is sent.
+	Evacuated State = "evacuated"
 	// OutsideGroup instances are in an availability zone that the group
 	// excludes.
 	OutsideGroup State = "outside-group"
@@ -54,6 +56,9 @@
 	// earliestHoldEnd is the earliest time at which a held instance becomes
 	// usable.
 	earliestHoldEnd time.Time
+	// evacuated and staying count the instances in the state Evacuated, and those that
+	// are neither in it nor Leaving or OutsideGroup.
+	evacuated, staying int
 }
 
 func (c *candidates) reset() {
@@ -65,6 +70,7 @@
 	c.limited = c.limited[:0]
 	c.earliestLimitEnd = time.Time{}
 	c.earliestHoldEnd = time.Time{}
+	c.evacuated, c.staying = 0, 0
 }
 
 // usable returns the number of usable instances that are neither tried nor busy.
@@ -75,6 +81,8 @@
 	switch {
 	case len(g.AvailabilityZones) > 0 && !slices.Contains(g.AvailabilityZones, i.AvailabilityZone):
 		return OutsideGroup
+	case i.Evacuated:
+		return Evacuated
 	case i.Leaving, i.departing:
 		return Leaving
 	case now.Before(i.downUntil):
@@ -103,6 +111,7 @@
 	}
 	for _, i := range p.instances {
 		s := i.state(now, c.group)
+		r.candidates.count(s)
 		switch {
 		case s == Limited:
 			r.candidates.addLimited(now, i)
@@ -114,6 +123,20 @@
 	}
 }
 
+func (c *candidates) count(s State) {
+	switch s {
+	case Evacuated:
+		c.evacuated++
+	case Leaving, OutsideGroup:
+	default:
+		c.staying++
+	}
+}
+
+// allEvacuated reports whether the service has instances, all of them in evacuated
+// availability zones. Those that are leaving do not count.
+func (c *candidates) allEvacuated() bool { return c.evacuated > 0 && c.staying == 0 }
+
 func (c *candidates) addLimited(now time.Time, i *instance) {
 	c.limited = append(c.limited, i)
 	end := i.reportedWaitAt.Add(i.reportedWait)
