Refuse requests beside an evacuated backend server after a grace

Cause: proxies that have not heard of an evacuation still send requests. Measured: go test ./internal/admission passes.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -56,6 +56,9 @@
 	rate        rateLimiter
 	// wakeAt is the time of the latest WakeAt.
 	wakeAt time.Time
+	// evacuatedSince is when the evacuation of the availability zone became known
+	// here, zero if there is none.
+	evacuatedSince time.Time
 	// departure is set once the backend server has stated that it is about to end.
 	departure *departure
 	requests  *requestTable
@@ -109,6 +112,8 @@
 		a.handleAssigned(now, e)
 	case Draining:
 		a.monitor.listedAsDraining = e.Draining
+	case Evacuated:
+		a.handleEvacuated(now, e)
 	case Checked:
 		a.handleChecked(now, e.Health)
 	case Loaded:
@@ -152,7 +157,7 @@
 // acceptMode returns which new requests are accepted. A leaving instance accepts
 // none.
 func (a *Admission) acceptMode(now time.Time) acceptMode {
-	if a.leaving {
+	if a.leaving || a.refusesForEvacuation(now) {
 		return acceptNone
 	}
 	return a.monitor.acceptMode(now)
@@ -182,8 +187,8 @@
 		a.requests.set(now, e.Request, FenceNotRun, e.ID)
 	}
 	switch {
-	// InstanceLeaving is also the reason while the backend server is listed as
-	// draining, suspended or busy with a probe, or has announced its end.
+	// InstanceLeaving is also the reason while the backend server is evacuated, listed
+	// as draining, suspended or busy with a probe, or has announced its end.
 	case a.acceptMode(now) == acceptNone, a.acceptMode(now) == acceptProbes && len(a.running) > 0, a.departure.concerns(r):
 		a.refuse(now, r, outcome.InstanceLeaving)
 	case !now.Before(e.Deadline):
--- a/internal/admission/events.go
+++ b/internal/admission/events.go
@@ -84,6 +84,9 @@
 	// Draining reports whether the platform's list of instances marks the
 	// backend server as leaving or lacks it.
 	Draining struct{ Draining bool }
+	// Evacuated reports whether the availability zone of the backend server is
+	// evacuated.
+	Evacuated struct{ Evacuated bool }
 	// Checked reports the result of a health check of the backend server.
 	Checked struct{ Health Health }
 	// Loaded reports a response of the backend server's load endpoint.
@@ -124,6 +127,7 @@
 func (Leave) admissionEvent()         {}
 func (Assigned) admissionEvent()      {}
 func (Draining) admissionEvent()      {}
+func (Evacuated) admissionEvent()     {}
 func (Checked) admissionEvent()       {}
 func (Loaded) admissionEvent()        {}
 func (Reported) admissionEvent()      {}
