Follow evacuations of availability zones in the store

Cause: the operator's keys for evacuations were not read. Change: the configuration watch covers the whole operator's part, and a read of the newest configuration is a range over it, so that evacuations need no call of their own. The follower holds them with the position up to which they are complete; an answer takes effect only as far as it is newer. Readers and seeds pass them on; a proxy whose calls to the store fail asks other proxies.

--- a/internal/host/store.go
+++ b/internal/host/store.go
@@ -71,6 +71,13 @@
 	ctx, cancel := context.WithTimeout(h.ctx, c.Wait+relayMargin)
 	defer cancel()
 	reply, err := h.transport.Relay(ctx, c.Reader.PeerAddress, request)
+	if c.Part == source.EvacuationsOnly {
+		event := node.EvacuationsRelayed{Peer: c.Reader.ID, Reply: reply}
+		if err != nil {
+			event.Err = err.Error()
+		}
+		return event
+	}
 	event := node.StoreRelayed{Reader: c.Reader.ID, AnyAge: c.AllowStale, Reply: reply}
 	if err != nil {
 		event.Err = err.Error()
--- a/internal/node/instances.go
+++ b/internal/node/instances.go
@@ -22,6 +22,7 @@
 			Address:          i.Address,
 			Slots:            i.Slots,
 			Leaving:          i.State == source.InstanceLeaving,
+			Evacuated:        n.evacuated(i.AvailabilityZone),
 			Incarnation:      i.Incarnation,
 		})
 	}
@@ -30,6 +31,7 @@
 	} else {
 		n.stepAdmission(now, admission.Draining{Draining: true}, out)
 	}
+	n.updateLocalEvacuation(now, out)
 	n.stepRouting(now, routing.InstancesChanged{Instances: instances}, out)
 	n.stepQuarantine(now, n.listedPeers(list), out)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -102,7 +102,11 @@
 	started      bool
 	// backend is the local backend server's entry in the list of instances.
 	backend source.Instance
-	leaving bool
+	// evacuations are those in force, sorted by zone. locallyEvacuated is what
+	// admission was told of the local backend server.
+	evacuations      []Evacuation
+	locallyEvacuated bool
+	leaving          bool
 	// admitUntil is when a leaving proxy stops admitting requests from other
 	// proxies.
 	admitUntil time.Time
@@ -170,6 +174,10 @@
 	case VersionsFailed:
 		n.applyUpdate(now, n.follower.HandleConfigurationFailure(now, e.Compacted, e.Cause), &out)
 		n.requestVersions(now, &out)
+	case EvacuationsRelayed:
+		n.applyUpdate(now, n.follower.HandlePeerEvacuations(now, e.Peer, e.Reply, e.Err), &out)
+		n.requestVersions(now, &out)
+		n.answerRelayRequests(now, &out)
 	case StoreListed, StoreSurveyed, StoreChanged, StoreFailed, StoreRelayed:
 		n.stepFollower(now, e, &out)
 		n.requestVersions(now, &out)
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -74,7 +74,7 @@
 		}
 		reply := n.follower.Reply(pending.Request)
 		reply.Stale = reply.Stale || n.leaving
-		if !reply.Declined {
+		if !reply.Declined && !pending.Request.EvacuationsOnly {
 			n.addDelta(&reply, pending.Request)
 		}
 		out.Relay = append(out.Relay, ReplyRelay{Call: pending.Call, Reply: reply})
@@ -178,5 +178,9 @@
 // c to the store.
 func (n *Node) RelayRequest(c source.Call) source.RelayRequest {
 	held := n.dist.HeldHead()
-	return source.RelayRequest{Era: c.Era, After: c.After, List: n.follower.ListHash(), Version: held.Version, Root: held.Root, WaitMs: c.Wait.Milliseconds(), Force: c.Force, AllowStale: c.AllowStale, AcceptsPacked: true}
+	evacuations := n.follower.EvacuationDigest()
+	return source.RelayRequest{
+		Era: c.Era, After: c.After, List: n.follower.ListHash(), Version: held.Version, Root: held.Root, WaitMs: c.Wait.Milliseconds(),
+		Force: c.Force, AllowStale: c.AllowStale, EvacuationsOnly: c.Part == source.EvacuationsOnly, Evacuations: &evacuations, AcceptsPacked: true,
+	}
 }
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -63,12 +63,15 @@
 	n.applyUpdate(now, update, out)
 }
 
-// requestVersions emits the next call for the configuration only, if one is
-// due.
+// requestVersions emits the next call for the operator's part of the store only, and the
+// next question about evacuations to another proxy, if they are due.
 func (n *Node) requestVersions(now time.Time, out *Effects) {
 	if call, ok := n.follower.NextConfigurationCall(now); ok {
 		out.Store = append(out.Store, call)
 	}
+	if call, ok := n.follower.NextEvacuationCall(now); ok {
+		out.Store = append(out.Store, call)
+	}
 }
 
 // applyUpdate passes the changes seen by the follower to the other state machines.
@@ -78,6 +81,9 @@
 	for _, note := range u.Notes {
 		n.journal.add(now, note.What, note.Cause)
 	}
+	if u.Evacuations != nil {
+		n.applyEvacuations(now, u.Evacuations, out)
+	}
 	if u.Instances != nil {
 		n.applyInstances(now, u.Instances, out)
 	}
--- a/internal/node/storefleet_test.go
+++ b/internal/node/storefleet_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -22,10 +23,12 @@
 	version  uint64
 	// versionAt is the revision at which the version was written.
 	versionAt uint64
+	// evacuated holds the evacuations by zone.
+	evacuated map[string]source.Evacuation
 }
 
 func (c storeContent) clone() storeContent {
-	c.entries = maps.Clone(c.entries)
+	c.entries, c.evacuated = maps.Clone(c.entries), maps.Clone(c.evacuated)
 	return c
 }
 
@@ -37,8 +40,10 @@
 	nodes   []*Node
 	content storeContent
 	history []source.Entry
-	era     uint64
-	down    bool
+	// evacuationHistory holds writes and removals of evacuations.
+	evacuationHistory []source.Evacuation
+	era               uint64
+	down              bool
 	// compactedTo is the revision up to which the history was discarded.
 	compactedTo uint64
 	// lateShare is the share of the store's answers that arrive late, by up to lateness.
@@ -56,19 +61,24 @@
 	// highest holds the highest version in force at each proxy.
 	highest   []uint64
 	violation string
+	// lastCall holds the time of the latest call of each proxy to the store.
+	lastCall map[int]time.Time
+	// onEffects, if set, gets the effects of each step.
+	onEffects func(i int, out Effects)
 }
 
 const (
-	fleetZones  = 7
-	fleetDelay  = 2 * time.Millisecond
-	relayLimit  = 1500 * time.Millisecond
+	fleetZones = 7
+	fleetDelay = 2 * time.Millisecond
+	// relayMargin is the time that a relay request may take beyond its wait.
+	relayMargin = 700 * time.Millisecond
 	storeBudget = 6000 // calls a second
 )
 
 func newStoreFleet(seed uint64, n int) *storeFleet {
 	f := &storeFleet{
-		virtualTime: virtualTime{now: epoch}, rng: rand.New(rand.NewPCG(seed, 2)), era: 1, cutOff: make(map[int]bool),
-		content: storeContent{entries: make(map[string]source.Entry)}, replies: make(map[uint64]func(source.RelayReply)),
+		virtualTime: virtualTime{now: epoch}, rng: rand.New(rand.NewPCG(seed, 2)), era: 1, cutOff: make(map[int]bool), lastCall: make(map[int]time.Time),
+		content: storeContent{entries: make(map[string]source.Entry), evacuated: make(map[string]source.Evacuation)}, replies: make(map[uint64]func(source.RelayReply)),
 	}
 	for i := range n {
 		f.put(i, source.InstanceLive)
@@ -105,24 +115,36 @@
 	f.content.version, f.content.versionAt = version, f.content.revision
 }
 
+// evacuate writes or removes the evacuation of a zone.
+func (f *storeFleet) evacuate(zone string, ended bool) {
+	f.content.revision++
+	e := source.Evacuation{Zone: zone, Revision: f.content.revision, Ended: ended}
+	f.content.evacuated[zone] = e
+	if ended {
+		delete(f.content.evacuated, zone)
+	}
+	f.evacuationHistory = append(f.evacuationHistory, e)
+}
+
 // restore begins a new era with an older copy.
 func (f *storeFleet) restore(c storeContent) {
 	f.era++
 	f.content = c.clone()
 	f.history = slices.DeleteFunc(f.history, func(e source.Entry) bool { return e.Revision > c.revision })
+	f.evacuationHistory = slices.DeleteFunc(f.evacuationHistory, func(e source.Evacuation) bool { return e.Revision > c.revision })
 	f.compactedTo = min(f.compactedTo, c.revision)
 }
 
 // compact discards the history.
 func (f *storeFleet) compact() {
-	f.history, f.compactedTo = nil, f.content.revision
+	f.history, f.evacuationHistory, f.compactedTo = nil, nil, f.content.revision
 }
 
 func (f *storeFleet) start(i int) {
 	n := New(Config{
-		Member:         member.Config{Self: member.Record{ID: f.id(i), Service: "desk"}, Interval: time.Second},
+		Member:         member.Config{Self: member.Record{ID: f.id(i), Service: "s-0"}, Interval: time.Second},
 		Dist:           dist.Config{ID: f.id(i), AvailabilityZone: fmt.Sprintf("z%d", i%fleetZones), Followed: true, Seed: f.rng.Uint64()},
-		Routing:        routing.Config{AvailabilityZone: "z", MaxAttempts: 3},
+		Routing:        routing.Config{AvailabilityZone: fmt.Sprintf("z%d", i%fleetZones), MaxAttempts: 3},
 		Admission:      admission.Config{QueueLength: 10},
 		Listed:         true,
 		BackendAddress: f.id(i),
@@ -139,10 +161,13 @@
 }
 
 func (f *storeFleet) step(i int, n *Node, e Event) {
-	if f.nodes[i] != n {
+	if n == nil || f.nodes[i] != n {
 		return
 	}
 	out := n.Step(f.now, e)
+	if f.onEffects != nil {
+		f.onEffects(i, out)
+	}
 	version := n.Head().Version
 	if version < f.highest[i] {
 		f.violation = fmt.Sprintf("%s went back from version %d to %d", f.id(i), f.highest[i], version)
@@ -161,6 +186,7 @@
 		f.relay(i, n, c)
 		return
 	}
+	f.lastCall[i] = f.now
 	f.after(fleetDelay, func() { f.answer(i, n, c, f.now.Add(c.Wait)) })
 }
 
@@ -185,7 +211,7 @@
 		}
 		deliver(StoreFailed{Compacted: compacted, Cause: cause})
 	}
-	changes := source.Changes{Era: f.era, Revision: f.content.revision}
+	changes := source.Changes{Era: f.era, Revision: f.content.revision, Part: c.Part}
 	if f.content.version > 0 && (c.List || f.content.versionAt > c.After) && c.Part != source.InstancesOnly {
 		changes.Configuration = testConfigurationOf(f.content.version)
 	}
@@ -194,22 +220,32 @@
 			changes.Instances = append(changes.Instances, e)
 		}
 	}
+	evacuated := slices.SortedFunc(maps.Values(f.content.evacuated), func(a, b source.Evacuation) int { return cmp.Compare(a.Zone, b.Zone) })
+	for _, e := range f.evacuationHistory {
+		if e.Revision > c.After && c.Part != source.InstancesOnly {
+			changes.Evacuations = append(changes.Evacuations, e)
+		}
+	}
+	if c.List && c.Part == source.ConfigurationOnly {
+		changes.Complete, changes.Evacuations = true, evacuated
+	}
+	news := c.List || len(changes.Instances)+len(changes.Evacuations) > 0 || changes.Configuration != nil || !f.now.Before(deadline)
 	switch {
 	case f.down || f.cutOff[i]:
 		fail(false, "unavailable")
 	case c.Survey:
 		deliver(StoreSurveyed{Listing: f.survey()})
 	case c.List && c.Part != source.ConfigurationOnly:
-		l := source.Listing{Era: f.era, Revision: f.content.revision, Configuration: changes.Configuration}
+		l := source.Listing{Era: f.era, Revision: f.content.revision, Configuration: changes.Configuration, Evacuations: evacuated}
 		for _, id := range slices.Sorted(maps.Keys(f.content.entries)) {
 			l.Instances = append(l.Instances, f.content.entries[id])
 		}
 		deliver(StoreListed{Listing: l})
 	case !c.List && (c.After > f.content.revision || c.After < f.compactedTo):
 		fail(true, "gone")
-	case c.Part == source.ConfigurationOnly && (changes.Configuration != nil || !f.now.Before(deadline)):
+	case news && c.Part == source.ConfigurationOnly:
 		deliver(VersionsChanged{Changes: changes})
-	case c.Part != source.ConfigurationOnly && (len(changes.Instances) > 0 || changes.Configuration != nil || !f.now.Before(deadline)):
+	case news:
 		deliver(StoreChanged{Changes: changes})
 	default:
 		f.after(20*time.Millisecond, func() { f.answer(i, n, c, deadline) })
@@ -249,11 +285,15 @@
 		if !done {
 			done = true
 			e.Reader, e.AnyAge = c.Reader.ID, c.AllowStale
-			f.after(fleetDelay, func() { f.step(i, n, e) })
+			event := Event(e)
+			if c.Part == source.EvacuationsOnly {
+				event = EvacuationsRelayed{Peer: e.Reader, Reply: e.Reply, Err: e.Err}
+			}
+			f.after(fleetDelay, func() { f.step(i, n, event) })
 		}
 	}
 	f.replies[call] = func(r source.RelayReply) { finish(StoreRelayed{Reply: r}) }
-	f.after(relayLimit, func() { finish(StoreRelayed{Err: "timeout"}) })
+	f.after(c.Wait+relayMargin, func() { finish(StoreRelayed{Err: "timeout"}) })
 	request := n.RelayRequest(c)
 	f.after(fleetDelay, func() { f.step(reader, f.nodes[reader], RelayReceived{Call: call, Request: request}) })
 }
--- a/internal/source/configurationwatch.go
+++ b/internal/source/configurationwatch.go
@@ -70,14 +70,19 @@
 	f.configurationWatch = configurationWatchState{position: previous}
 	f.configurationWatch.advance(c.Position())
 	f.acceptConfiguration(c.Configuration, &v)
+	f.applyEvacuationChanges(c, &v)
+	f.updateEvacuations(now, &v)
 	if previous.Era != 0 && c.Era > previous.Era {
 		// Versions may have been written in this era before its revision reached
 		// the one of the call.
 		f.configurationWatch.next = Call{Part: ConfigurationOnly, At: now.Add(f.restorationJitter()), List: true}
 		return v
 	}
+	if v.Configuration != nil || len(c.Evacuations) > 0 {
+		f.configurationWatch.next = Call{Part: ConfigurationOnly, At: now.Add(configurationBatchDelay)}
+	}
 	if v.Configuration != nil {
-		f.configurationWatch.next = Call{Part: ConfigurationOnly, At: now.Add(configurationBatchDelay), List: f.recordVersion(now)}
+		f.configurationWatch.next.List = f.recordVersion(now)
 	}
 	return v
 }
--- /dev/null
+++ b/internal/source/evacuation_test.go
@@ -0,0 +1,326 @@
+package source
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func evacuationIn(zone string, revision uint64) Evacuation {
+	return Evacuation{Zone: zone, Revision: revision}
+}
+
+func evacuationEnd(zone string, revision uint64) Evacuation {
+	return Evacuation{Zone: zone, Revision: revision, Ended: true}
+}
+
+// operatorChanges is the answer of a watch of the operator's part.
+func operatorChanges(revision uint64, list ...Evacuation) Changes {
+	return Changes{Era: 3, Revision: revision, Part: ConfigurationOnly, Evacuations: list}
+}
+
+// newEvacuationFollower returns the follower of a reader in a large fleet that has listed
+// the zones tanga and kilwa at revision 10 of era 3.
+func newEvacuationFollower() *Follower {
+	f, _ := newZoneFollower(0, 30)
+	f.HandleListing(testStart, Listing{Era: 3, Revision: 10, Instances: zoneList(30)})
+	return f
+}
+
+func evacuatedZones(f *Follower) string {
+	var zones []string
+	for _, e := range f.evacuations.inForce {
+		zones = append(zones, e.Zone)
+	}
+	return strings.Join(zones, " ")
+}
+
+func TestEvacuationIsTakenFromEachAnswer(t *testing.T) {
+	for name, read := range map[string]func(f *Follower) Update{
+		"watch of everything": func(f *Follower) Update {
+			u, _ := f.HandleChanges(testStart, Changes{Era: 3, Revision: 12, Evacuations: []Evacuation{evacuationIn("tanga", 12)}})
+			return u
+		},
+		"watch of the operator's part": func(f *Follower) Update {
+			return f.HandleConfiguration(testStart, operatorChanges(12, evacuationIn("tanga", 12)))
+		},
+		"read that replaces the watch": func(f *Follower) Update {
+			c := operatorChanges(14, evacuationIn("tanga", 12))
+			c.Complete = true
+			return f.HandleConfiguration(testStart, c)
+		},
+		"listing": func(f *Follower) Update {
+			u, _ := f.HandleListing(testStart, Listing{Era: 3, Revision: 14, Instances: zoneList(30), Evacuations: []Evacuation{evacuationIn("tanga", 12)}})
+			return u
+		},
+		"reader": func(f *Follower) Update {
+			reader := newEvacuationFollower()
+			request := RelayRequest{Era: 3, After: 10, List: f.ListHash(), Evacuations: new(EvacuationDigest)}
+			*request.Evacuations = f.EvacuationDigest()
+			if reader.CanReplyNow(request) {
+				t.Error("the reader answers without news")
+			}
+			reader.HandleConfiguration(testStart, operatorChanges(12, evacuationIn("tanga", 12)))
+			if !reader.CanReplyNow(request) {
+				t.Error("the reader does not answer at once")
+			}
+			u, _ := f.HandleRelayReply(testStart, "i-02", reader.Reply(request), nil)
+			return u
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			u := read(newEvacuationFollower())
+			is.Equal(u.Evacuations, []Evacuation{{Zone: "tanga", Era: 3, Revision: 12}})
+			is.Equal(len(u.Instances), 30)
+		})
+	}
+}
+
+// Two calls read the operator's part and the whole store; their answers cross.
+func TestLateAnswersUndoNeitherEvacuationsNorTheirEnds(t *testing.T) {
+	is := is.New(t)
+	f := newEvacuationFollower()
+	f.HandleConfiguration(testStart, operatorChanges(20, evacuationIn("tanga", 15), evacuationIn("kilwa", 20)))
+	f.HandleListing(testStart, Listing{Era: 3, Revision: 19, Instances: zoneList(30), Evacuations: []Evacuation{evacuationIn("tanga", 15)}})
+	is.Equal(evacuatedZones(f), "kilwa tanga") // the listing is older than the evacuation of kilwa
+	f.HandleChanges(testStart, Changes{Era: 3, Revision: 25, Part: InstancesOnly})
+	f.HandleConfiguration(testStart, operatorChanges(22, evacuationEnd("tanga", 22)))
+	is.Equal(evacuatedZones(f), "kilwa")
+	f.HandleListing(testStart, Listing{Era: 3, Revision: 21, Instances: zoneList(30), Evacuations: []Evacuation{evacuationIn("kilwa", 20), evacuationIn("tanga", 15)}})
+	f.HandleConfiguration(testStart, operatorChanges(22, evacuationIn("tanga", 15), evacuationEnd("kilwa", 19)))
+	is.Equal(evacuatedZones(f), "kilwa")
+	// A read of the whole operator's part replaces a watch that failed: what ended in
+	// between is not in it, and an event that follows late changes nothing.
+	f.HandleConfigurationFailure(testStart, true, "gone")
+	c := operatorChanges(30, evacuationIn("tanga", 28))
+	c.Complete = true
+	f.HandleConfiguration(testStart, c)
+	is.Equal(evacuatedZones(f), "tanga")
+	f.HandleConfiguration(testStart, operatorChanges(29, evacuationEnd("tanga", 29), evacuationIn("kilwa", 20)))
+	is.Equal(evacuatedZones(f), "tanga")
+	f.HandleFailure(testStart, false, "refused") // kept while the store is away
+	f.Tick(testStart.Add(time.Hour))
+	is.Equal(evacuatedZones(f), "tanga")
+}
+
+// A reader with older evacuations must not undo newer ones, nor answer at once again and
+// again.
+func TestReaderWithOlderEvacuationsChangesNothing(t *testing.T) {
+	is := is.New(t)
+	reader, leaf := newEvacuationFollower(), newEvacuationFollower()
+	leaf.HandleConfiguration(testStart, operatorChanges(12, evacuationIn("tanga", 12)))
+	digest := leaf.EvacuationDigest()
+	request := RelayRequest{Era: 3, After: 10, List: leaf.ListHash(), Evacuations: &digest}
+	is.True(!reader.CanReplyNow(request))
+	leaf.HandleRelayReply(testStart, "i-02", reader.Reply(RelayRequest{AllowStale: true}), nil)
+	is.Equal(evacuatedZones(leaf), "tanga")
+	reader.HandleConfiguration(testStart, operatorChanges(14, evacuationIn("tanga", 12), evacuationEnd("tanga", 14)))
+	is.True(reader.CanReplyNow(request))
+	leaf.HandleRelayReply(testStart, "i-02", reader.Reply(request), nil)
+	is.Equal(evacuatedZones(leaf), "")
+	is.True(reader.CanReplyNow(RelayRequest{AllowStale: true}))
+	digest = leaf.EvacuationDigest()
+	is.True(!reader.CanReplyNow(RelayRequest{Era: 3, After: 14, List: leaf.ListHash(), Evacuations: &digest}))
+	reader.HandleConfiguration(testStart, operatorChanges(16, evacuationIn("tanga", 16)))
+	is.True(!reader.CanReplyNow(RelayRequest{Era: 3, After: 16, List: leaf.ListHash()})) // a proxy of an older release
+}
+
+// The copy of a restored store may be older than the evacuation, or than its end.
+func TestEvacuationOutlivesARestorationUntilTheOperatorsStateIsKnown(t *testing.T) {
+	restored := func(evacuations ...Evacuation) (*Follower, Update) {
+		f := newEvacuationFollower()
+		f.HandleConfiguration(testStart, operatorChanges(20, evacuationIn("tanga", 20)))
+		u, _ := f.HandleListing(testStart, Listing{Era: 4, Revision: 15, Instances: zoneList(30), Evacuations: evacuations})
+		return f, u
+	}
+	is := is.New(t)
+	f, u := restored()
+	is.Equal(evacuatedZones(f), "tanga")
+	is.True(strings.Contains(notes(u), "evacuation kept"))
+	is.Equal(f.Tick(testStart.Add(doubtPeriod-1)).Evacuations, nil)
+	is.Equal(f.Tick(testStart.Add(doubtPeriod)).Evacuations, []Evacuation{}) // not written again
+
+	f, _ = restored()
+	f.HandleConfiguration(testStart, Changes{Era: 4, Revision: 16, Part: ConfigurationOnly, Evacuations: []Evacuation{evacuationIn("tanga", 16)}})
+	f.Tick(testStart.Add(doubtPeriod))
+	is.Equal(evacuatedZones(f), "tanga") // written again
+	f.HandleConfiguration(testStart, Changes{Era: 4, Revision: 17, Part: ConfigurationOnly, Evacuations: []Evacuation{evacuationEnd("tanga", 17)}})
+	is.Equal(evacuatedZones(f), "")
+
+	f, _ = restored()
+	f.HandleConfiguration(testStart, Changes{Era: 4, Revision: 16, Part: ConfigurationOnly, Evacuations: []Evacuation{evacuationEnd("tanga", 12)}})
+	is.Equal(evacuatedZones(f), "tanga") // the history that both eras share is older than the listing
+
+	// A proxy that starts meanwhile asks another one to confirm the copy.
+	known, _ := restored()
+	starting, _ := newZoneFollower(2, 30)
+	*starting = *NewFollower(starting.cfg)
+	_, call := starting.HandleListing(testStart, Listing{Era: 4, Revision: 15, Instances: zoneList(30), Configuration: &Configuration{Version: 5}})
+	is.True(call.AllowStale)
+	starting.HandleSeedReply(testStart, call.Reader.ID, known.Reply(RelayRequest{AllowStale: true}), nil)
+	is.Equal(evacuatedZones(starting), "tanga")
+}
+
+func TestSeedPassesEvacuationsOn(t *testing.T) {
+	is := is.New(t)
+	seed := newEvacuationFollower()
+	seed.HandleConfiguration(testStart, operatorChanges(20, evacuationIn("kilwa", 20)))
+	seed.HandleFailure(testStart, false, "silent")
+	f := newSeededFollower()
+	f.HandleFailure(testStart, false, "silent")
+	u, _ := f.HandleSeedReply(testStart, "s", seed.Reply(RelayRequest{AllowStale: true}), &Configuration{Version: 7})
+	is.Equal(u.Evacuations, []Evacuation{{Zone: "kilwa", Era: 3, Revision: 20}})
+	is.Equal(len(u.Instances), 30)
+}
+
+// The store may turn away a single machine for long; others know of the evacuation.
+func TestProxyThatTheStoreTurnsAwayAsksOthers(t *testing.T) {
+	is := is.New(t)
+	other := newEvacuationFollower()
+	other.HandleConfiguration(testStart, operatorChanges(20, evacuationIn("kilwa", 20)))
+	f := newEvacuationFollower()
+	_, ok := f.NextEvacuationCall(testStart)
+	is.True(!ok)
+	f.HandleFailure(testStart, false, "refused")
+	call, ok := f.NextEvacuationCall(testStart)
+	is.True(ok)
+	is.Equal(call.Part, EvacuationsOnly)
+	is.True(call.Reader.BackendAddress != f.cfg.BackendAddress)
+	_, ok = f.NextEvacuationCall(testStart.Add(time.Minute))
+	is.True(!ok) // one at a time
+	is.Equal(len(f.HandlePeerEvacuations(testStart, call.Reader.ID, RelayReply{}, "timeout").Notes), 1)
+	_, ok = f.NextEvacuationCall(testStart.Add(evacuationAskInterval))
+	is.True(ok)
+	request := RelayRequest{EvacuationsOnly: true}
+	is.True(other.CanReplyNow(request))
+	is.Equal(other.Reply(request).Instances, nil)
+	u := f.HandlePeerEvacuations(testStart, "i-02", other.Reply(request), "")
+	is.Equal(len(u.Evacuations), 1)
+}
+
+func TestKeysWithoutAnAvailabilityZoneHaveNoEffect(t *testing.T) {
+	is := is.New(t)
+	f := newEvacuationFollower()
+	c := operatorChanges(12, evacuationIn("nowhere", 12))
+	c.MalformedKeys = []string{"op/"}
+	u := f.HandleConfiguration(testStart, c)
+	is.Equal(u.Evacuations, nil)
+	is.True(strings.Contains(notes(u), `"op/"`))
+	is.True(strings.Contains(notes(u), `"nowhere"`))
+	c.Revision = 13
+	is.Equal(len(f.HandleConfiguration(testStart, c).Notes), 0) // logged once
+	is.Equal(f.EvacuationStats(), EvacuationStats{Malformed: 1, Unknown: 1})
+	late := entry("late", 14, InstanceLive)
+	late.Instance.AvailabilityZone = "nowhere"
+	u, _ = f.HandleChanges(testStart, Changes{Era: 3, Revision: 14, Part: InstancesOnly, Instances: []Entry{late}})
+	is.Equal(len(u.Evacuations), 1)
+	u, _ = f.HandleChanges(testStart, Changes{Era: 3, Revision: 15, Part: InstancesOnly, Instances: []Entry{removal("late", 15)}})
+	is.Equal(u.Evacuations, nil) // stays in force until it is ended
+}
+
+// A fleet that shrinks below the size at which the operator's part is read by a call of
+// its own must not miss what that call had not returned yet.
+func TestEvacuationIsNotMissedWhenTheFleetShrinks(t *testing.T) {
+	is := is.New(t)
+	f, _ := newZoneFollower(0, relayMinInstances)
+	_, call := f.HandleChanges(testStart, Changes{Revision: 40, Part: InstancesOnly, Instances: []Entry{removal("i-01", 39)}})
+	is.Equal(call.Part, Everything)
+	is.Equal(call.After, uint64(5)) // the position of the operator's part
+}
+
+// TestEvacuationsMatchTheStoreInAnyOrderOfAnswers checks with random writes and answers
+// that arrive late and in any order that an answer newer than all others leaves the
+// follower with what the store held then, and that an older one changes nothing.
+func TestEvacuationsMatchTheStoreInAnyOrderOfAnswers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newEvacuationFollower()
+		revision, held, history := uint64(10), map[string]uint64{}, []Evacuation{}
+		type answer struct {
+			at    uint64
+			apply func()
+			want  map[string]uint64
+		}
+		var late []answer
+		newest, watched := uint64(10), uint64(10)
+		want := map[string]uint64{}
+		deliver := func(a answer) {
+			a.apply()
+			if a.at > newest {
+				newest, want = a.at, a.want
+			}
+			for zone := range f.evacuations.held {
+				if _, ok := want[zone]; !ok {
+					t.Fatalf("%s is held at revision %d, want %v", zone, newest, want)
+				}
+			}
+			if len(f.evacuations.held) != len(want) {
+				t.Fatalf("held are %v, want %v", evacuatedZones(f), want)
+			}
+		}
+		read := func(kind string) answer {
+			a := answer{at: revision, want: map[string]uint64{}}
+			var set, events []Evacuation
+			for zone, at := range held {
+				a.want[zone] = at
+				set = append(set, evacuationIn(zone, at))
+			}
+			for _, e := range history {
+				if e.Revision > watched {
+					events = append(events, e)
+				}
+			}
+			at := revision
+			switch kind {
+			case "list":
+				a.apply = func() {
+					f.HandleListing(testStart, Listing{Era: 3, Revision: at, Instances: zoneList(30), Evacuations: set})
+				}
+			case "newest":
+				c := operatorChanges(at, set...)
+				c.Complete = true
+				a.apply = func() { f.HandleConfiguration(testStart, c) }
+			default:
+				a.apply = func() { f.HandleConfiguration(testStart, operatorChanges(at, events...)) }
+			}
+			return a
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"write": func(t *rapid.T) {
+				zone := rapid.SampledFrom([]string{"tanga", "kilwa"}).Draw(t, "zone")
+				revision++
+				if _, ok := held[zone]; ok {
+					delete(held, zone)
+					history = append(history, evacuationEnd(zone, revision))
+					return
+				}
+				held[zone] = revision
+				history = append(history, evacuationIn(zone, revision))
+			},
+			"read": func(t *rapid.T) {
+				a := read(rapid.SampledFrom([]string{"list", "newest"}).Draw(t, "kind"))
+				if rapid.Bool().Draw(t, "late") {
+					late = append(late, a)
+					return
+				}
+				deliver(a)
+				watched = newest
+			},
+			"watch": func(*rapid.T) {
+				deliver(read("watch")) // one at a time, after the newest position
+				watched = newest
+			},
+			"late answer": func(t *rapid.T) {
+				if len(late) == 0 {
+					t.Skip("none")
+				}
+				i := rapid.IntRange(0, len(late)-1).Draw(t, "answer")
+				deliver(late[i])
+				late = append(late[:i], late[i+1:]...)
+			},
+		})
+	})
+}
--- a/internal/source/feed.go
+++ b/internal/source/feed.go
@@ -24,8 +24,8 @@
 	Survey(ctx context.Context) (Listing, error)
 	// Watch waits at most wait for changes to part after the given revision.
 	Watch(ctx context.Context, part Part, after uint64, wait time.Duration) (Changes, error)
-	// Newest reads the current configuration only, without its earlier
-	// versions.
+	// Newest reads the current state of the operator's part only: the
+	// configuration, without its earlier versions, and all evacuations.
 	Newest(ctx context.Context) (Changes, error)
 	// Close closes the connections to the store.
 	Close()
@@ -38,7 +38,10 @@
 const (
 	Everything Part = iota
 	InstancesOnly
+	// ConfigurationOnly is the operator's part: configuration and evacuations.
 	ConfigurationOnly
+	// EvacuationsOnly selects the evacuations in a call to another proxy.
+	EvacuationsOnly
 )
 
 // Listing is the complete content of the store.
@@ -49,6 +52,10 @@
 	// Configuration is nil if the store holds none.
 	Configuration *Configuration `json:"configuration,omitempty"`
 	Instances     []Entry        `json:"instances"`
+	// Evacuations holds all evacuations, and MalformedKeys the keys of evacuations that
+	// name no availability zone.
+	Evacuations   []Evacuation `json:"evacuations,omitempty"`
+	MalformedKeys []string     `json:"malformed_keys,omitempty"`
 }
 
 // Changes holds the changes up to a position. They are incomplete if their era is
@@ -58,6 +65,13 @@
 	Revision      uint64         `json:"revision"`
 	Configuration *Configuration `json:"configuration,omitempty"`
 	Instances     []Entry        `json:"instances,omitempty"`
+	// Part is the part of the store that the changes cover.
+	Part Part `json:"part,omitempty"`
+	// Evacuations holds changes or, with Complete, all evacuations.
+	Evacuations []Evacuation `json:"evacuations,omitempty"`
+	Complete    bool         `json:"complete,omitempty"`
+	// MalformedKeys holds the keys of evacuations that name no availability zone.
+	MalformedKeys []string `json:"malformed_keys,omitempty"`
 }
 
 // Entry is the state of an instance's entry at a revision.
--- a/internal/source/follow.go
+++ b/internal/source/follow.go
@@ -1,14 +1,11 @@
 package source
 
 import (
-	"cmp"
 	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -71,6 +68,9 @@
 type Update struct {
 	// Instances is the new list of instances, sorted by identifier.
 	Instances []Instance
+	// Evacuations are all evacuations in force, sorted by zone; nil if they did not
+	// change.
+	Evacuations []Evacuation
 	// Configuration is a newer version.
 	Configuration *Configuration
 	// Notes describe changes of the follower's state, for the event journal.
@@ -127,6 +127,8 @@
 	// retained holds the instances whose entries were removed but are kept
 	// until graceUntil.
 	retained map[string]bool
+	// evacuations holds the evacuations of availability zones.
+	evacuations evacuationState
 }
 
 // FollowerConfig sets the parameters of a follower.
@@ -158,6 +160,7 @@
 		known:          make(map[string]Entry),
 		retained:       make(map[string]bool),
 		restored:       newRestoredState(),
+		evacuations:    newEvacuationState(cfg.RandSeed),
 	}
 }
 
@@ -183,6 +186,9 @@
 	}
 	f.configurationWatch.advance(l.Position())
 	f.setInstances(&v)
+	f.noteMalformedKeys(l.MalformedKeys, &v)
+	f.evacuations.replace(l.Position(), evacuationsInEra(l.Evacuations, l.Era))
+	f.updateEvacuations(now, &v)
 	if call, ok := f.confirmFirst(now, l.Configuration); ok {
 		return v, call
 	}
@@ -218,9 +224,11 @@
 	if len(c.Instances) > 0 {
 		f.setInstances(&v)
 	}
+	f.applyEvacuationChanges(c, &v)
+	f.updateEvacuations(now, &v)
 	f.acceptConfiguration(c.Configuration, &v)
 	next := f.nextCall(now)
-	if len(c.Instances) > 0 || c.Configuration != nil {
+	if len(c.Instances) > 0 || len(c.Evacuations) > 0 || c.Configuration != nil {
 		next.At = now.Add(batchDelay)
 	}
 	if c.Configuration != nil {
@@ -279,6 +287,8 @@
 	if f.acceptDoubted(now) {
 		f.setInstances(&v)
 	}
+	f.endDoubtedEvacuations(now)
+	f.updateEvacuations(now, &v)
 	if f.failures > 0 || now.Before(f.graceUntil) {
 		return v
 	}
@@ -303,7 +313,15 @@
 	}
 	if f.isLargeFleet() {
 		call.Part, call.Wait = InstancesOnly, largeFleetWatchWait
+		return call
+	}
+	// In a fleet that was large before, another call has read the operator's part, and
+	// not as far.
+	held := f.evacuations.position
+	if held.Era != f.position.Era {
+		return Call{At: now, List: true}
 	}
+	call.After = min(call.After, held.Revision)
 	return call
 }
 
@@ -317,58 +335,6 @@
 	f.graceUntil = now.Add(reregistrationGrace)
 }
 
-// replaceEntries stores a complete list and calls onAbsent, in the order of
-// identifiers, for each known instance that the list lacks.
-func (f *Follower) replaceEntries(now time.Time, entries []Entry, onAbsent func(id string)) {
-	present := make(map[string]bool, len(entries))
-	f.restored.dropAbsent(entries)
-	for _, e := range entries {
-		if e.Instance != nil && !f.restored.doubts(now, e) {
-			present[e.ID] = true
-			kept := keepLeaving(e, f.known[e.ID])
-			if kept.Instance != e.Instance {
-				f.restored.keptLeaving++
-			}
-			f.putEntry(kept)
-		}
-	}
-	for _, id := range slices.Sorted(maps.Keys(f.known)) {
-		if !present[id] {
-			onAbsent(id)
-		}
-	}
-}
-
-func (f *Follower) putEntry(e Entry) {
-	delete(f.retained, e.ID)
-	f.known[e.ID] = e
-}
-
-// handleRemoval deletes an instance whose entry was removed. If the entry may
-// have expired during a store outage and the instance was not leaving, it is
-// retained until the end of the grace period.
-func (f *Follower) handleRemoval(now time.Time, id string, mayHaveExpired bool, v *Update) {
-	e, ok := f.known[id]
-	if !ok {
-		return
-	}
-	if mayHaveExpired && e.Instance.State != InstanceLeaving && now.Before(f.graceUntil) {
-		f.retained[id] = true
-		return
-	}
-	f.restored.recordRemoval(now, e)
-	f.deleteEntry(id, "entry removed", v)
-}
-
-func (f *Follower) deleteEntry(id, cause string, v *Update) {
-	delete(f.known, id)
-	delete(f.retained, id)
-	delete(f.declined, id)
-	delete(f.confirmed, id)
-	delete(f.readerFailedAt, id)
-	v.addNote("instance removed", id+": "+cause)
-}
-
 func (f *Follower) acceptConfiguration(c *Configuration, v *Update) {
 	if c != nil && c.Version > f.version {
 		f.version = c.Version
@@ -376,25 +342,6 @@
 	}
 }
 
-// setInstances sets the instances of the update and recomputes the list hash.
-func (f *Follower) setInstances(v *Update) {
-	hash := xxhash.New()
-	v.Instances = make([]Instance, 0, len(f.known))
-	for _, e := range f.sortedEntries() {
-		v.Instances = append(v.Instances, *e.Instance)
-		fmt.Fprintf(hash, "%s %d\n", e.ID, e.Revision)
-		if e.Era > 0 {
-			fmt.Fprintf(hash, "%d %s\n", e.Era, e.Instance.State)
-		}
-	}
-	f.listHash = hash.Sum64()
-}
-
-// sortedEntries returns the known entries, sorted by identifier.
-func (f *Follower) sortedEntries() []Entry {
-	return slices.SortedFunc(maps.Values(f.known), func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
-}
-
 func (v *Update) addNote(what, cause string) {
 	v.Notes = append(v.Notes, Note{What: what, Cause: cause})
 }
--- a/internal/source/relay.go
+++ b/internal/source/relay.go
@@ -58,6 +58,11 @@
 	// AllowStale requests an immediate reply with the state that the other proxy
 	// holds, even if that proxy cannot reach the store.
 	AllowStale bool `json:"any_age,omitempty"`
+	// EvacuationsOnly requests an immediate reply with the evacuations alone.
+	EvacuationsOnly bool `json:"evacuations_only,omitempty"`
+	// Evacuations describes the evacuations that the requester holds, nil if it knows
+	// none of them.
+	Evacuations *EvacuationDigest `json:"evacuations,omitempty"`
 	// AcceptsPacked means that the requester reads RelayReply.Packed.
 	AcceptsPacked bool `json:"accepts_packed,omitempty"`
 }
@@ -78,6 +83,10 @@
 	// Retained holds the identifiers of listed instances that a restored copy of
 	// the store lacks and that may be written again.
 	Retained []string `json:"retained,omitempty"`
+	// Evacuated describes the evacuations that the sender holds, nil if it knows none of
+	// them. Evacuations are all of them, nil if they need not replace the requester's.
+	Evacuated   *EvacuationDigest `json:"evacuated,omitempty"`
+	Evacuations []Evacuation      `json:"evacuations,omitzero"`
 	// Packed is the delta from the version that the requester holds, empty if there is
 	// no newer version. Delta is its JSON instead for requesters without AcceptsPacked.
 	Packed config.PackedDelta `json:"packed,omitempty"`
@@ -160,7 +169,7 @@
 // one, which then follows the store directly for requestedReaderPeriod. Requests
 // that are declined or allow stale state have no effect.
 func (f *Follower) RecordRelayRequest(now time.Time, r RelayRequest) {
-	if !f.shouldDecline(r) && !r.AllowStale {
+	if !f.shouldDecline(r) && !r.AllowStale && !r.EvacuationsOnly {
 		f.readerUntil = now.Add(requestedReaderPeriod)
 	}
 }
@@ -197,6 +206,8 @@
 		f.retain(now, r.Retained)
 		f.setInstances(&v)
 	}
+	f.applyRelayedEvacuations(r)
+	f.updateEvacuations(now, &v)
 	if entered {
 		f.noteKept(&v)
 	}
@@ -249,7 +260,7 @@
 // that is about to read the store.
 func (f *Follower) CanReplyNow(r RelayRequest) bool {
 	outOfDate := !f.inSync() && !(f.reading() && r.hasNoState())
-	return r.AllowStale || f.shouldDecline(r) || outOfDate || f.behind(r) || f.listDiffers(r) || f.version > r.Version
+	return r.AllowStale || r.EvacuationsOnly || f.evacuationsDiffer(r) || f.shouldDecline(r) || outOfDate || f.behind(r) || f.listDiffers(r) || f.version > r.Version
 }
 
 // reading reports whether this proxy has no list yet and nothing has failed so far.
@@ -261,7 +272,7 @@
 // shouldDecline reports whether another proxy with a faster link should answer
 // the request instead.
 func (f *Follower) shouldDecline(r RelayRequest) bool {
-	return f.hasSlowLink() && !r.Force && !r.AllowStale
+	return f.hasSlowLink() && !r.Force && !r.AllowStale && !r.EvacuationsOnly
 }
 
 // behind reports whether the requester knows of a newer era than this proxy.
@@ -282,6 +293,11 @@
 	if f.shouldDecline(r) {
 		return RelayReply{Declined: true}
 	}
+	if r.EvacuationsOnly {
+		reply := RelayReply{Stale: !f.listed}
+		f.addEvacuations(&reply, r)
+		return reply
+	}
 	reply := RelayReply{Stale: !f.inSync() || f.behind(r), Era: f.position.Era, Revision: f.position.Revision}
 	if r.AllowStale {
 		// A seed that included entries which may have expired would hide their
@@ -292,5 +308,6 @@
 		reply.Instances = f.sortedEntries()
 		reply.Retained = slices.Sorted(maps.Keys(f.retained))
 	}
+	f.addEvacuations(&reply, r)
 	return reply
 }
--- a/internal/source/seed.go
+++ b/internal/source/seed.go
@@ -23,6 +23,8 @@
 func (f *Follower) HandleSeedReply(now time.Time, id string, r RelayReply, c *Configuration) (Update, Call) {
 	if f.restored.unconfirmed != nil {
 		var v Update
+		f.adoptEvacuations(r)
+		f.updateEvacuations(now, &v)
 		next := f.confirm(now, c, &v)
 		return v, next
 	}
@@ -36,6 +38,8 @@
 	f.replaceEntries(now, r.Instances, func(id string) { f.deleteEntry(id, "not in the list of the seed", &v) })
 	f.configurationWatch.next = Call{Part: ConfigurationOnly, List: true}
 	f.setInstances(&v)
+	f.applyRelayedEvacuations(r)
+	f.updateEvacuations(now, &v)
 	f.acceptConfiguration(c, &v)
 	return v, f.retryCall(now)
 }
