Show evacuations, and find another proxy with the store sooner

Change: status, page, explain, dump and metrics show evacuations. A proxy asks three times 0.1 s apart until it finds one that follows the store, and keeps to that one.

--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -14,6 +14,7 @@
 	"heatherlift.example/heatherlift/internal/member"
 	"heatherlift.example/heatherlift/internal/node"
 	"heatherlift.example/heatherlift/internal/routing"
+	"heatherlift.example/heatherlift/internal/source"
 )
 
 // fakeProxy returns a fixed status.
@@ -69,10 +70,12 @@
 		}
 		s.Fleet = append(s.Fleet, r)
 	}
+	s.Evacuation = &node.EvacuationStats{Evacuations: []node.Evacuation{{Zone: "zone-2", Position: source.Position{Era: 1, Revision: 7}, Since: time.Unix(5, 0)}}}
 	s.Events = []node.JournalEntry{{At: time.Unix(0, 0), What: "version in force", Cause: "<b>9</b>"}}
 	body := get(fakeProxy{s}, "/").Body.String()
 	is.True(strings.Contains(body, "200, of which 1 do not enforce version 9"))
 	is.True(strings.Contains(body, "zone-1: 67 instances, 1 behind"))
 	is.True(strings.Contains(body, `class="cell lags" title=", alive, version 8, ready true">desk-7<`))
+	is.True(strings.Contains(body, "evacuated<td>zone zone-2, era 1, revision 7, since 1970-01-01T00:00:05Z"))
 	is.True(strings.Contains(body, "&lt;b&gt;9&lt;/b&gt;")) // text in events is HTML-escaped
 }
--- a/internal/admission/state.go
+++ b/internal/admission/state.go
@@ -52,6 +52,8 @@
 	Leaving bool `json:"leaving"`
 	// Draining is the value of the latest Draining event.
 	Draining bool `json:"draining"`
+	// Evacuated reports that the availability zone of the backend server is evacuated.
+	Evacuated bool `json:"evacuated"`
 	// Unhealthy reports that the backend server is suspended because of failed
 	// health checks or a reported drain.
 	Unhealthy bool `json:"unhealthy"`
@@ -89,6 +91,7 @@
 	s := State{
 		Leaving:         a.leaving,
 		Draining:        a.monitor.listedAsDraining,
+		Evacuated:       !a.evacuatedSince.IsZero(),
 		Unhealthy:       a.monitor.suspended,
 		HealthOverruled: a.monitor.overruled,
 		ReportedLeaving: a.departure != nil,
--- a/internal/cli/admin.go
+++ b/internal/cli/admin.go
@@ -139,6 +139,11 @@
 	if s.Store != nil {
 		fmt.Fprintf(c.stdout, "store: %v, restored %d times\n", s.Store.Position, s.Store.Restorations)
 	}
+	if s.Evacuation != nil {
+		for _, e := range s.Evacuation.Evacuations {
+			fmt.Fprintf(c.stdout, "availability zone evacuated: %v\n", e)
+		}
+	}
 	if s.Refused != 0 {
 		fmt.Fprintf(c.stdout, "refused version %d:\n%v\n", s.Refused, s.Problems)
 	}
--- a/internal/host/metrics.go
+++ b/internal/host/metrics.go
@@ -66,6 +66,7 @@
 	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.registry.MustRegister(newRequestMetrics(h))
 	m.registry.MustRegister(newVersionMetrics(h))
+	m.registry.MustRegister(newEvacuationMetrics(h))
 	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "heatherlift_version_in_force", Help: "Configuration version that this proxy enforces.",
 	}, func() float64 {
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -28,6 +28,9 @@
 	// Store describes what this proxy has read of the store, nil if it does not
 	// follow one.
 	Store *source.EraStats `json:"store,omitempty"`
+	// Evacuation describes the evacuated availability zones, nil if this proxy does not
+	// follow a store.
+	Evacuation *EvacuationStats `json:"evacuation,omitempty"`
 	// Violations counts messages that violated the version protocol.
 	Violations uint64 `json:"violations,omitempty"`
 	Leaving    bool   `json:"leaving"`
@@ -61,6 +64,7 @@
 	s.SourceError = n.dist.SourceError()
 	s.Violations = n.dist.Violations()
 	s.Store = n.storeStats()
+	s.Evacuation = n.EvacuationStats()
 	s.Refused, s.Problems = n.dist.RefusedVersion()
 	if current := n.dist.EnforcedSnapshot(); current != nil {
 		s.Rejected = current.Rejected
--- a/internal/routing/explain.go
+++ b/internal/routing/explain.go
@@ -12,7 +12,8 @@
 type Explanation struct {
 	Version uint64 `json:"version"`
 	// Refused is the reason for which the request would be refused before an
-	// instance is selected, empty if it has a route. Limits are not checked.
+	// instance is selected or because all instances are evacuated, empty if it has a
+	// route. Limits are not checked.
 	Refused    outcome.Reason `json:"refused,omitempty"`
 	Route      *config.Route  `json:"route,omitempty"`
 	Group      *config.Group  `json:"group,omitempty"`
@@ -70,11 +71,17 @@
 	out.Limits = &match.Limits
 	out.Deadline = time.Duration(match.Route.Deadline)
 	r.explainOrganisation(now, org, match, &out)
+	var counted candidates
 	if p, ok := r.pools[match.Group.Service]; ok {
 		for _, i := range p.instances {
-			out.Candidates = append(out.Candidates, i.explain(now, &match.Group))
+			c := i.explain(now, &match.Group)
+			counted.count(c.State)
+			out.Candidates = append(out.Candidates, c)
 		}
 	}
+	if counted.allEvacuated() {
+		out.Refused = outcome.Evacuated
+	}
 	return out
 }
 
--- a/internal/source/evacuation.go
+++ b/internal/source/evacuation.go
@@ -81,6 +81,11 @@
 	if !s.position.Before(at) {
 		return
 	}
+	if s.position.Era < at.Era {
+		for _, h := range s.held {
+			h.doubtedUntil = time.Time{} // the period begins again with each restoration
+		}
+	}
 	present := make(map[string]bool, len(set))
 	for _, e := range set {
 		present[e.Zone] = true
--- a/internal/source/evacuationrelay.go
+++ b/internal/source/evacuationrelay.go
@@ -8,10 +8,16 @@
 	"time"
 )
 
-// evacuationAskInterval is the time between two questions of a proxy that the store does
-// not answer to other proxies. A proxy has 5 s to learn of an evacuation; in that time it
-// asks several of them, some of which may be cut off as well.
-const evacuationAskInterval = time.Second
+const (
+	// evacuationAskInterval is the time between two questions to other proxies while the
+	// store does not answer this one, which has 5 s to learn of an evacuation.
+	evacuationAskInterval = time.Second
+	// evacuationRepeatDelay is the time to the next question if the proxy that was asked
+	// is without the store as well. After maxQuickQuestions the store is likely down for
+	// all, and the interval applies.
+	evacuationRepeatDelay = 100 * time.Millisecond
+	maxQuickQuestions     = 3
+)
 
 // EvacuationDigest tells a reader which evacuations the requester holds.
 type EvacuationDigest struct {
@@ -60,7 +66,7 @@
 func (f *Follower) adoptEvacuations(r RelayReply) {
 	f.applyRelayedEvacuations(r)
 	for _, e := range r.Evacuations {
-		if e.Era < f.evacuations.position.Era {
+		if e.Era > 0 && e.Era < f.evacuations.position.Era {
 			f.evacuations.put(e)
 		}
 	}
@@ -71,7 +77,10 @@
 	rng      *rand.Rand
 	inFlight bool
 	nextAt   time.Time
-	asked    int
+	// peer is the proxy that answered last and follows the store, empty if none did.
+	peer string
+	// misses counts the questions since then.
+	misses int
 	// failed reports that the latest question was not answered.
 	failed bool
 }
@@ -85,7 +94,11 @@
 // proxy, which may be the only one.
 func (f *Follower) NextEvacuationCall(now time.Time) (Call, bool) {
 	p := &f.evacuations.peers
-	if p.inFlight || now.Before(p.nextAt) || !f.listed || !f.storeFails(now) {
+	if !f.storeFails(now) {
+		p.peer, p.misses = "", 0
+		return Call{}, false
+	}
+	if p.inFlight || now.Before(p.nextAt) || !f.listed {
 		return Call{}, false
 	}
 	peer := f.nextEvacuationPeer()
@@ -108,11 +121,14 @@
 	return reader == nil
 }
 
-// nextEvacuationPeer returns another proxy, by turns one of the own zone, where bytes
-// cost nothing, and any: the whole zone may be cut off from the store.
+// nextEvacuationPeer returns the proxy to ask: the one that answered last, otherwise first
+// one of the own zone, where bytes cost nothing, and then any, since the whole zone may be
+// cut off from the store.
 func (f *Follower) nextEvacuationPeer() *Instance {
 	p := &f.evacuations.peers
-	p.asked++
+	if e, ok := f.known[p.peer]; ok {
+		return e.Instance
+	}
 	var near, all []*Instance
 	for _, id := range slices.Sorted(maps.Keys(f.known)) {
 		i := f.known[id].Instance
@@ -124,7 +140,7 @@
 			near = append(near, i)
 		}
 	}
-	if p.asked%2 == 1 && len(near) > 0 {
+	if p.misses == 0 && len(near) > 0 {
 		all = near
 	}
 	if len(all) == 0 {
@@ -139,18 +155,23 @@
 	var v Update
 	p := &f.evacuations.peers
 	p.inFlight = false
-	if cause == "" && r.Stale {
-		cause = "it holds no list"
+	if cause != "" && !p.failed {
+		v.addNote("evacuations not read from another proxy", fmt.Sprintf("%s: %s", id, cause))
 	}
-	if cause != "" {
-		if !p.failed {
-			v.addNote("evacuations not read from another proxy", fmt.Sprintf("%s: %s", id, cause))
+	p.failed = cause != ""
+	if p.failed || r.Stale {
+		p.peer = ""
+		p.misses++
+		if p.misses < maxQuickQuestions {
+			p.nextAt = now.Add(evacuationRepeatDelay)
 		}
-		p.failed = true
-		return v
+	} else {
+		p.peer, p.misses = id, 0
+	}
+	if !p.failed {
+		// What a proxy knows holds also while it is without the store.
+		f.applyRelayedEvacuations(r)
+		f.updateEvacuations(now, &v)
 	}
-	p.failed = false
-	f.applyRelayedEvacuations(r)
-	f.updateEvacuations(now, &v)
 	return v
 }
--- a/internal/source/relay.go
+++ b/internal/source/relay.go
@@ -214,6 +214,7 @@
 	f.acceptConfiguration(c, &v)
 	// If the readers fail, only the newest version needs to be read.
 	f.configurationWatch.next = Call{Part: ConfigurationOnly, List: true}
+	f.configurationWatch.failures = 0
 	return v, f.nextCall(now)
 }
 
@@ -294,7 +295,7 @@
 		return RelayReply{Declined: true}
 	}
 	if r.EvacuationsOnly {
-		reply := RelayReply{Stale: !f.listed}
+		reply := RelayReply{Stale: !f.Reachable() || f.configurationWatch.failures > 0}
 		f.addEvacuations(&reply, r)
 		return reply
 	}
