--- a/internal/routing/explain.go
+++ b/internal/routing/explain.go
@@ -12,7 +12,8 @@
 type Explanation struct {
 	Version uint64 `json:"version"`
 	// Refused is the reason for which the request would be refused before an
-	// instance is selected, empty if it has a route. Limits are not checked.
+	// instance is selected or because all instances are evacuated, empty if it has a
+	// route. Limits are not checked.
 	Refused    outcome.Reason `json:"refused,omitempty"`
 	Route      *config.Route  `json:"route,omitempty"`
 	Group      *config.Group  `json:"group,omitempty"`
@@ -74,6 +75,7 @@
 	out.Limits = &match.Limits
 	out.Deadline = time.Duration(match.Route.Deadline)
 	r.explainOrganisation(now, org, match, &out)
+	var counted candidates
 	if p, ok := r.pools[match.Group.Service]; ok {
 		for _, i := range p.instances {
 			candidate := i.explain(now, &match.Group)
@@ -81,9 +83,13 @@
 				e := i.estimate(now, match.Route.Name)
 				candidate.Estimate, candidate.FinishScore = &e, i.finishScore(now, e)
 			}
+			counted.count(candidate.State)
 			out.Candidates = append(out.Candidates, candidate)
 		}
 	}
+	if counted.allEvacuated() {
+		out.Refused = outcome.Evacuated
+	}
 	return out
 }
 
