--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -343,12 +343,13 @@
 
 // builtKinds are the optional kinds that the proxy is built for; TestOptionalKinds draws
 // from them.
-var builtKinds = []kind{kindDownloads, kindUneven}
+var builtKinds = []kind{kindCold, kindColdZone, kindEvacuate, kindDownloads, kindUneven}
 
-// Large responses arrive whole, also with slow readers, and the memory of the proxies
+// No cold backend server gets more than its bound, nothing reaches an evacuated zone late,
+// large responses arrive whole, also with slow readers, and the memory of the proxies
 // stays within its limit.
 func TestOptionalKinds(t *testing.T) {
-	r, err := runSeed(options{bin: buildProxy(t), seed: 1, machines: defaultMachines, length: 6 * time.Second, kinds: builtKinds})
+	r, err := runSeed(options{bin: buildProxy(t), seed: 1, machines: defaultMachines, length: 6 * time.Second, kinds: builtKinds, downloadKind: "download"})
 	if err != nil {
 		t.Fatal(err)
 	}
