Test that every end of a request releases the link

Reviewed: refusal by admission, failed and malformed exchanges, HEAD, responses without length and early answers to uploads. No reservation stays; the test guards against one that does.

--- a/internal/forward/responselink_test.go
+++ b/internal/forward/responselink_test.go
@@ -248,3 +248,54 @@
 	}()
 	is.True(!x.truncated)
 }
+
+// downloadRequest returns a request as another proxy sends it for a declared download, of
+// which the link time is planned before it runs.
+func downloadRequest(line, header string, deadlineMs int) string {
+	return fmt.Sprintf("%s HTTP/1.1\r\nHost: a\r\n%s: %d\r\n%s: f=1&s=1&i=i-1&r=photos&d=1&t=1500\r\n%s\r\n", line, DeadlineHeader, deadlineMs, hopHeader, header)
+}
+
+// However a planned request ends, its link time, memory and slot must be free after it: a
+// reservation that stays refuses downloads for ever.
+func TestEveryEndReleasesTheLink(t *testing.T) {
+	body := strings.Repeat("x", 40<<10)
+	chunked := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	upload := fmt.Sprintf("Content-Length: %d\r\n", largeBody)
+	for _, test := range []struct{ name, request, response string }{
+		{"response without length", downloadRequest("GET /a", "", 2000), "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked},
+		{"close-delimited response", downloadRequest("GET /a", "", 2000), "HTTP/1.1 200 OK\r\n\r\n" + body},
+		{"HEAD", downloadRequest("HEAD /a", "", 2000), "HTTP/1.1 200 OK\r\n" + contentLength(len(body)) + "\r\n\r\n"},
+		{"no response", downloadRequest("GET /a", "", 2000), ""},
+		{"malformed response", downloadRequest("GET /a", "", 2000), "odd\r\n\r\n"},
+		{"short body breaks off", downloadRequest("GET /a", "", 2000), "HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\nx"},
+		{"response before the end of an upload", downloadRequest("POST /a", upload, 2000) + "only the start", "HTTP/1.1 200 OK\r\n" + contentLength(len(body)) + "\r\n\r\n" + body},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			g := newPacedRig(t, 1000, Dialect{}, func(c net.Conn, r *bufio.Reader) { respondOnce(c, r, test.response) })
+			c := dialRaw(t, g.peerAddr)
+			c.send(t, test.request)
+			g.core.waitForRun(t)
+			_, _, _ = c.read(test.request)
+			g.waitUntilReleased(t)
+		})
+	}
+	t.Run("refused by admission", func(t *testing.T) {
+		is := is.New(t)
+		release := make(chan struct{})
+		g := newPacedRig(t, 1000, Dialect{}, func(_ net.Conn, _ *bufio.Reader) { <-release })
+		g.core.admission = admissionWithSlots(1)
+		running := dialRaw(t, g.peerAddr)
+		running.send(t, downloadRequest("GET /a", "", 2000))
+		g.core.waitForRun(t)
+		resp, _, err := dialRaw(t, g.peerAddr).exchange(t, downloadRequest("GET /b", "", 100))
+		is.NoErr(err)
+		is.Equal(resp.Header.Get(OutcomeHeader), string(outcome.NotRun))
+		g.local.link.mu.Lock()
+		planned, _ := g.local.link.gate.Planned()
+		g.local.link.mu.Unlock()
+		is.Equal(planned, 1) // of the running one
+		_ = running.Close()
+		close(release)
+		g.waitUntilReleased(t)
+	})
+}
