Take a healthy response without the warm-up header for warm

Change: status 200 without the header is warm; other statuses still say nothing. TestWarmUpCheckReadsTheHealthResponse holds both.

--- a/internal/host/warmup.go
+++ b/internal/host/warmup.go
@@ -52,7 +52,7 @@
 	}
 	defer resp.Body.Close()
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxHealthBody)) // only the header matters
-	left, err := h.dialect.WarmUpLeft(resp.Header)
+	left, err := h.dialect.WarmUpLeft(resp.StatusCode, resp.Header)
 	if err != nil {
 		return admission.WarmUpChecked{}, "status " + strconv.Itoa(resp.StatusCode) + ": " + err.Error()
 	}
--- a/internal/host/warmup_test.go
+++ b/internal/host/warmup_test.go
@@ -22,11 +22,14 @@
 // and against a log line for each failed check.
 func TestWarmUpCheckReadsTheHealthResponse(t *testing.T) {
 	is := is.New(t)
-	var header atomic.Value
+	var header, status atomic.Value
+	status.Store(http.StatusServiceUnavailable) // says nothing of the warm-up
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		is.Equal(r.URL.Path, "/healthz")
-		w.Header().Set("Left-Ms", header.Load().(string))
-		w.WriteHeader(http.StatusServiceUnavailable) // says nothing of the warm-up
+		if text := header.Load().(string); text != "" {
+			w.Header().Set("Left-Ms", text)
+		}
+		w.WriteHeader(status.Load().(int))
 	}))
 	s := settings.Default()
 	s.Peers.Plaintext = true
@@ -42,6 +45,9 @@
 		header.Store(text)
 		is.Equal(h.checkWarmUp("/healthz"), want)
 	}
+	header.Store("")
+	status.Store(http.StatusOK)
+	is.Equal(h.checkWarmUp("/healthz"), admission.WarmUpChecked{Stated: true}) // a warm one leaves the header out
 	header.Store("0")
 	h.checkWarmUp("/healthz")
 	server.Close()
