--- a/internal/admission/warmup.go
+++ b/internal/admission/warmup.go
@@ -18,10 +18,7 @@
 // handleServiceLimited applies the warm-up that the version in force names.
 func (a *Admission) handleServiceLimited(now time.Time, e ServiceLimited) {
 	a.warmUp.Configure(now, e.Limits)
-	if a.rate.keepStarts != a.warmUp.Enabled() {
-		a.rate.keepStarts = a.warmUp.Enabled()
-		a.rate.starts = warmup.NewStarts(now)
-	}
+	a.rate.recordStarts(now, a.warmUp.Enabled())
 }
 
 // handleWarmUpChecked records what a health check says about the warm-up.
