Name the soak's checks of cold servers and evacuations in the coverage

Cause: the tables still listed warm-up and evacuations as debts of the soak, which draws and checks them now; the test of the names did not read the files of the new checks. It reads them in addition.

--- a/docs/coverage_test.go
+++ b/docs/coverage_test.go
@@ -83,7 +83,7 @@
 		kinds[m[1]] = true
 	}
 	checks := make(map[string]bool)
-	for _, path := range []string{"budget.go", "check.go", "crashing.go", "statements.go"} {
+	for _, path := range []string{"budget.go", "check.go", "cold.go", "crashing.go", "evacuation.go", "memory.go", "statements.go"} {
 		for _, m := range regexp.MustCompile(`(?:addViolation\(|")([a-z]+)(?:"|: )`).FindAllStringSubmatch(read(t, "../bench/soak/"+path), -1) {
 			checks[m[1]] = true
 		}
