Revert "Begin the record of starts with the proxy, not with its first version"

Until its first version a proxy does not know the warm-up and serves other proxies without a limit; the wait of 1.25 s from the version on made up for that. Conclusion: the wait stays until a proxy can learn the warm-up from its senders before it has a version.

--- a/internal/admission/outcome.go
+++ b/internal/admission/outcome.go
@@ -78,7 +78,6 @@
 func (a *Admission) backendServerDown(now time.Time) {
 	a.limiter.slowStart()
 	a.warmUp.Refused(now, warmup.ObservedStart)
-	a.rate.starts.ProcessEnded()
 	a.reportCrash(now, connectionsRefused)
 }
 
--- a/internal/admission/warmup.go
+++ b/internal/admission/warmup.go
@@ -18,7 +18,10 @@
 // handleServiceLimited applies the warm-up that the version in force names.
 func (a *Admission) handleServiceLimited(now time.Time, e ServiceLimited) {
 	a.warmUp.Configure(now, e.Limits)
-	a.rate.recordStarts(now, a.warmUp.Enabled())
+	if a.rate.keepStarts != a.warmUp.Enabled() {
+		a.rate.keepStarts = a.warmUp.Enabled()
+		a.rate.starts = warmup.NewStarts(now)
+	}
 }
 
 // handleWarmUpChecked records what a health check says about the warm-up.
--- a/internal/admission/warmup_test.go
+++ b/internal/admission/warmup_test.go
@@ -35,31 +35,6 @@
 	return w != nil && w.Cold
 }
 
-// Guards against a proxy that counts the time before its first version as unknown: after a
-// loss of power, proxy and backend server start together and callers wait for both.
-func TestRecordOfStartsBeginsWithTheProxy(t *testing.T) {
-	for _, test := range []struct {
-		name    string
-		refuses bool
-		wait    time.Duration
-	}{
-		{"the backend server may be the one of before", false, warmup.Window - time.Second},
-		{"the backend server has started since", true, 0},
-	} {
-		t.Run(test.name, func(t *testing.T) {
-			is := is.New(t)
-			h := newHarness(Config{Slots: 10, QueueLength: 100, ColdTolerance: warmup.Tolerance{Over: 1.5, Slack: 8}})
-			h.step(Tick{})
-			h.now = h.now.Add(time.Second)
-			h.step(Assigned{Slots: 10, Restarted: true})
-			h.step(testServiceLimits(14))
-			h.step(WarmUpChecked{Refused: test.refuses})
-			is.True(h.cold())
-			is.Equal(h.admission.rate.starts.Wait(h.now, 1, 29), test.wait)
-		})
-	}
-}
-
 // Guards against one source of a limit that ends the other.
 func TestNamedLimitAndWarmUpAreKeptApart(t *testing.T) {
 	is := is.New(t)
--- a/internal/warmup/budget.go
+++ b/internal/warmup/budget.go
@@ -83,10 +83,6 @@
 // and counts as the whole budget for one Window.
 func NewStarts(now time.Time) Starts { return Starts{unknownUntil: now.Add(Window)} }
 
-// ProcessEnded records that the process of the backend server has ended, as it refuses
-// connections: the starts that are not known were those of another process.
-func (s *Starts) ProcessEnded() { s.unknownUntil = time.Time{} }
-
 // Record adds a start.
 func (s *Starts) Record(now time.Time) {
 	s.expire(now)
