Sum rates in a fixed order; compare addresses of a connection in one place

Cause: expectedWait added floating-point rates in the order of a map, so that a replay of the same events could give another wait by rounding (only where costs are reported, which is off by default). isCall and sameMachine each compared the two addresses of a connection. Change: requests are visited by ID; sameAddress serves both. Behaviour stays.

--- a/internal/admission/cost.go
+++ b/internal/admission/cost.go
@@ -128,7 +128,7 @@
 func (a *Admission) expectedWait(now time.Time, r *request, slots int) time.Duration {
 	slowness, _ := a.cost.slowness(now)
 	running, rate := 0, 0.0
-	for _, other := range a.running {
+	for _, other := range sortedByID(a.running) { // in order, as the sum of rates is rounded
 		if other.ID == r.ID || other.responded {
 			continue
 		}
--- a/internal/forward/localcall.go
+++ b/internal/forward/localcall.go
@@ -17,10 +17,16 @@
 	if !ok {
 		return false
 	}
-	own, err := netip.ParseAddrPort(local.String())
+	return sameAddress(local.String(), r.RemoteAddr)
+}
+
+// sameAddress reports whether two addresses with ports, as HOST:PORT, have the same IP
+// address.
+func sameAddress(a, b string) bool {
+	first, err := netip.ParseAddrPort(a)
 	if err != nil {
 		return false
 	}
-	remote, err := netip.ParseAddrPort(r.RemoteAddr)
-	return err == nil && remote.Addr().Unmap() == own.Addr().Unmap()
+	second, err := netip.ParseAddrPort(b)
+	return err == nil && first.Addr().Unmap() == second.Addr().Unmap()
 }
--- a/internal/forward/pacedrelay.go
+++ b/internal/forward/pacedrelay.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
@@ -164,7 +163,5 @@
 	if !ok {
 		return false
 	}
-	remote, ok := x.conn.RemoteAddr().(*net.TCPAddr)
-	local, okLocal := x.conn.LocalAddr().(*net.TCPAddr)
-	return ok && okLocal && remote.IP.Equal(local.IP)
+	return sameAddress(x.conn.LocalAddr().String(), x.conn.RemoteAddr().String())
 }
