Count and log requests that end without a complete response, by cause

heatherlift_requests_cut_total counts them by cause: unread, discarded, caller disconnected, shutdown limit, response aborted, write failed. A log line names the request, its age and the time that a shutdown in progress has left. The line of a shutdown that reaches its limit states how long it took and what was still in progress.

TestCutsAreReportedByCause brings four of the causes about on real connections. Found by it: a past read deadline does not stop a read whose data arrives before the reader runs again, so a request may be read after the connection has stopped accepting; it is counted as discarded. No behaviour is changed.

--- a/internal/forward/backendreport.go
+++ b/internal/forward/backendreport.go
@@ -125,7 +125,7 @@
 	report, err := c.dialect.backendReport(h)
 	if err != nil {
 		logDecision(c.core, true, "invalid report", func() []any {
-			return []any{"request", c.dialect.requestID(c.outgoing.in), "instance", c.arrived.Instance, "detail", err.Error()}
+			return []any{"request", c.dialect.RequestID(c.outgoing.in), "instance", c.arrived.Instance, "detail", err.Error()}
 		})
 	}
 	answered = answered && c.reportsCosts
--- a/internal/forward/callerconn.go
+++ b/internal/forward/callerconn.go
@@ -33,9 +33,12 @@
 	headerTooLarge bool
 	// readsLate is set while a read that timed out is tried once more. Only the
 	// reading goroutine uses it.
-	readsLate     bool
-	pipelineSlots chan struct{}
-	handlers      sync.WaitGroup
+	readsLate bool
+	// discardedInput is set when input was discarded that belongs to no request that
+	// was read. Only the reading goroutine uses it.
+	discardedInput bool
+	pipelineSlots  chan struct{}
+	handlers       sync.WaitGroup
 
 	mu sync.Mutex
 	// inProgress counts the requests whose response is not completely written.
@@ -117,7 +120,9 @@
 // discarded.
 func (c *callerConn) cancelOnDisconnect(cancel context.CancelFunc) {
 	for c.requestsInProgress() > 0 {
-		if _, err := c.reader.Discard(1); err != nil {
+		n, err := c.reader.Discard(max(1, c.reader.Buffered()))
+		c.discardedInput = c.discardedInput || n > 0
+		if err != nil {
 			if !errors.Is(err, os.ErrDeadlineExceeded) {
 				cancel()
 			}
@@ -154,6 +159,7 @@
 		c.server.reportReject(x)
 	}
 	if !c.startRequest(x) {
+		x.reportCut(CutDiscarded)
 		return nil, false
 	}
 	return x, true
@@ -271,7 +277,10 @@
 	}
 	c.closeWrite()
 	_ = c.Conn.SetReadDeadline(time.Now().Add(callerLingerTimeout))
-	_, _ = io.Copy(io.Discard, c.Conn)
+	n, _ := io.Copy(io.Discard, c.Conn)
+	if c.discardedInput || n > 0 {
+		c.server.reportCut(Cut{Cause: CutUnread, Caller: c.RemoteAddr().String()})
+	}
 }
 
 // readRequest reads a request header. The returned status is 200 if the request
--- a/internal/forward/callerexchange.go
+++ b/internal/forward/callerexchange.go
@@ -20,9 +20,10 @@
 // implements http.ResponseWriter and the methods that http.ResponseController
 // calls.
 type callerExchange struct {
-	conn   *callerConn
-	req    *http.Request
-	cancel context.CancelFunc
+	conn      *callerConn
+	req       *http.Request
+	startedAt time.Time
+	cancel    context.CancelFunc
 	// precedingDone is closed when all preceding responses are written, done
 	// when this one is.
 	precedingDone <-chan struct{}
@@ -52,7 +53,7 @@
 // newCallerExchange returns the exchange for a request. A nil req stands for a
 // request that could not be parsed; the connection closes after its response.
 func newCallerExchange(ctx context.Context, c *callerConn, req *http.Request, precedingDone <-chan struct{}) *callerExchange {
-	x := &callerExchange{conn: c, precedingDone: precedingDone, done: make(chan struct{}), header: make(http.Header), contentLength: -1}
+	x := &callerExchange{conn: c, startedAt: time.Now(), precedingDone: precedingDone, done: make(chan struct{}), header: make(http.Header), contentLength: -1}
 	if req == nil {
 		req = &http.Request{Method: http.MethodGet, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Body: http.NoBody, Close: true}
 	}
@@ -87,11 +88,13 @@
 	defer close(x.done)
 	defer x.cancel()
 	if !x.callHandler() {
+		x.reportCut(CutResponse)
 		x.waitForPreceding()
 		_ = x.conn.Close()
 		return
 	}
 	if err := x.finish(); err != nil {
+		x.reportCut(CutWrite)
 		_ = x.conn.Close()
 	}
 }
--- a/internal/forward/callerserver.go
+++ b/internal/forward/callerserver.go
@@ -43,6 +43,9 @@
 	// OnReject, if set, is called for each request that the server rejects itself,
 	// with the address of the caller and the status.
 	OnReject func(caller string, status int)
+	// OnCut, if set, is called for each request, read completely or not, whose
+	// connection ends without a complete response.
+	OnCut func(Cut)
 
 	draining    atomic.Bool
 	mu          sync.Mutex
@@ -116,6 +119,13 @@
 	}
 }
 
+// isClosed reports whether Close was called.
+func (s *CallerServer) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
 func (s *CallerServer) connections() []*callerConn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/forward/decisionlog.go
+++ b/internal/forward/decisionlog.go
@@ -32,7 +32,7 @@
 			fields = append(choice.Estimate.LogFields(), fields...)
 		}
 		return append([]any{
-			"request", c.dialect.requestID(c.r),
+			"request", c.dialect.RequestID(c.r),
 			"route", d.Route,
 			"version", d.Version,
 			"attempt", d.Attempt,
@@ -53,7 +53,7 @@
 func (c *callerRequest) logRefusal(r outcome.Refusal) {
 	logDecision(c.core, true, "refused", func() []any {
 		return []any{
-			"request", c.dialect.requestID(c.r),
+			"request", c.dialect.RequestID(c.r),
 			"organisation", c.organisation,
 			"path", c.dialect.path(c.r),
 			"call", c.call,
@@ -71,7 +71,7 @@
 func (c *backendRequest) logNotServed(r outcome.Refusal) {
 	logDecision(c.core, true, "not served here", func() []any {
 		return []any{
-			"request", c.dialect.requestID(c.outgoing.in),
+			"request", c.dialect.RequestID(c.outgoing.in),
 			"instance", c.arrived.Instance,
 			"fingerprint", strconv.FormatUint(c.arrived.Fingerprint, 16),
 			"outcome", r.Outcome,
--- a/internal/forward/dialect.go
+++ b/internal/forward/dialect.go
@@ -127,9 +127,9 @@
 	return r.URL.RequestURI()
 }
 
-// requestID returns the caller's request identifier, empty if the dialect has
+// RequestID returns the caller's request identifier, empty if the dialect has
 // none.
-func (d *Dialect) requestID(r *http.Request) string {
+func (d *Dialect) RequestID(r *http.Request) string {
 	if d.RequestIDHeader == "" {
 		return ""
 	}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -55,7 +55,7 @@
 		return nil, markExpired(err, deadline)
 	}
 	c.beginExchange()
-	x := &Exchange{pool: p, conn: c, upload: out.upload, dialect: out.dialect, requestID: out.dialect.requestID(out.in)}
+	x := &Exchange{pool: p, conn: c, upload: out.upload, dialect: out.dialect, requestID: out.dialect.RequestID(out.in)}
 	if out.use != nil {
 		x.held = &out.use.held
 	}
--- a/internal/forward/ingress.go
+++ b/internal/forward/ingress.go
@@ -286,7 +286,7 @@
 	costs, err := parseCostReport(h)
 	if err != nil {
 		logDecision(c.core, true, "invalid report", func() []any {
-			return []any{"request", c.dialect.requestID(c.r), "instance", d.Instance, "detail", err.Error()}
+			return []any{"request", c.dialect.RequestID(c.r), "instance", d.Instance, "detail", err.Error()}
 		})
 	}
 	return costs
--- a/internal/forward/responselink.go
+++ b/internal/forward/responselink.go
@@ -195,7 +195,7 @@
 	refusal.RetryAfter, refusal.LinkBusy = d.RetryAfter, true
 	logDecision(l.core, true, "response refused", func() []any {
 		return []any{
-			"request", l.dialect.requestID(r),
+			"request", l.dialect.RequestID(r),
 			"instance", arrived.Instance,
 			"route", arrived.Route,
 			"expected_bytes", d.Bytes,
--- a/internal/forward/uploadgate.go
+++ b/internal/forward/uploadgate.go
@@ -58,7 +58,7 @@
 func (l *LocalForwarder) logUpload(r *http.Request, arrived admission.Arrived, refusal outcome.Refusal) {
 	logDecision(l.core, true, "upload refused", func() []any {
 		return []any{
-			"request", l.dialect.requestID(r),
+			"request", l.dialect.RequestID(r),
 			"instance", arrived.Instance,
 			"bytes", r.ContentLength,
 			"reason", refusal.Reason,
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -72,6 +72,9 @@
 	// it succeeded.
 	warmUpFailure   atomic.Pointer[string]
 	warmUpTransport *http.Transport
+	// shutdownEnd is when the shutdown in progress aborts requests in flight, nil if
+	// there is none.
+	shutdownEnd atomic.Pointer[time.Time]
 
 	ctx    context.Context
 	cancel context.CancelFunc
--- a/internal/host/metrics.go
+++ b/internal/host/metrics.go
@@ -40,6 +40,7 @@
 	responsesPaced  prometheus.Counter
 	responsePlans   *prometheus.CounterVec
 	calls           prometheus.Counter
+	requestsCut     *prometheus.CounterVec
 	log             *log.Logger
 }
 
@@ -88,10 +89,11 @@
 		calls: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "heatherlift_calls_total", Help: "Requests that the local backend server sent to this proxy, by the address of their connections.",
 		}),
-		log: h.log,
+		requestsCut: newCutCounter(),
+		log:         h.log,
 	}
 	m.registry.MustRegister(newAdmissionMetrics(h))
-	m.registry.MustRegister(peerBytes, m.attemptDuration, m.estimateError, m.messagesRefused, m.sourceCalls, m.refusals, m.panics, m.uploadOffers, m.calls)
+	m.registry.MustRegister(peerBytes, m.attemptDuration, m.estimateError, m.messagesRefused, m.sourceCalls, m.refusals, m.panics, m.uploadOffers, m.calls, m.requestsCut)
 	m.registry.MustRegister(m.responsesHeld, m.responsesPaced, m.responsePlans)
 	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.registry.MustRegister(newRequestMetrics(h))
--- a/internal/host/shutdown.go
+++ b/internal/host/shutdown.go
@@ -42,6 +42,7 @@
 	callers := forward.NewCallerServer(forward.LogPanics(entry, h.log), readHeaderTimeout, idleTimeout)
 	callers.LimitsInForce = h.callerLimits.Load
 	callers.OnReject = h.logReject
+	callers.OnCut = h.recordCut
 	peers := newServer(forward.LogPanics(local, h.log))
 	peers.MaxHeaderBytes = maxPeerHeaderBytes
 	return &servers{callerServer: callers, forwardServer: peers, callerListener: l.callers}
@@ -66,6 +67,7 @@
 	deadline := start.Add(notice + time.Duration(h.settings.Shutdown.Limit))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
+	h.shutdownEnd.Store(&deadline)
 	h.log.Info("graceful shutdown started", "until", deadline)
 	s.callerServer.Drain()
 	h.step(node.Leave{Cause: "signal", AdmitUntil: start.Add(time.Duration(admitFraction * float64(notice)))})
@@ -77,7 +79,9 @@
 		h.sleep(lingerDuration)
 	}
 	if s.callerServer.Shutdown(ctx) != nil || s.forwardServer.Shutdown(ctx) != nil {
-		h.log.Warn("shutdown limit reached; aborting requests in flight")
+		left := h.requestsInFlight()
+		h.log.Warn("shutdown limit reached; aborting requests in flight", "after_ms", time.Since(start).Milliseconds(),
+			"routed", left.Routed, "running", left.Running, "waiting", left.Waiting)
 	}
 	s.callerServer.Close()
 	_ = s.forwardServer.Close()
@@ -98,8 +102,9 @@
 	return true
 }
 
-func (h *Host) idle() bool {
-	idle := false
-	h.view(func(n *node.Node) { idle = n.Idle() })
-	return idle
+func (h *Host) idle() bool { return h.requestsInFlight() == node.RequestsInFlight{} }
+
+func (h *Host) requestsInFlight() (r node.RequestsInFlight) {
+	h.view(func(n *node.Node) { r = n.InFlight() })
+	return r
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -354,7 +354,19 @@
 }
 
 // Idle reports whether no request is in progress.
-func (n *Node) Idle() bool {
+func (n *Node) Idle() bool { return n.InFlight() == RequestsInFlight{} }
+
+// RequestsInFlight counts the requests in progress at a proxy.
+type RequestsInFlight struct {
+	// Routed are requests of callers of this proxy.
+	Routed int
+	// Running and Waiting are requests at, and in the queue of, the backend server
+	// beside it.
+	Running, Waiting int
+}
+
+// InFlight returns the requests in progress.
+func (n *Node) InFlight() RequestsInFlight {
 	running, waiting := n.admission.InFlight()
-	return n.router.InFlight()+running+waiting == 0
+	return RequestsInFlight{Routed: n.router.InFlight(), Running: running, Waiting: waiting}
 }
