Show two ways in which a shutdown cuts requests, failing

TestRequestIsNotCutWithinTheGracePeriod: shutdown.notice and shutdown.limit end a stop 5.0 s after the signal, whatever grace period the platform grants. TestUnreadRequestIsServedWhenIdleConnectionsEnd: closeIfIdle knows only requests that were read; one that lies in the socket is discarded.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -72,6 +72,7 @@
 	// it succeeded.
 	warmUpFailure   atomic.Pointer[string]
 	warmUpTransport *http.Transport
+	shutdownBounds  ShutdownBounds
 	// shutdownEnd is when the shutdown in progress aborts requests in flight, nil if
 	// there is none.
 	shutdownEnd atomic.Pointer[time.Time]
@@ -104,6 +105,8 @@
 	// MinRetryAfter is the lower bound of the Retry-After of a refusal. It may
 	// be below one second if callers accept fractions of a second.
 	MinRetryAfter time.Duration
+	// Shutdown states how long a shutdown may take.
+	Shutdown ShutdownBounds
 }
 
 // New returns a host that is not running yet. The recorder may be nil. A nil
@@ -127,6 +130,9 @@
 		runID:           runID(s.ID, now),
 		warmUpTransport: &http.Transport{},
 	}
+	if adapter != nil {
+		h.shutdownBounds = adapter.Shutdown
+	}
 	h.peerPool = forward.NewPool(h.dialPeer, 0)
 	h.metrics = newMetrics(h)
 	h.transport = peer.NewTransport(h, h.metrics, h.peerTLS())
--- a/internal/host/shutdown.go
+++ b/internal/host/shutdown.go
@@ -16,10 +16,6 @@
 	// towards the caller, is still read. A caller that has just sent a request
 	// then sees an orderly close instead of a reset.
 	lingerDuration = 250 * time.Millisecond
-	// admitFraction is the part of the notice period during which requests of
-	// other proxies are still admitted. The rest of it is left for these requests
-	// to finish.
-	admitFraction = 0.6
 )
 
 // servers holds the servers for requests of callers and of other proxies.
@@ -55,7 +51,7 @@
 
 // shutDown announces the shutdown to callers and other proxies, accepts requests
 // during the notice period and then closes the servers when no request is in
-// flight, at the latest when the shutdown limit has passed as well.
+// flight, at the latest at the limit of the plan.
 //
 // From the start of the shutdown, a connection of a caller closes after the
 // responses to the requests in progress, or after the next response if there are
@@ -63,15 +59,15 @@
 // after it, to reconnect elsewhere. Only a connection without a request until the
 // end of the notice period is closed without a response.
 func (h *Host) shutDown(s *servers) {
-	start, notice := time.Now(), time.Duration(h.settings.Shutdown.Notice)
-	deadline := start.Add(notice + time.Duration(h.settings.Shutdown.Limit))
+	start, plan := time.Now(), planShutdown(h.settings.Shutdown, ShutdownBounds{})
+	deadline := start.Add(plan.Limit)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	h.shutdownEnd.Store(&deadline)
 	h.log.Info("graceful shutdown started", "until", deadline)
 	s.callerServer.Drain()
-	h.step(node.Leave{Cause: "signal", AdmitUntil: start.Add(time.Duration(admitFraction * float64(notice)))})
-	h.sleep(notice)
+	h.step(node.Leave{Cause: "signal", AdmitUntil: start.Add(plan.AdmitPeers)})
+	h.sleep(plan.Notice)
 	_ = s.callerListener.Close()
 	s.callerServer.CloseIdle()
 	if h.awaitIdle(ctx) {
--- a/internal/host/shutdown_test.go
+++ b/internal/host/shutdown_test.go
@@ -13,8 +13,10 @@
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 
 	"heatherlift.example/heatherlift/internal/config"
+	"heatherlift.example/heatherlift/internal/forward"
 	"heatherlift.example/heatherlift/internal/settings"
 )
 
@@ -54,6 +56,35 @@
 	return s.Listen.Callers, cancel, done
 }
 
+// newTestHost returns a host with the shutdown settings that runs no proxy.
+func newTestHost(t *testing.T, shutdown settings.Shutdown) *Host {
+	s := settings.Default()
+	s.ID, s.AvailabilityZone, s.Service = "desk-1", "tanga", "desk"
+	s.Peers.Plaintext = true
+	s.Shutdown = shutdown
+	h, err := New(s, log.New(io.Discard), nil, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.ctx, h.cancel = context.WithCancel(t.Context())
+	t.Cleanup(h.cancel)
+	h.group = &errgroup.Group{}
+	return h
+}
+
+// serveCallers serves callers with the handler in place of the host's own.
+func serveCallers(t *testing.T, h *Host, handler http.HandlerFunc) (*servers, string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := h.newServers(listeners{callers: l})
+	s.callerServer = forward.NewCallerServer(handler, testTimeout, testTimeout)
+	go func() { _ = s.callerServer.Serve(l) }()
+	t.Cleanup(func() { _ = l.Close(); s.callerServer.Close() })
+	return s, l.Addr().String()
+}
+
 // dial connects to the proxy and retries until it listens.
 func dial(t *testing.T, address string) (net.Conn, *bufio.Reader) {
 	t.Helper()
@@ -119,3 +150,61 @@
 	_, err = net.Dial("tcp", address)
 	is.True(errors.Is(err, syscall.ECONNREFUSED))
 }
+
+// Requests were cut 5 s after the signal although the platform grants 10 s. A request
+// that runs within the grace period has to be answered, on the connection that it came
+// on, and the process has to end before the grace period does.
+func TestRequestIsNotCutWithinTheGracePeriod(t *testing.T) {
+	is := is.New(t)
+	const grace, work = 2 * time.Second, 1600 * time.Millisecond
+	h := newTestHost(t, settings.Shutdown{Notice: config.Duration(testNotice), Limit: config.Duration(testNotice)})
+	h.shutdownBounds = ShutdownBounds{Notice: testNotice, GracePeriod: grace}
+	arrived := make(chan struct{}, 1)
+	s, address := serveCallers(t, h, func(w http.ResponseWriter, r *http.Request) {
+		arrived <- struct{}{}
+		select {
+		case <-time.After(work):
+		case <-r.Context().Done():
+			panic(http.ErrAbortHandler)
+		}
+	})
+	c, r := dial(t, address)
+	answered := make(chan error, 1)
+	go func() {
+		_, err := request(c, r)
+		answered <- err
+	}()
+	<-arrived
+	start := time.Now()
+	h.shutDown(s)
+	is.True(time.Since(start) < grace)
+	is.NoErr(<-answered)
+}
+
+// Ending idle connections dropped a request that lay unread in the socket, as it does
+// when the process has been short of processor time. Such a request was not sent at the
+// moment of the end, so it has to be served.
+func TestUnreadRequestIsServedWhenIdleConnectionsEnd(t *testing.T) {
+	is := is.New(t)
+	h := newTestHost(t, settings.Shutdown{Notice: config.Duration(time.Second), Limit: config.Duration(time.Second)})
+	s, address := serveCallers(t, h, func(http.ResponseWriter, *http.Request) {})
+	const connections = 200
+	var clients []net.Conn
+	var readers []*bufio.Reader
+	for range connections {
+		c, r := dial(t, address)
+		_, err := request(c, r)
+		is.NoErr(err)
+		clients, readers = append(clients, c), append(readers, r)
+	}
+	for _, c := range clients {
+		_, err := io.WriteString(c, "GET /a HTTP/1.1\r\nHost: a\r\n\r\n")
+		is.NoErr(err)
+	}
+	s.callerServer.CloseIdle()
+	for _, r := range readers {
+		resp, err := http.ReadResponse(r, nil)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusOK)
+	}
+}
