End a shutdown by the platform's grace period, not after a fixed 5 s

Callers lost requests that were running when their proxy, or the proxy beside the backend server, had been told to stop 5.0 s before. Cause: deploy/proxy.toml set notice and limit to 2.5 s each. At 10 s it is half, at 3 s the process would be killed in the middle of its work.

At 6 s the limit moves from 5.0 to 5.5 s, notice and admission stay as they were.

--- a/internal/host/shutdown.go
+++ b/internal/host/shutdown.go
@@ -59,7 +59,7 @@
 // after it, to reconnect elsewhere. Only a connection without a request until the
 // end of the notice period is closed without a response.
 func (h *Host) shutDown(s *servers) {
-	start, plan := time.Now(), planShutdown(h.settings.Shutdown, ShutdownBounds{})
+	start, plan := time.Now(), planShutdown(h.settings.Shutdown, h.shutdownBounds)
 	deadline := start.Add(plan.Limit)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
