Derive the timeouts of calls to the store from contactMs

Where contactMs is below 2.9 s, a proxy could be out of date while the platform's bounds applied to it: a watch on a silent connection ended after 2.9 s (2.2 s wait, 0.7 s slack), and a call that hung as the store recovered after up to 2.5 s (1 s delay, 1.5 s timeout). Cause: the times were chosen for a contactMs of 3,000 and kept as constants.

Below 3 s the follower and the client of the store scale their waits down to it; without it, or at 3 s and more, all values stay, so nothing changes at the known deployments (3,000 and 4,000). At 1 s and below they are those of 1 s, which bounds the rate of calls. Ruled out: scaling for a contactMs above 3 s too, since longer waits would only save calls.

TestWatchEndsBeforeBoundsApplyAgain checked one limit of 3 s; it now checks the exact wait at five, and that each is below its limit.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -107,6 +107,10 @@
 	MinRetryAfter time.Duration
 	// Shutdown states how long a shutdown may take.
 	Shutdown ShutdownBounds
+	// ResyncLimit is the time after a disturbance of the store, or of the connection to
+	// it, within which the state of a proxy must be current again; 0 if the platform
+	// states none.
+	ResyncLimit time.Duration
 }
 
 // New returns a host that is not running yet. The recorder may be nil. A nil
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,6 +37,8 @@
 	// Seeds are the peer addresses of proxies that provide the initial state
 	// when the store is unreachable at start-up.
 	Seeds []string
+	// ResyncLimit is that of the source.FollowerConfig.
+	ResyncLimit time.Duration
 }
 
 // Event is an input of the reducer: a member.Event, dist.Event, routing.Event,
@@ -141,6 +143,7 @@
 			LinkMbps:         cfg.LinkMbps,
 			Seeds:            cfg.Seeds,
 			RandSeed:         cfg.Dist.Seed,
+			ResyncLimit:      cfg.ResyncLimit,
 		})
 	}
 	return n
--- a/internal/source/configurationwatch.go
+++ b/internal/source/configurationwatch.go
@@ -55,7 +55,7 @@
 	}
 	call.Part, call.Era, call.After = ConfigurationOnly, f.configurationWatch.position.Era, f.configurationWatch.position.Revision
 	if f.configurationWatch.failures == 0 {
-		call.Wait = watchWait
+		call.Wait = f.watchWait()
 	}
 	return call, true
 }
@@ -94,7 +94,7 @@
 	var v Update
 	v.addNote("configuration read failed", cause)
 	failures := f.configurationWatch.failures + 1
-	wait := backoff(failures)
+	wait := f.backoff(failures)
 	if compacted {
 		wait = 0
 	}
--- a/internal/source/follow.go
+++ b/internal/source/follow.go
@@ -12,8 +12,7 @@
 	// watchWait bounds the wait of a watch. A watch may get no response if the
 	// store discards its history or the connection stalls. The wait and the
 	// further 0.7 s that the client allows for a response together stay below
-	// 3 s: that long after a disturbance, the platform's time bounds apply to
-	// the proxy again.
+	// defaultResyncLimit. Both are shortened for a lower ResyncLimit.
 	watchWait = 2200 * time.Millisecond
 	// largeFleetWatchWait applies instead in a large fleet. Other proxies
 	// depend on a reader there and detect only at the end of a call that the
@@ -29,10 +28,8 @@
 	// reads only the newest version.
 	burstWindow = 2 * time.Second
 	// retryMin and retryMax bound the jittered delay after a failed call to the
-	// store.
-	// retryMax leaves time to learn of a removal before it must be enforced,
-	// which is contactMs (a bound of the platform) after the store has
-	// recovered.
+	// store. retryMax and the timeout of the next call together stay below
+	// defaultResyncLimit, too.
 	retryMin = 50 * time.Millisecond
 	retryMax = time.Second
 	// reregistrationGrace is the platform's bound on the time after a store
@@ -147,6 +144,9 @@
 	// RandSeed is a number unrelated to Seeds. It seeds the jitter of retries and
 	// selects the reader to call first.
 	RandSeed uint64
+	// ResyncLimit is the time after a disturbance of the store, or of the connection to
+	// it, within which the state must be current again; 3 s if it is 0.
+	ResyncLimit time.Duration
 }
 
 // NewFollower returns a follower with no state.
@@ -269,17 +269,20 @@
 	}
 	// Half of the delay is random, so that proxies that failed at the same time
 	// do not retry at the same time.
-	wait := backoff(max(0, f.failures-1))
+	wait := f.backoff(max(0, f.failures-1))
 	next.At = now.Add(wait/2 + time.Duration(f.rng.Int64N(int64(wait/2)+1)))
 	return next
 }
 
 // backoff returns the delay before the next attempt: retryMin, doubled for each
 // of the given failures, and at most retryMax.
-func backoff(failures int) time.Duration {
-	return min(retryMin<<min(failures, maxDoublings), retryMax)
+func (f *Follower) backoff(failures int) time.Duration {
+	return min(retryMin<<min(failures, maxDoublings), ScaleToResync(retryMax, f.cfg.ResyncLimit))
 }
 
+// watchWait returns the wait of a watch.
+func (f *Follower) watchWait() time.Duration { return ScaleToResync(watchWait, f.cfg.ResyncLimit) }
+
 // Tick deletes retained entries after the end of the grace period.
 func (f *Follower) Tick(now time.Time) Update {
 	var v Update
@@ -306,7 +309,7 @@
 // nextCall returns a watch of the store, or of the reader to call instead. Without a
 // list there is nothing to watch, and the store is listed unless there is a reader.
 func (f *Follower) nextCall(now time.Time) Call {
-	call := Call{At: now, Era: f.position.Era, After: f.position.Revision, Wait: watchWait}
+	call := Call{At: now, Era: f.position.Era, After: f.position.Revision, Wait: f.watchWait()}
 	call.Reader, call.Force = f.selectReader(now)
 	if !f.listed && call.Reader == nil {
 		return Call{At: now, List: true}
--- a/internal/source/follow_test.go
+++ b/internal/source/follow_test.go
@@ -1,6 +1,7 @@
 package source
 
 import (
+	"cmp"
 	"slices"
 	"testing"
 	"time"
@@ -39,14 +40,16 @@
 }
 
 // A watch may get no response if the store discards its history or the
-// connection stalls. It must end before the platform's time bounds apply again,
-// 3 s after the disturbance.
+// connection stalls. It must end before the platform's time bounds apply again.
 func TestWatchEndsBeforeBoundsApplyAgain(t *testing.T) {
 	is := is.New(t)
-	f := newTestFollower(t)
-	_, call := f.HandleChanges(testStart, Changes{Revision: 11})
-	is.True(call.Wait > 0)
-	is.True(call.Wait < 3*time.Second)
+	for limit, want := range map[time.Duration]time.Duration{0: watchWait, 3 * time.Second: watchWait, 4 * time.Second: watchWait, 2 * time.Second: watchWait * 2 / 3, time.Millisecond: watchWait / 3} {
+		f := newTestFollower(t)
+		f.cfg.ResyncLimit = limit
+		_, call := f.HandleChanges(testStart, Changes{Revision: 11})
+		is.True(call.Wait.Round(time.Millisecond) == want.Round(time.Millisecond))
+		is.True(call.Wait < max(cmp.Or(limit, defaultResyncLimit), minResyncLimit))
+	}
 }
 
 func TestRemovalAppliesImmediatelyWhileStoreIsReachable(t *testing.T) {
