--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -38,6 +38,9 @@
 	// ColdTolerance is by how much a cold backend server may receive more than the rate
 	// that its service names.
 	ColdTolerance warmup.Tolerance
+	// EvacuationLimit is the time after the operator's write within which nothing more may
+	// be sent to a backend server of an evacuated availability zone, 0 if there is none.
+	EvacuationLimit time.Duration
 }
 
 const (
--- a/internal/host/build.go
+++ b/internal/host/build.go
@@ -42,6 +42,7 @@
 		}
 		c.Admission.MinRetryAfter = adapter.MinRetryAfter
 		c.Admission.ColdTolerance = adapter.ColdTolerance
+		c.Admission.EvacuationLimit = adapter.EvacuationLimit
 		c.Routing.ColdTolerance = adapter.ColdTolerance
 	}
 	return c
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -111,6 +111,9 @@
 	// it, within which the state of a proxy must be current again; 0 if the platform
 	// states none.
 	ResyncLimit time.Duration
+	// EvacuationLimit is the time after the operator's write within which nothing more may
+	// be sent to an evacuated availability zone, 0 if the platform states none.
+	EvacuationLimit time.Duration
 }
 
 // New returns a host that is not running yet. The recorder may be nil. A nil
--- a/internal/node/evacuation_test.go
+++ b/internal/node/evacuation_test.go
@@ -197,3 +197,39 @@
 	_, ok := n.Step(now, arrived).Routing[0].(routing.Send)
 	is.True(ok)
 }
+
+// With an evacuation limit of 2 s, backend servers were sent requests after it: their
+// proxies learned late of the evacuation, beside a reader that did not respond, and then
+// admitted requests for half a second more.
+func TestEvacuatedZoneAdmitsNothingPastAShortLimit(t *testing.T) {
+	const limit = 2 * time.Second
+	const sendDelay = 250 * time.Millisecond // from the admission of a request until it is sent
+	for phase := time.Duration(0); phase < 800*time.Millisecond; phase += 100 * time.Millisecond {
+		f := newEvacuationFleet(77)
+		f.evacuationLimit = limit
+		for i := range f.nodes {
+			f.start(i)
+		}
+		f.run(5*time.Second + phase)
+		for _, i := range f.readers() {
+			if fmt.Sprintf("z%d", i%fleetZones) == evacuatedZone {
+				f.nodes[i] = nil
+				break
+			}
+		}
+		f.evacuate(evacuatedZone, false)
+		f.run(limit - sendDelay)
+		for i, n := range f.nodes {
+			if n == nil || fmt.Sprintf("z%d", i%fleetZones) != evacuatedZone {
+				continue
+			}
+			f.requests++
+			request := admission.Arrived{ID: f.requests, Repeatable: true, Deadline: f.now.Add(time.Second)}
+			for _, e := range n.Step(f.now, request).Admission {
+				if _, runs := e.(admission.Run); runs {
+					t.Errorf("phase %v: %s still admits a request %v after the write", phase, f.id(i), limit-sendDelay)
+				}
+			}
+		}
+	}
+}
--- a/internal/node/storefleet_test.go
+++ b/internal/node/storefleet_test.go
@@ -63,6 +63,8 @@
 	violation string
 	// lastCall holds the time of the latest call of each proxy to the store.
 	lastCall map[int]time.Time
+	// evacuationLimit is that of the proxies that start from now on.
+	evacuationLimit time.Duration
 	// onEffects, if set, gets the effects of each step.
 	onEffects func(i int, out Effects)
 }
@@ -145,7 +147,7 @@
 		Member:         member.Config{Self: member.Record{ID: f.id(i), Service: "s-0"}, Interval: time.Second},
 		Dist:           dist.Config{ID: f.id(i), AvailabilityZone: fmt.Sprintf("z%d", i%fleetZones), Followed: true, Seed: f.rng.Uint64()},
 		Routing:        routing.Config{AvailabilityZone: fmt.Sprintf("z%d", i%fleetZones), MaxAttempts: 3},
-		Admission:      admission.Config{QueueLength: 10},
+		Admission:      admission.Config{QueueLength: 10, EvacuationLimit: f.evacuationLimit},
 		Listed:         true,
 		BackendAddress: f.id(i),
 	})
