Serve a request that lies in the socket when idle connections are ended

Callers on kept connections got no answer to a request that they had sent before the proxy ended idle connections, 2.5 s after the signal. Cause: closeIfIdle knew only requests that had been read. Requests lie unread for long where the process is short of processor time; only those that cross the close may stay unanswered.

The reading goroutine now ends the connection itself: it is woken, reads once more for 20 ms as after an idle timeout, and half-closes if nothing is there. A connection that becomes idle later is ended in the same way; before, one whose last response took longer than the notice to write waited for its idle timeout.

TestIdleConnectionClosesWithoutReset sent its request right after CloseIdle returned, at which moment the connection is not half-closed any more; it now sends after it has seen the half-close, and checks in addition that no reset follows.

--- a/internal/forward/callerconn.go
+++ b/internal/forward/callerconn.go
@@ -49,6 +49,8 @@
 	responseStarted bool
 	// closing is set when no further request is accepted.
 	closing bool
+	// reading is set while a request is being read that is not in progress yet.
+	reading bool
 }
 
 func newCallerConn(s *CallerServer, c net.Conn) *callerConn {
@@ -143,6 +145,7 @@
 	if !c.waitForRequest() {
 		return nil, false
 	}
+	defer c.endReading()
 	limits := c.server.limits()
 	_ = c.Conn.SetReadDeadline(time.Now().Add(time.Duration(limits.HeaderTimeout)))
 	c.readsLate = true
@@ -165,6 +168,12 @@
 	return x, true
 }
 
+func (c *callerConn) endReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = false
+}
+
 // waitForRequest waits for the first byte of the next request.
 func (c *callerConn) waitForRequest() bool {
 	c.mu.Lock()
@@ -179,11 +188,22 @@
 	c.readsLate = true
 	_, err := c.reader.Peek(1)
 	c.readsLate = false
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = err == nil && !c.closing
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.server.closingIdle.Load() {
+		c.closing = true
+	}
 	return err == nil
 }
 
-// startIdleTimeout bounds the wait for the next request.
+// startIdleTimeout bounds the wait for the next request. If idle connections are being
+// closed, only input that has already arrived is read.
 func (c *callerConn) startIdleTimeout() {
+	if c.server.closingIdle.Load() {
+		_ = c.Conn.SetReadDeadline(pastDeadline)
+		return
+	}
 	_ = c.Conn.SetReadDeadline(time.Now().Add(time.Duration(c.server.limits().IdleTimeout)))
 }
 
@@ -233,16 +253,16 @@
 	return last
 }
 
-// closeIfIdle half-closes the connection if no request is in progress.
+// closeIfIdle ends the wait for the next request if there is none in progress. The
+// reading goroutine closes the connection, but first takes a request that lies in the
+// socket: it may have lain there for long if the process has had no processor time, and
+// only one that arrives later has crossed the close.
 func (c *callerConn) closeIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.inProgress > 0 || c.closing {
-		return
+	if c.inProgress == 0 && !c.reading && !c.closing {
+		_ = c.Conn.SetReadDeadline(pastDeadline)
 	}
-	c.closing = true
-	c.closeWrite()
-	_ = c.Conn.SetReadDeadline(pastDeadline)
 }
 
 // stopReadingIfBusy stops accepting requests if requests are in progress and the
--- a/internal/forward/callerserver.go
+++ b/internal/forward/callerserver.go
@@ -47,7 +47,9 @@
 	// connection ends without a complete response.
 	OnCut func(Cut)
 
-	draining    atomic.Bool
+	draining atomic.Bool
+	// closingIdle is set when connections are closed instead of waiting for a request.
+	closingIdle atomic.Bool
 	mu          sync.Mutex
 	conns       map[*callerConn]struct{}
 	closed      bool
@@ -148,10 +150,12 @@
 	}
 }
 
-// CloseIdle half-closes the connections without a request in progress: it shuts
-// down only the direction towards the caller. A request that arrives after that
-// is discarded without being run, and its caller sees no connection reset.
+// CloseIdle half-closes connections as soon as they have no request in progress and
+// none in the socket: it shuts down only the direction towards the caller. A request
+// that arrives after that is discarded without being run, and its caller sees no
+// connection reset.
 func (s *CallerServer) CloseIdle() {
+	s.closingIdle.Store(true)
 	for _, c := range s.connections() {
 		c.closeIfIdle()
 	}
--- a/internal/forward/callerserver_test.go
+++ b/internal/forward/callerserver_test.go
@@ -37,9 +37,11 @@
 	})
 	g.server.Drain()
 	g.server.CloseIdle()
-	c.send(t, simpleGet) // arrives after the half-close
 	_, err = c.reader.ReadByte()
 	is.Equal(err, io.EOF)
+	c.send(t, simpleGet) // arrives after the half-close
+	_, err = c.reader.ReadByte()
+	is.Equal(err, io.EOF) // no reset
 	waitFor(t, "connection closed", func() bool { return len(g.server.connections()) == 0 })
 	is.Equal(g.served.Load(), int32(1))
 	is.Equal(g.runs.count("/a"), 1) // the second request did not reach the backend server
