Give requests that arrive during a shutdown a deadline before its end

A request that arrived in the last part of the notice and waited in the queue of another proxy at the end of the shutdown lost its connection without an answer; it had not even run. Cause: its deadline came from the caller and the route alone. Routing now ends it 100 ms before requests in flight are aborted, so that queues on the way know what they can serve in time, and the caller gets a response instead of a cut.

The end is part of the event Arrived (NotAfter), so recorded streams replay.

--- a/internal/forward/ingress.go
+++ b/internal/forward/ingress.go
@@ -25,6 +25,25 @@
 	service string
 	// OnCall, if set, is called for each call of the local backend server.
 	OnCall func()
+	// AbortsAt, if set, returns when a shutdown in progress aborts requests in flight,
+	// zero if there is none.
+	AbortsAt func() time.Time
+}
+
+// abortMargin is the time before the end of a shutdown at which requests that arrived
+// during it get their final response, which a cut connection would not be.
+const abortMargin = 100 * time.Millisecond
+
+// notAfter returns the latest time of a response, zero if there is no such limit.
+func (e *Ingress) notAfter() time.Time {
+	if e.AbortsAt == nil {
+		return time.Time{}
+	}
+	end := e.AbortsAt()
+	if end.IsZero() {
+		return end
+	}
+	return end.Add(-abortMargin)
 }
 
 // NewIngress returns the handler for callers. The runID must be unique to this
@@ -79,6 +98,7 @@
 		Path:         e.dialect.path(r),
 		Budget:       budget,
 		Elapsed:      time.Since(c.startedAt),
+		NotAfter:     e.notAfter(),
 		Fingerprint:  c.fingerprint,
 		Retry:        r.Header.Get(RetryHeader) != "",
 	})
--- a/internal/host/cut.go
+++ b/internal/host/cut.go
@@ -28,8 +28,8 @@
 		if c.Request != nil {
 			fields = append(fields, "request", h.dialect.RequestID(c.Request))
 		}
-		if end := h.shutdownEnd.Load(); end != nil {
-			fields = append(fields, "shutdown_left_ms", time.Until(*end).Milliseconds())
+		if end := h.abortsAt(); !end.IsZero() {
+			fields = append(fields, "shutdown_left_ms", time.Until(end).Milliseconds())
 		}
 		return fields
 	})
--- a/internal/host/shutdown.go
+++ b/internal/host/shutdown.go
@@ -35,6 +35,7 @@
 	}
 	entry := forward.NewIngress(h, h.peerPool, h.runID, local, h.settings.Listen.Forward, h.settings.Service)
 	entry.OnCall = h.metrics.calls.Inc
+	entry.AbortsAt = h.abortsAt
 	callers := forward.NewCallerServer(forward.LogPanics(entry, h.log), readHeaderTimeout, idleTimeout)
 	callers.LimitsInForce = h.callerLimits.Load
 	callers.OnReject = h.logReject
@@ -44,6 +45,15 @@
 	return &servers{callerServer: callers, forwardServer: peers, callerListener: l.callers}
 }
 
+// abortsAt returns when the shutdown in progress aborts requests in flight, zero if there
+// is none.
+func (h *Host) abortsAt() time.Time {
+	if end := h.shutdownEnd.Load(); end != nil {
+		return *end
+	}
+	return time.Time{}
+}
+
 // logReject logs a request that was rejected before routing.
 func (h *Host) logReject(caller string, status int) {
 	h.LogDecision(true, "request rejected", func() []any { return []any{"caller", caller, "status", status} })
--- a/internal/routing/events.go
+++ b/internal/routing/events.go
@@ -57,6 +57,9 @@
 		// Elapsed is the time since the header of the request was read, in which
 		// its body arrived.
 		Elapsed time.Duration
+		// NotAfter is when the proxy aborts requests in flight, zero if it is not
+		// shutting down.
+		NotAfter time.Time
 		// Fingerprint is the same for equal requests.
 		Fingerprint uint64
 		// KnownCrashes is the number of crashes of backend servers that are
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -225,7 +225,11 @@
 		budget = min(budget, e.Budget)
 	}
 	arrived := now.Add(-e.Elapsed)
-	c := &call{id: e.ID, org: org, match: match, group: r.split.nextGroup(match), version: r.table.Version, arrived: arrived, deadline: arrived.Add(budget), retry: e.Retry, fingerprint: e.Fingerprint, knownCrashes: e.KnownCrashes}
+	deadline := arrived.Add(budget)
+	if !e.NotAfter.IsZero() && e.NotAfter.Before(deadline) {
+		deadline = e.NotAfter
+	}
+	c := &call{id: e.ID, org: org, match: match, group: r.split.nextGroup(match), version: r.table.Version, arrived: arrived, deadline: deadline, retry: e.Retry, fingerprint: e.Fingerprint, knownCrashes: e.KnownCrashes}
 	c.priorElapsed = r.estimatePriorElapsed(match, e.Budget)
 	r.calls[e.ID] = c
 	org.InFlight++
