Limit what a proxy without a version sends to a cold backend server

Cause: until its first version a proxy does not know that its service names a warm-up. It ran what other proxies sent it, up to the slots of its settings, without a limit and without a record.

The simulated proxies had no slots before their first list; they now have those of their settings, as real ones do.

Change: each hop names the rate of the service's warm-up, 5 bytes or so. While a proxy has no version its backend server counts as cold at the lowest rate named to it, and the record of starts begins. The property test of the bound now also draws a start without a version.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -205,6 +205,7 @@
 	}
 	r := &request{Arrived: e, arrivedAt: now}
 	a.adoptRateLimit(now, e)
+	a.adoptWarmUp(now, e)
 	if !e.Repeatable {
 		if entry, ok := a.requests.entries[e.Request]; ok && (entry.state != FenceNotRun || entry.inProgress()) {
 			a.refuseDuplicate(r, entry.state)
--- a/internal/admission/events.go
+++ b/internal/admission/events.go
@@ -56,6 +56,9 @@
 		// RateLimited is set.
 		RateLimit   float64
 		RateLimited bool
+		// WarmUpPerSecond is the rate of requests that a cold backend server of the
+		// service can serve according to the version of the sender, 0 if it names none.
+		WarmUpPerSecond float64
 	}
 	// Claimed is the response to the effect Claim.
 	Claimed struct {
--- a/internal/admission/warmup_test.go
+++ b/internal/admission/warmup_test.go
@@ -147,7 +147,7 @@
 
 // In any span of one second the backend server is sent no more than the bound, if it was
 // known to be cold within it: whatever arrives, however late the requests are sent, when
-// it turns cold in full load, and when the proxy is restarted.
+// it turns cold in full load, and when the proxy is restarted, also before its first version.
 func TestColdBackendServerIsSentNoMoreThanTheBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		tolerance := warmup.Tolerance{
@@ -181,15 +181,22 @@
 			}
 		}
 		now, startedAt := epoch, epoch
+		versioned := false
+		enforce := func() {
+			versioned = true
+			step(testServiceLimits(perSecond))
+			knownUntil = coldUntil
+		}
 		startProxy := func() {
 			h = newHarness(Config{Slots: 60, QueueLength: 100, ColdTolerance: tolerance})
 			h.now, startedAt = now, now
 			// The connections of the former process end with it.
 			runs = slices.DeleteFunc(runs, func(r coldRun) bool { return r.sentAt.After(now) })
-			asked, knownUntil = false, time.Time{}
+			asked, versioned, knownUntil = false, false, time.Time{}
 			step(Assigned{Slots: 60, Restarted: true})
-			step(testServiceLimits(perSecond))
-			knownUntil = coldUntil
+			if rapid.Bool().Draw(t, "versioned") {
+				enforce()
+			}
 		}
 		startProxy()
 		for range 120 {
@@ -197,7 +204,7 @@
 			h.now = now
 			step(Tick{})
 			left := max(0, coldUntil.Sub(now))
-			switch rapid.SampledFrom([]int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 9, 9, 9, 9, 9, 9}).Draw(t, "event") {
+			switch rapid.SampledFrom([]int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 9, 9, 9, 9, 9, 10}).Draw(t, "event") {
 			case 0:
 				coldUntil = now.Add(testWarmUp)
 			case 1:
@@ -206,7 +213,9 @@
 				}
 			case 2:
 				step(WarmUpListed{Left: left})
-				knownUntil = coldUntil
+				if versioned {
+					knownUntil = coldUntil
+				}
 			case 3, 4:
 				slowest = rapid.SampledFrom([]int{250, 50, 100}).Draw(t, "slowest")
 			case 5, 6, 7, 8:
@@ -218,10 +227,14 @@
 						knownUntil = coldUntil
 					}
 				}
+			case 10:
+				if !versioned {
+					enforce()
+				}
 			}
 			for range rapid.IntRange(0, 12).Draw(t, "arrivals") {
 				h.lastID++
-				step(Arrived{ID: h.lastID, Repeatable: true, Deadline: now.Add(time.Second)})
+				step(Arrived{ID: h.lastID, Repeatable: true, Deadline: now.Add(time.Second), WarmUpPerSecond: perSecond})
 			}
 			for _, r := range sortedByID(h.admission.running) {
 				if len(h.admission.running) > 30 {
--- a/internal/forward/hop.go
+++ b/internal/forward/hop.go
@@ -29,6 +29,7 @@
 	hopCall         = "b" // set for calls of backend servers
 	hopMaxWaitShare = "w" // becomes admission.Arrived.Patience
 	hopDownload     = "d"
+	hopWarmUp       = "u" // requests per second of a cold backend server
 )
 
 // formatHop returns the value of hopHeader. It contains the request identifier
@@ -67,6 +68,9 @@
 	if d.RateLimited {
 		v.Set(hopRateLimit, strconv.FormatFloat(d.RateLimit, 'f', -1, 64))
 	}
+	if d.WarmUpPerSecond > 0 {
+		v.Set(hopWarmUp, strconv.FormatFloat(d.WarmUpPerSecond, 'f', -1, 64))
+	}
 	return v.Encode()
 }
 
@@ -114,6 +118,12 @@
 			return admission.Arrived{}, false
 		}
 	}
+	if text := v.Get(hopWarmUp); text != "" {
+		var valid bool
+		if a.WarmUpPerSecond, valid = parseRateLimit(text); !valid {
+			return admission.Arrived{}, false
+		}
+	}
 	if text := v.Get(hopMaxWaitShare); text != "" {
 		if a.Patience, err = strconv.ParseFloat(text, 64); err != nil {
 			return admission.Arrived{}, false
--- a/internal/forward/hop_test.go
+++ b/internal/forward/hop_test.go
@@ -94,3 +94,17 @@
 	is.Equal(a.Route, "photos")
 	is.True(a.Target.IsZero())
 }
+
+// A proxy without a version must learn the warm-up of its service from the first request.
+func TestHopNamesTheWarmUp(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	h := make(http.Header)
+	h.Set(hopHeader, formatHop(routing.Send{Repeatable: true, WarmUpPerSecond: 14.5}, "r", 1, false, now))
+	a, ok := parseHop(now, h)
+	is.True(ok)
+	is.Equal(a.WarmUpPerSecond, 14.5)
+	h.Set(hopHeader, "f=1&s=1&u=-1")
+	_, ok = parseHop(now, h)
+	is.True(!ok)
+}
--- a/internal/forward/ingress.go
+++ b/internal/forward/ingress.go
@@ -192,6 +192,8 @@
 		Patience:     d.MaxWaitShare,
 		RateLimit:    d.RateLimit,
 		RateLimited:  d.RateLimited,
+
+		WarmUpPerSecond: d.WarmUpPerSecond,
 	}
 	use := c.local.link.newUse(routeKey(arrived))
 	defer use.release()
--- a/internal/node/crashcalls_test.go
+++ b/internal/node/crashcalls_test.go
@@ -266,7 +266,7 @@
 	return admission.Arrived{
 		ID: run, Repeatable: s.Repeatable, Fingerprint: r.fingerprint, Deadline: s.Deadline, Instance: s.Instance,
 		Target: s.Target, Route: s.Route, Patience: s.MaxWaitShare, KnownCrashes: s.KnownCrashes,
-		RateLimit: s.RateLimit, RateLimited: s.RateLimited,
+		RateLimit: s.RateLimit, RateLimited: s.RateLimited, WarmUpPerSecond: s.WarmUpPerSecond,
 	}
 }
 
--- a/internal/node/crashfleet_test.go
+++ b/internal/node/crashfleet_test.go
@@ -99,6 +99,9 @@
 	// zones, one if it is 0.
 	warmUp config.ServiceLimits
 	zones  int
+	// listDelay is the longest time from the start of a proxy until it has the content of
+	// the store.
+	listDelay time.Duration
 }
 
 // ending is how a backend server ends under the crashing request. The zero value ends it
@@ -151,12 +154,16 @@
 			}, Interval: time.Second},
 			Dist:           dist.Config{ID: fmt.Sprintf("p-%d", p.index), Followed: true, Seed: f.rng.Uint64()},
 			Routing:        routing.Config{AvailabilityZone: f.zone(p), MaxAttempts: 3, Seed: f.rng.Uint64(), ColdTolerance: coldTolerance},
-			Admission:      admission.Config{QueueLength: 50, MinRetryAfter: 100 * time.Millisecond, ColdTolerance: coldTolerance},
+			Admission:      admission.Config{Slots: crashSlots, QueueLength: 50, MinRetryAfter: 100 * time.Millisecond, ColdTolerance: coldTolerance},
 			Listed:         true,
 			BackendAddress: p.address(),
 		})
 		f.step(p, Tick{})
-		f.step(p, StoreListed{Listing: source.Listing{Revision: f.revision, Configuration: f.configuration(), Instances: f.entries()}})
+		f.afterDelay(f.listDelay, func() {
+			if p.generation == generation {
+				f.step(p, StoreListed{Listing: source.Listing{Revision: f.revision, Configuration: f.configuration(), Instances: f.entries()}})
+			}
+		})
 		f.tick(p, generation)
 	})
 }
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -202,6 +202,8 @@
 		RateLimit:    chosen.rateLimit,
 		RateLimited:  chosen.rateLimited,
 		Choice:       why,
+
+		WarmUpPerSecond: r.services[chosen.Service].WarmUpPerSecond,
 	})
 }
 
--- a/internal/routing/events.go
+++ b/internal/routing/events.go
@@ -195,6 +195,10 @@
 		// proxy beside it may have been restarted since.
 		RateLimit   float64
 		RateLimited bool
+		// WarmUpPerSecond is the rate of requests that a cold backend server of the
+		// service can serve, 0 if the service names no warm-up. The proxy beside it may
+		// not have a version yet.
+		WarmUpPerSecond float64
 		// Choice records what was known about the instance when it was
 		// selected.
 		Choice Choice
--- a/internal/warmup/tracker.go
+++ b/internal/warmup/tracker.go
@@ -72,6 +72,17 @@
 	t.wanted = true
 }
 
+// Adopt applies the rate that another proxy names, as long as no version is in force here:
+// until then the backend server counts as cold. It reports whether the rate has changed; a
+// higher one than known does not count.
+func (t *Tracker) Adopt(perSecond float64) bool {
+	if t.configured || perSecond <= 0 || t.Enabled() && perSecond >= t.limits.WarmUpPerSecond {
+		return false
+	}
+	t.limits.WarmUpPerSecond = perSecond
+	return true
+}
+
 // Enabled reports whether the service names a warm-up.
 func (t *Tracker) Enabled() bool { return t.limits.NamesWarmUp() }
 
@@ -161,12 +172,15 @@
 	Cold bool `json:"cold"`
 	// Source is the evidence that shows that it is cold, empty if it is warm.
 	Source Source `json:"source,omitempty"`
-	// Left is the remaining time.
+	// Left is the remaining time, 0 if it is not known.
 	Left time.Duration `json:"left_ns"`
 }
 
 // State returns the state at the given time.
 func (t *Tracker) State(now time.Time) State {
+	if t.Enabled() && !t.configured {
+		return State{Cold: true, Source: ProxyStart}
+	}
 	latest := t.end()
 	if !t.Enabled() || !latest.until.After(now) {
 		return State{}
