Send a cold backend server no request later than 250 ms after its start

Cause: the record of starts bounds the requests of a second only if none is sent later than 250 ms after its start. That was assumed: a new connection may take 400 ms, and a busy machine longer.

Shown: TestColdBackendServerIsNotSentDelayedRequests failed, as a request whose connection took 270 ms was sent.

Change: admission.Run carries the time by which a request for a cold backend server must be sent. The exchange checks it before the first byte. A request that is too late is refused as not run, for its warm-up; its connection is kept, so that a backend server that accepts slowly is still served.

Ruled out: a shorter limit on the connection itself, since one that fails counts as a sign of a crash. Conclusion: the assumption is now kept.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -334,7 +334,7 @@
 	if !r.Repeatable {
 		a.requests.set(now, r.Request, FenceRunning, 0)
 	}
-	a.emit(Run{ID: r.ID})
+	a.emit(Run{ID: r.ID, SendBy: a.rate.sendBy(now)})
 }
 
 // sweep removes expired entries of the request table, idle organisations and, if
--- a/internal/admission/events.go
+++ b/internal/admission/events.go
@@ -177,7 +177,12 @@
 // Effects.
 type (
 	// Run forwards the request to the backend server; Ended reports its outcome.
-	Run struct{ ID uint64 }
+	Run struct {
+		ID uint64
+		// SendBy is the time from which on the request must not be sent any more, since
+		// the backend server is cold; zero if there is none.
+		SendBy time.Time
+	}
 	// Refuse sends the refusal to the sender.
 	Refuse struct {
 		ID      uint64
--- a/internal/admission/ratelimiter.go
+++ b/internal/admission/ratelimiter.go
@@ -163,6 +163,16 @@
 	return true
 }
 
+// sendBy returns the time by which a request that starts now must be sent, so that the
+// starts of a Window bound the requests that a cold backend server gets in a second. It is
+// zero if the backend server is warm.
+func (l *rateLimiter) sendBy(now time.Time) time.Time {
+	if !l.cold() {
+		return time.Time{}
+	}
+	return now.Add(warmup.SendDelay)
+}
+
 // promise returns the time until a token is free for a refused request, behind those that
 // wait and those that were refused before. Callers that are refused together thus come
 // back one after the other.
--- a/internal/forward/errors.go
+++ b/internal/forward/errors.go
@@ -9,6 +9,9 @@
 	// errUnreachable marks an ErrNotSent whose connection could not be opened, although
 	// there was time to do so.
 	errUnreachable = errors.New("cannot connect")
+	// errTooLate marks an ErrNotSent whose connection was ready only after the time by
+	// which a cold backend server may be sent the request.
+	errTooLate = errors.New("too late for a cold backend server")
 	// ErrConnectionLost marks an exchange whose connection failed after part of
 	// the request was sent and before the response was received: its header, and
 	// its body if that is buffered to verify it.
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -61,11 +61,17 @@
 	}
 	_ = c.SetDeadline(deadline)
 	x.stopCancel = context.AfterFunc(ctx, func() { _ = c.SetDeadline(pastDeadline) })
-	if err := x.roundTrip(ctx, deadline, out); err != nil {
+	err = x.roundTrip(ctx, deadline, out)
+	switch {
+	case err == nil:
+		return x, nil
+	case errors.Is(err, errTooLate) && x.stopCancel():
+		x.conn.endExchange() // a slow backend server would otherwise never get a connection in time
+		p.put(x.conn)
+	default:
 		x.abort()
-		return nil, markExpired(err, deadline)
 	}
-	return x, nil
+	return nil, markExpired(err, deadline)
 }
 
 func markExpired(err error, deadline time.Time) error {
@@ -81,6 +87,9 @@
 	if ctx.Err() != nil || !time.Now().Before(deadline) {
 		return errors.Wrap(ErrNotSent, "deadline passed or request cancelled before the first byte")
 	}
+	if !out.sendBy.IsZero() && !time.Now().Before(out.sendBy) {
+		return errors.Mark(errors.Wrap(ErrNotSent, "the connection was not ready in time"), errTooLate)
+	}
 	if err := x.sendRequest(out); err != nil {
 		return err
 	}
--- a/internal/forward/local.go
+++ b/internal/forward/local.go
@@ -184,18 +184,19 @@
 func (c *backendRequest) applyDecision(decision admission.Effect) backendResult {
 	switch d := decision.(type) {
 	case admission.Run:
-		return c.sendToBackend()
+		return c.sendToBackend(d.SendBy)
 	case admission.Refuse:
 		return c.refuse(d.Refusal)
 	}
 	return c.refuse(notRun(outcome.MalformedRequest, http.StatusInternalServerError))
 }
 
-// sendToBackend forwards the request to the backend server.
-func (c *backendRequest) sendToBackend() backendResult {
+// sendToBackend forwards the request to the backend server, unless it cannot be sent by the
+// given time, zero for no such limit.
+func (c *backendRequest) sendToBackend(sendBy time.Time) backendResult {
 	c.setBackendHeaders()
 	sentAt := time.Now()
-	x, err := c.roundTrip()
+	x, err := c.roundTrip(sendBy)
 	c.serviceTime = time.Since(sentAt)
 	if err != nil {
 		refusal := refusalForError(err)
@@ -240,8 +241,10 @@
 
 // roundTrip sends the request to the backend server, reads the response header
 // and verifies the response.
-func (c *backendRequest) roundTrip() (*Exchange, error) {
+func (c *backendRequest) roundTrip(sendBy time.Time) (*Exchange, error) {
+	c.outgoing.sendBy = sendBy
 	x, err := c.pool.Do(c.ctx, c.deadline, c.address, c.outgoing)
+	c.outgoing.sendBy = time.Time{} // the next attempt may go to another proxy
 	if err != nil {
 		return nil, err
 	}
--- a/internal/forward/outgoingrequest.go
+++ b/internal/forward/outgoingrequest.go
@@ -31,6 +31,9 @@
 	expectContinue, offerBody bool
 	nonRepeatable             bool
 	retry                     bool
+	// sendBy is the time from which on the request must not be sent, zero if there is
+	// none.
+	sendBy time.Time
 	// callerService is the service of the instance at which the request
 	// entered.
 	callerService string
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -15,6 +15,9 @@
 	if errors.Is(err, ErrNotSent) {
 		r.Outcome, r.Reason, r.Status = outcome.NotRun, outcome.ConnectFailed, http.StatusServiceUnavailable
 	}
+	if errors.Is(err, errTooLate) {
+		r.Reason = outcome.BackendServerLimited
+	}
 	if errors.Is(err, ErrMalformedResponse) {
 		r.Reason = outcome.MalformedAnswer
 	}
--- a/internal/warmup/budget.go
+++ b/internal/warmup/budget.go
@@ -11,12 +11,13 @@
 	// span is the time over which the platform counts the requests that a cold backend
 	// server receives.
 	span = time.Second
-	// sendDelay is the longest time from the admission of a request until it is sent. It
+	// SendDelay is the longest time from the admission of a request until it is sent; a
+	// later one is not sent to a cold backend server. It
 	// covers slow machines and connections that are established first.
-	sendDelay = 250 * time.Millisecond
+	SendDelay = 250 * time.Millisecond
 	// Window is the time over which admitted requests are counted: those sent within
 	// one span were admitted within it.
-	Window = span + sendDelay
+	Window = span + SendDelay
 	// headroom is the part of a token that the bucket may hold beyond the limit on the
 	// requests of a window, since only whole requests count.
 	headroom = 0.9
