Begin the record of starts with the first event of the proxy again

Shown: TestRecordOfStartsBeginsWithTheProxy failed with a wait of 1.25 s in place of 0.25 s, one second after the start.

Change: the record begins with the first event and goes on unless the version in force names no warm-up. Not taken from: a refused connection as the end of the unknown time, which assumes that the platform counts by process.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -109,6 +109,7 @@
 // Step applies an event at the given time and returns its effects.
 func (a *Admission) Step(now time.Time, e Event) []Effect {
 	a.effects = nil
+	a.rate.begin(now)
 	a.applyWarmUp(now) // it may have ended since the last event
 	switch e := e.(type) {
 	case Arrived:
--- a/internal/admission/ratelimiter.go
+++ b/internal/admission/ratelimiter.go
@@ -45,9 +45,11 @@
 	// warmUp is the budget of the warm-up while the backend server is cold, otherwise
 	// zero.
 	warmUp warmup.Budget
-	// starts holds the latest starts if the service names a warm-up.
-	starts     warmup.Starts
-	keepStarts bool
+	// starts holds the latest starts, unless the version in force names no warm-up. They
+	// are recorded from the first event on, before that is known.
+	starts         warmup.Starts
+	begun          bool
+	discardsStarts bool
 	// tokens is the number of requests that may start at refilledAt.
 	tokens     float64
 	refilledAt time.Time
@@ -60,6 +62,24 @@
 	promisedAt time.Time
 }
 
+// begin begins the record of starts with the first event. An earlier process of this proxy
+// has ended before.
+func (l *rateLimiter) begin(now time.Time) {
+	if !l.begun {
+		l.begun = true
+		l.starts = warmup.NewStarts(now)
+	}
+}
+
+// recordStarts records starts from now on, if not before, or discards them.
+func (l *rateLimiter) recordStarts(now time.Time, enabled bool) {
+	if l.discardsStarts == !enabled {
+		return
+	}
+	l.discardsStarts = !enabled
+	l.starts = warmup.NewStarts(now)
+}
+
 // cold reports whether the budget of a warm-up applies.
 func (l *rateLimiter) cold() bool { return l.warmUp.Limit > 0 }
 
@@ -157,7 +177,7 @@
 		l.refill(now)
 		l.tokens--
 	}
-	if l.keepStarts {
+	if !l.discardsStarts {
 		l.starts.Record(now)
 	}
 	return true
--- a/internal/admission/warmup.go
+++ b/internal/admission/warmup.go
@@ -18,27 +18,17 @@
 // handleServiceLimited applies the warm-up that the version in force names.
 func (a *Admission) handleServiceLimited(now time.Time, e ServiceLimited) {
 	a.warmUp.Configure(now, e.Limits)
-	a.recordStarts(now)
+	a.rate.recordStarts(now, a.warmUp.Enabled())
 }
 
 // adoptWarmUp applies the warm-up that the sender of a request names, as long as this proxy
 // has no version that tells.
 func (a *Admission) adoptWarmUp(now time.Time, e Arrived) {
 	if a.warmUp.Adopt(e.WarmUpPerSecond) {
-		a.recordStarts(now)
 		a.applyWarmUp(now)
 	}
 }
 
-// recordStarts begins or ends the record of starts if the service names a warm-up from now
-// on, or no longer.
-func (a *Admission) recordStarts(now time.Time) {
-	if a.rate.keepStarts != a.warmUp.Enabled() {
-		a.rate.keepStarts = a.warmUp.Enabled()
-		a.rate.starts = warmup.NewStarts(now)
-	}
-}
-
 // handleWarmUpChecked records what a health check says about the warm-up.
 func (a *Admission) handleWarmUpChecked(now time.Time, e WarmUpChecked) {
 	a.warmUp.Checked(now, e.Left, e.Stated)
--- a/internal/admission/warmup_test.go
+++ b/internal/admission/warmup_test.go
@@ -35,6 +35,19 @@
 	return w != nil && w.Cold
 }
 
+// Guards against a proxy that counts the time before its first version as unknown, and so
+// starts nothing for another 1.25 s: after a loss of power callers wait for it.
+func TestRecordOfStartsBeginsWithTheProxy(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(Config{Slots: 10, QueueLength: 100, ColdTolerance: warmup.Tolerance{Over: 1.5, Slack: 8}})
+	h.step(Tick{})
+	h.now = h.now.Add(time.Second)
+	h.step(Assigned{Slots: 10, Restarted: true})
+	h.step(testServiceLimits(14))
+	is.True(h.cold())
+	is.Equal(h.admission.rate.starts.Wait(h.now, 1, 29), warmup.Window-time.Second)
+}
+
 // Guards against one source of a limit that ends the other.
 func TestNamedLimitAndWarmUpAreKeptApart(t *testing.T) {
 	is := is.New(t)
