Test the bound beside a release in an overloaded service

Shown: the new test replaces machines of an overloaded service, whose proxies have their version up to 2 s after their start.

--- a/internal/node/coldstart_test.go
+++ b/internal/node/coldstart_test.go
@@ -42,3 +42,28 @@
 		}
 	}
 }
+
+// Guards against the same beside a release: a service under more load than it can serve, some
+// of whose machines are replaced, sends the new ones all that the others refuse.
+func TestProxyOfANewMachineKeepsTheBoundInAnOverloadedService(t *testing.T) {
+	const n = 24
+	f := newCrashFleet(n, n, func(f *crashFleet) { f.warmUp = testWarmUp })
+	servers := f.ofService(0)
+	load := f.offerAll(0, 150*len(servers), 6*time.Second)
+	f.run(time.Second)
+	f.listDelay = 2 * time.Second
+	for _, p := range servers[:4] {
+		f.endBackend(p)
+		f.startProxy(p, backendReturn)
+	}
+	f.run(6 * time.Second)
+	worst := 0
+	for _, p := range servers[:4] {
+		_, _, most := f.coldArrivals(p)
+		worst = max(worst, most)
+	}
+	t.Logf("at most %d in a second; %+v", worst, *load)
+	if worst > coldBound {
+		t.Errorf("%d requests in a second at a cold backend server", worst)
+	}
+}
