--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -112,6 +112,7 @@
 // Step applies an event at the given time and returns its effects.
 func (a *Admission) Step(now time.Time, e Event) []Effect {
 	a.effects = nil
+	a.rate.begin(now)
 	a.applyWarmUp(now) // it may have ended since the last event
 	switch e := e.(type) {
 	case Arrived:
@@ -208,6 +209,7 @@
 	}
 	r := &request{Arrived: e, arrivedAt: now}
 	a.adoptRateLimit(now, e)
+	a.adoptWarmUp(now, e)
 	if !e.Repeatable {
 		if entry, ok := a.requests.entries[e.Request]; ok && (entry.state != FenceNotRun || entry.inProgress()) {
 			a.refuseDuplicate(r, entry.state)
@@ -336,7 +338,7 @@
 	if !r.Repeatable {
 		a.requests.set(now, r.Request, FenceRunning, 0)
 	}
-	a.emit(Run{ID: r.ID})
+	a.emit(Run{ID: r.ID, SendBy: a.rate.sendBy(now)})
 }
 
 // sweep removes expired entries of the request table, idle organisations and, if
--- a/internal/admission/warmup.go
+++ b/internal/admission/warmup.go
@@ -18,9 +18,14 @@
 // handleServiceLimited applies the warm-up that the version in force names.
 func (a *Admission) handleServiceLimited(now time.Time, e ServiceLimited) {
 	a.warmUp.Configure(now, e.Limits)
-	if a.rate.keepStarts != a.warmUp.Enabled() {
-		a.rate.keepStarts = a.warmUp.Enabled()
-		a.rate.starts = warmup.NewStarts(now)
+	a.rate.recordStarts(now, a.warmUp.Enabled())
+}
+
+// adoptWarmUp applies the warm-up that the sender of a request names, as long as this proxy
+// has no version that tells.
+func (a *Admission) adoptWarmUp(now time.Time, e Arrived) {
+	if a.warmUp.Adopt(e.WarmUpPerSecond) {
+		a.applyWarmUp(now)
 	}
 }
 
