Ask another source beside a silent reader; bound the age of what a proxy knows

Cause: a request to a reader was given up after its wait of 0.8 s and a margin of 0.7 s, and each switch started anew. Two readers of a zone that fell silent one after the other delayed a version by 2.1 s, and by 3.2 s if the second had lost the store before and still vouched for the old version. Change: a reply that is 0.2 s late makes the follower ask the other reader beside it, and the store after 0.4 s more; the late reply is still used. While one reader is lost the calls to the other wait 0.3 s. A reply names the time since the store answered the reader, and the follower shortens its wait so that its knowledge is at most 1.5 s old when a silence is noticed; if it is older, the store is asked at once. An older list in a late reply is dropped. Old proxies ignore the new field and send none. Test: node.TestVersionIsInForceInTimeBesideTwoSilentReaders, which failed before (2.10, 2.09 and 3.19 s, allowed 2.0), now at most 1.89 s. The simulated fleet of node/storefleet_test.go can lose the messages of a proxy, and calls HandleReaderDelay as the host does; no test or check was relaxed. Tests of source, node, host, platform and docs pass.

--- a/internal/host/store.go
+++ b/internal/host/store.go
@@ -70,6 +70,7 @@
 	h.view(func(n *node.Node) { request = n.RelayRequest(c) })
 	ctx, cancel := context.WithTimeout(h.ctx, c.Wait+relayMargin)
 	defer cancel()
+	defer h.reportDelay(c)()
 	reply, err := h.transport.Relay(ctx, c.Reader.PeerAddress, request)
 	if c.Part == source.EvacuationsOnly {
 		event := node.EvacuationsRelayed{Peer: c.Reader.ID, Reply: reply}
@@ -85,6 +86,25 @@
 	return event
 }
 
+// reportDelay reports when the reply to a call to a reader is delayed. The call must run
+// the returned function when it ends: no delay is reported after that.
+func (h *Host) reportDelay(c source.Call) (end func()) {
+	if c.Delay == 0 {
+		return func() {}
+	}
+	reported := make(chan struct{})
+	timer := time.AfterFunc(c.Wait+c.Delay, func() {
+		defer close(reported)
+		defer h.recoverBackground()
+		h.step(node.ReaderDelayed{Reader: c.Reader.ID})
+	})
+	return func() {
+		if !timer.Stop() {
+			<-reported
+		}
+	}
+}
+
 // Relay implements peer.Handler.
 func (h *Host) Relay(ctx context.Context, r source.RelayRequest) (source.RelayReply, error) {
 	return awaitReply[source.RelayReply](ctx, h, func(call uint64) any { return node.RelayReceived{Call: call, Request: r} })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -180,7 +180,7 @@
 		n.applyUpdate(now, n.follower.HandlePeerEvacuations(now, e.Peer, e.Reply, e.Err), &out)
 		n.requestVersions(now, &out)
 		n.answerRelayRequests(now, &out)
-	case StoreListed, StoreSurveyed, StoreChanged, StoreFailed, StoreRelayed:
+	case StoreListed, StoreSurveyed, StoreChanged, StoreFailed, StoreRelayed, ReaderDelayed:
 		n.stepFollower(now, e, &out)
 		n.requestVersions(now, &out)
 		n.answerRelayRequests(now, &out)
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -74,6 +74,7 @@
 		}
 		reply := n.follower.Reply(pending.Request)
 		reply.Stale = reply.Stale || n.leaving
+		reply.AgeMs = n.follower.Age(now).Milliseconds()
 		if !reply.Declined && !pending.Request.EvacuationsOnly {
 			n.addDelta(&reply, pending.Request)
 		}
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -40,13 +40,17 @@
 		// Err is empty if the call succeeded.
 		Err string
 	}
+	// ReaderDelayed reports that the reply of a reader is delayed, as defined by
+	// source.Call.Delay. The StoreRelayed of the call follows.
+	ReaderDelayed struct{ Reader string }
 )
 
 // stepFollower passes the result of a call to the follower and emits the next
-// call.
+// call, unless the next call was made when the reply was delayed.
 func (n *Node) stepFollower(now time.Time, e Event, out *Effects) {
 	var update source.Update
 	var next source.Call
+	superseded := false
 	switch e := e.(type) {
 	case StoreListed:
 		update, next = n.follower.HandleListing(now, e.Listing)
@@ -56,10 +60,15 @@
 		update, next = n.follower.HandleChanges(now, e.Changes)
 	case StoreFailed:
 		update, next = n.follower.HandleFailure(now, e.Compacted, e.Cause)
+	case ReaderDelayed:
+		update, next = n.follower.HandleReaderDelay(now, e.Reader)
 	case StoreRelayed:
+		superseded = !e.AnyAge && n.follower.EndReaderDelay(e.Reader)
 		update, next = n.applyRelayReply(now, e)
 	}
-	out.Store = append(out.Store, next)
+	if !superseded {
+		out.Store = append(out.Store, next)
+	}
 	n.applyUpdate(now, update, out)
 }
 
--- a/internal/node/storefleet_test.go
+++ b/internal/node/storefleet_test.go
@@ -50,9 +50,12 @@
 	lateShare float64
 	lateness  time.Duration
 	// cutOff holds the proxies that do not reach the store.
-	cutOff  map[int]bool
-	replies map[uint64]func(source.RelayReply)
-	nextID  uint64
+	cutOff map[int]bool
+	// silent holds the proxies whose messages are lost in both directions, and
+	// storeSilent those that only get no answers of the store.
+	silent, storeSilent map[int]bool
+	replies             map[uint64]func(source.RelayReply)
+	nextID              uint64
 	// calls holds the times of the calls that the store answered, without surveys.
 	calls   []time.Time
 	surveys int
@@ -73,11 +76,16 @@
 	// relayMargin is the time that a relay request may take beyond its wait.
 	relayMargin = 700 * time.Millisecond
 	storeBudget = 6000 // calls a second
+	// storeMargin is the time that a watch may take beyond its wait, and storeTimeout
+	// that of a call without a wait.
+	storeMargin  = 700 * time.Millisecond
+	storeTimeout = 1500 * time.Millisecond
 )
 
 func newStoreFleet(seed uint64, n int) *storeFleet {
 	f := &storeFleet{
 		virtualTime: virtualTime{now: epoch}, rng: rand.New(rand.NewPCG(seed, 2)), era: 1, cutOff: make(map[int]bool), lastCall: make(map[int]time.Time),
+		silent: make(map[int]bool), storeSilent: make(map[int]bool),
 		content: storeContent{entries: make(map[string]source.Entry), evacuated: make(map[string]source.Evacuation)}, replies: make(map[uint64]func(source.RelayReply)),
 	}
 	for i := range n {
@@ -211,6 +219,14 @@
 		}
 		deliver(StoreFailed{Compacted: compacted, Cause: cause})
 	}
+	if f.silent[i] || f.storeSilent[i] {
+		timeout := storeTimeout
+		if c.Wait > 0 {
+			timeout = storeMargin
+		}
+		f.after(deadline.Sub(f.now)+timeout, func() { fail(false, "timeout") })
+		return
+	}
 	changes := source.Changes{Era: f.era, Revision: f.content.revision, Part: c.Part}
 	if f.content.version > 0 && (c.List || f.content.versionAt > c.After) && c.Part != source.InstancesOnly {
 		changes.Configuration = testConfigurationOf(f.content.version)
@@ -292,10 +308,25 @@
 			f.after(fleetDelay, func() { f.step(i, n, event) })
 		}
 	}
-	f.replies[call] = func(r source.RelayReply) { finish(StoreRelayed{Reply: r}) }
+	f.replies[call] = func(r source.RelayReply) {
+		if !f.silent[i] && !f.silent[reader] {
+			finish(StoreRelayed{Reply: r})
+		}
+	}
 	f.after(c.Wait+relayMargin, func() { finish(StoreRelayed{Err: "timeout"}) })
+	if c.Delay > 0 {
+		f.after(c.Wait+c.Delay, func() {
+			if !done {
+				f.step(i, n, ReaderDelayed{Reader: c.Reader.ID})
+			}
+		})
+	}
 	request := n.RelayRequest(c)
-	f.after(fleetDelay, func() { f.step(reader, f.nodes[reader], RelayReceived{Call: call, Request: request}) })
+	f.after(fleetDelay, func() {
+		if !f.silent[i] && !f.silent[reader] {
+			f.step(reader, f.nodes[reader], RelayReceived{Call: call, Request: request})
+		}
+	})
 }
 
 // difference reports the first difference between a proxy and the store.
--- a/internal/source/follow.go
+++ b/internal/source/follow.go
@@ -59,6 +59,9 @@
 	// Reader is the proxy to call instead of the store, nil for the store
 	// itself.
 	Reader *Instance
+	// Delay is the time beyond Wait after which the reply of a reader is delayed and
+	// HandleReaderDelay must be called. The call goes on. 0 means that it need not be.
+	Delay time.Duration
 	// Force and AllowStale are the fields of that name in the RelayRequest.
 	Force, AllowStale bool
 }
@@ -113,8 +116,13 @@
 	configurationWatch configurationWatchState
 	// listHash is a hash of the list of instances.
 	listHash uint64
-	// readerFailedAt holds the time of the last failure of each failed reader.
+	// readerFailedAt holds the time of the last failure of each reader that has not
+	// replied since.
 	readerFailedAt map[string]time.Time
+	// knownAt is the latest time of which the state of the store is known here.
+	knownAt time.Time
+	// delayed holds the readers with a call in flight whose reply is delayed.
+	delayed map[string]bool
 	// declined holds the proxies that declined to act as readers.
 	declined map[string]bool
 	// confirmed holds the proxies that have replied as readers.
@@ -155,6 +163,7 @@
 		cfg:            cfg,
 		rng:            rand.New(rand.NewPCG(cfg.RandSeed, 3)),
 		readerFailedAt: make(map[string]time.Time),
+		delayed:        make(map[string]bool),
 		declined:       make(map[string]bool),
 		confirmed:      make(map[string]bool),
 		known:          make(map[string]Entry),
@@ -176,6 +185,7 @@
 	}
 	var v Update
 	f.noteRecovery(now, &v)
+	f.knownAt = now
 	entered := f.enterEra(now, l.Era, &v)
 	afterOutage := now.Before(f.graceUntil)
 	f.position = l.Position()
@@ -203,6 +213,7 @@
 	}
 	var v Update
 	f.noteRecovery(now, &v)
+	f.knownAt = now
 	if c.Era > f.position.Era {
 		// The changes are those since a revision of another history.
 		f.acceptConfiguration(c.Configuration, &v)
@@ -313,6 +324,7 @@
 	}
 	if f.isLargeFleet() {
 		call.Part, call.Wait = InstancesOnly, largeFleetWatchWait
+		f.limitSilence(now, &call)
 		return call
 	}
 	// In a fleet that was large before, another call has read the operator's part, and
--- a/internal/source/relay.go
+++ b/internal/source/relay.go
@@ -74,6 +74,8 @@
 	Stale bool `json:"stale,omitempty"`
 	// Declined reports that the proxy's link is too slow for a reader.
 	Declined bool `json:"declined,omitempty"`
+	// AgeMs is the time since the store last answered the reader, in milliseconds.
+	AgeMs int64 `json:"age_ms,omitempty"`
 	// Era and Revision are the position of the list.
 	Era      uint64 `json:"era,omitempty"`
 	Revision uint64 `json:"revision"`
@@ -96,7 +98,7 @@
 // selectReader returns the reader to call instead of the store, or nil if this
 // proxy calls the store itself, and whether the request must set Force.
 func (f *Follower) selectReader(now time.Time) (*Instance, bool) {
-	if !f.isLargeFleet() || now.Before(f.readerUntil) {
+	if !f.isLargeFleet() || now.Before(f.readerUntil) || f.isTooOld(now) {
 		return nil, false
 	}
 	readers, force := f.electReaders()
@@ -111,9 +113,8 @@
 	}
 	var confirmed *Instance
 	for _, r := range readers {
-		failedAt, ok := f.readerFailedAt[r.ID]
 		switch {
-		case ok && now.Sub(failedAt) < readerRetryDelay:
+		case f.isLost(now, r.ID):
 		case !f.confirmed[r.ID]:
 			return r, force // it may decline, in which case another proxy is the reader
 		case confirmed == nil:
@@ -195,12 +196,15 @@
 	}
 	var v Update
 	f.confirmed[id] = true
+	delete(f.readerFailedAt, id)
 	f.noteRecovery(now, &v)
+	f.recordAge(now, time.Duration(r.AgeMs)*time.Millisecond)
 	entered := f.enterEra(now, r.Era, &v)
 	if f.position.Before(r.Position()) {
 		f.position = r.Position()
 	}
-	if r.Instances != nil {
+	// A delayed reply may be older than what another reader or the store has told since.
+	if r.Instances != nil && !r.Position().Before(f.position) {
 		f.listed = true
 		f.replaceEntries(now, r.Instances, func(id string) { f.removeEntry(now, id, &v) })
 		f.retain(now, r.Retained)
