Judge a response cut at the deadline by who held it up, not by what fired first

Cause: the connection to the next hop and the write to the receiver end at the same deadline. relayResponse counted the response against its backend server only if the error came from the read side. When a part arrived just before the deadline, the write failed first and an endless response was blamed on its receiver. The same held the other way: the read deadline, noticed after a slow write, blamed the backend server for a receiver that reads slowly. A receiver that leaves at its own deadline, just before that of the proxy, also decided. Ruled out: the read-ahead of a paced response has the same race between its context and the write deadline; it is not the path of the test, which knows no link bandwidth. Change: within expiryMargin of the deadline (10 % of the time left, at most 20 ms, as waiting requests already use) the kind of error does not count. The backend server is at fault unless its response was read to its end or the receiver, the link or memory held up reading for more than half of the time. Read-ahead measures this exactly; without it, writes of 1 ms and more count. Before that margin the error decides as it did.

--- /dev/null
+++ b/internal/forward/fault.go
@@ -0,0 +1,75 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// maxExpiryMargin limits how long before its deadline a request counts as expired.
+	// The processes along its path learn the deadline at slightly different times, and a
+	// refusal has to reach the sender in time.
+	maxExpiryMargin = 20 * time.Millisecond
+	// minHoldUp is the shortest write that counts as waiting for the receiver. One that
+	// finds room in the buffer of the socket takes less.
+	minHoldUp = time.Millisecond
+)
+
+// expiryMargin returns how long before its deadline a request counts as expired that had
+// the given time left when it began.
+func expiryMargin(left time.Duration) time.Duration {
+	return max(0, min(left/10, maxExpiryMargin))
+}
+
+// holdUp measures the time in which the receiver of a response, or the link, kept its
+// body from being read.
+type holdUp struct {
+	total time.Duration
+	// since is when the wait in progress began, zero if there is none.
+	since time.Time
+}
+
+func (h *holdUp) begin() { h.since = time.Now() }
+
+// end ends the wait in progress, which counts if it took at least the given time.
+func (h *holdUp) end(atLeast time.Duration) {
+	if d := time.Since(h.since); d >= atLeast {
+		h.total += d
+	}
+	h.since = time.Time{}
+}
+
+// duration returns the total, with the wait in progress.
+func (h *holdUp) duration() time.Duration {
+	if h.since.IsZero() {
+		return h.total
+	}
+	return h.total + time.Since(h.since)
+}
+
+// backendAtFault reports whether a response that was not forwarded completely counts as a
+// failure of its backend server. Around the deadline, the error does not tell: the
+// deadlines of both connections end together, and receivers leave at that time. The
+// backend server is then at fault unless its response was complete or the receiver held
+// it up for most of the time.
+func (rr *responseRelay) backendAtFault(err error, deadline time.Time) bool {
+	margin := expiryMargin(deadline.Sub(rr.startedAt))
+	switch {
+	case errors.Is(err, errNoMemory):
+		return false
+	case time.Until(deadline) > margin:
+		return errors.Is(err, errResponseBody) && rr.r.Context().Err() == nil
+	}
+	heldUp, complete := rr.progress()
+	return !complete && heldUp <= time.Since(rr.startedAt)/2
+}
+
+// progress returns how long reading the body was held up, and whether it was read to its
+// end.
+func (rr *responseRelay) progress() (heldUp time.Duration, complete bool) {
+	if rr.ahead != nil {
+		return rr.ahead.progress()
+	}
+	return rr.holdUp.duration(), rr.bodyEnded
+}
--- /dev/null
+++ b/internal/forward/fault_test.go
@@ -0,0 +1,119 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// slowReceiver takes each part of a response after a delay. Its writes fail at the
+// write deadline.
+type slowReceiver struct {
+	header   http.Header
+	takes    time.Duration
+	deadline time.Time
+}
+
+func (s *slowReceiver) Header() http.Header { return s.header }
+
+func (s *slowReceiver) WriteHeader(int) {}
+
+func (s *slowReceiver) SetWriteDeadline(t time.Time) error {
+	s.deadline = t
+	return nil
+}
+
+func (s *slowReceiver) Write(p []byte) (int, error) {
+	time.Sleep(min(s.takes, time.Until(s.deadline)))
+	if !time.Now().Before(s.deadline) {
+		return 0, os.ErrDeadlineExceeded
+	}
+	return len(p), nil
+}
+
+// dialEndless returns a Dial to a server that responds with chunks until the connection
+// is closed, the first one after a delay and the others at intervals.
+func dialEndless(first, interval time.Duration) Dial {
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", 4<<10, strings.Repeat("x", 4<<10))
+	return func(context.Context, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		go func() {
+			defer far.Close()
+			_, _ = far.Read(make([]byte, 4<<10))
+			_, err := io.WriteString(far, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+			for wait := first; err == nil; wait = interval {
+				time.Sleep(wait)
+				_, err = io.WriteString(far, chunk)
+			}
+		}()
+		return near, nil
+	}
+}
+
+// The deadlines of both connections of a response, and the patience of its receiver, end
+// at the same moment. Which of them fires first on a busy machine must not decide whether
+// the response counts against its backend server.
+func TestFaultAtTheDeadlineDoesNotDependOnWhatFiresFirst(t *testing.T) {
+	const budget = 2 * time.Second
+	for _, test := range []struct {
+		name                   string
+		first, interval, takes time.Duration
+		truncated              bool
+	}{
+		{"response without end", 9 * time.Millisecond, 10 * time.Millisecond, 2 * time.Millisecond, true}, // a write spans the deadline
+		{"receiver that reads slowly", 0, 0, 20 * time.Millisecond, false},
+		{"receiver that does not read", 0, 0, time.Hour, false},
+	} {
+		for _, end := range []struct {
+			name            string
+			read, write     time.Duration // after the deadline
+			leaves, onALink bool
+		}{
+			{name: "read first", write: 5 * time.Millisecond},
+			{name: "write first", read: time.Millisecond},
+			{name: "receiver leaves first", leaves: true},
+			{name: "read first, link", write: 5 * time.Millisecond, onALink: true},
+			{name: "write first, link", read: time.Millisecond, onALink: true},
+			{name: "receiver leaves first, link", leaves: true, onALink: true},
+		} {
+			t.Run(test.name+", "+end.name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					deadline := time.Now().Add(budget)
+					ctx, cancel := context.WithCancel(t.Context())
+					defer cancel()
+					if end.leaves {
+						time.AfterFunc(budget-500*time.Microsecond, cancel)
+					}
+					r := httptest.NewRequest(http.MethodGet, "/a", nil).WithContext(ctx)
+					out := &outgoingRequest{in: r, dialect: &Dialect{}}
+					if end.onALink {
+						out.use = newResponseLink(1000, ResponseObserver{Held: func(int64) {}, Paced: func(int) {}}).newUse("")
+						defer out.use.release()
+					}
+					pool := NewPool(dialEndless(test.first, test.interval), 0)
+					defer pool.Close()
+					x, err := pool.Do(ctx, deadline.Add(end.read), "a", out)
+					is.NoErr(err)
+					func() {
+						defer func() { is.Equal(recover(), http.ErrAbortHandler) }()
+						w := &slowReceiver{header: make(http.Header), takes: test.takes}
+						relayResponse(w, r, x, delivery{deadline: deadline.Add(end.write), use: out.use, sameMachine: true})
+					}()
+					time.Sleep(time.Second) // the server sees that the connection is closed
+					is.Equal(x.truncated, test.truncated)
+				})
+			})
+		}
+	}
+}
--- a/internal/forward/local.go
+++ b/internal/forward/local.go
@@ -47,10 +47,6 @@
 	return &LocalForwarder{core: core, pool: pool, address: address, shedNotRun: shedNotRun, dialect: &dialect}
 }
 
-// maxExpiryMargin limits how long before its deadline a waiting request may be
-// refused, so that the refusal reaches the sender in time.
-const maxExpiryMargin = 20 * time.Millisecond
-
 // backendRequest is one request for the backend server.
 type backendRequest struct {
 	*LocalForwarder
@@ -159,7 +155,7 @@
 	default:
 	}
 	remaining := time.Until(c.deadline)
-	expiry := time.NewTimer(remaining - min(remaining/10, maxExpiryMargin))
+	expiry := time.NewTimer(remaining - expiryMargin(remaining))
 	defer expiry.Stop()
 	for {
 		select {
--- a/internal/forward/pacedrelay.go
+++ b/internal/forward/pacedrelay.go
@@ -43,7 +43,7 @@
 		err = rr.relayShort(controller, d)
 	}
 	if err != nil {
-		rr.x.truncated = errors.Is(err, errResponseBody) && !errors.Is(err, errNoMemory) && rr.r.Context().Err() == nil
+		rr.x.truncated = rr.backendAtFault(err, d.deadline)
 		rr.abort(controller)
 	}
 }
@@ -78,7 +78,8 @@
 		d.use.learn(x, bytes, ready, complete)
 		d.reportRead(complete)
 	}
-	return startReadAhead(ctx, x, d.use.link.memory, d.deadline, end).stop
+	rr.ahead = startReadAhead(ctx, x, d.use.link.memory, d.deadline, end)
+	return rr.ahead.stop
 }
 
 // relayShort forwards a response with a short body, which is read first. It needs no
@@ -99,6 +100,7 @@
 // endRead ends the exchange of a response that is in memory.
 func (rr *responseRelay) endRead(d delivery, bytes int64, ready time.Time) {
 	rr.x.Close(true)
+	rr.bodyEnded = true
 	d.use.learn(rr.x, bytes, ready, true)
 	d.reportRead(true)
 }
--- a/internal/forward/readahead.go
+++ b/internal/forward/readahead.go
@@ -36,7 +36,11 @@
 	filled, consumed int
 	err              error
 	stopped          bool
-	// starved is set while reading waits for memory that other responses hold.
+	// complete is set when the body was read to its end.
+	complete bool
+	holdUp   holdUp
+	// starved is set while reading waits for memory that other responses hold, and stays
+	// set if it got none.
 	starved bool
 }
 
@@ -88,10 +92,8 @@
 			return space, nil
 		}
 		if full {
-			select {
-			case <-a.taken:
-			case <-a.ctx.Done():
-				return nil, a.ctx.Err()
+			if err := a.awaitTaken(); err != nil {
+				return nil, err
 			}
 			continue
 		}
@@ -101,6 +103,42 @@
 	}
 }
 
+// awaitTaken waits until the receiver has taken a chunk.
+func (a *readAhead) awaitTaken() (err error) {
+	a.beginHoldUp(false)
+	select {
+	case <-a.taken:
+	case <-a.ctx.Done():
+		err = a.ctx.Err()
+	}
+	a.endHoldUp(err)
+	return err
+}
+
+// beginHoldUp records that reading waits: for memory that other responses hold if starved
+// is set, for the receiver otherwise.
+func (a *readAhead) beginHoldUp(starved bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.starved = starved
+	a.holdUp.begin()
+}
+
+// endHoldUp records that the wait has ended, with an error if it was in vain.
+func (a *readAhead) endHoldUp(err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.starved = a.starved && err != nil
+	a.holdUp.end(0)
+}
+
+// progress returns how long reading was held up, and whether the body was read to its end.
+func (a *readAhead) progress() (heldUp time.Duration, complete bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.holdUp.duration(), a.complete
+}
+
 // freeSpace returns the free part of the last chunk, nil if there is none, and whether
 // the response holds as much as it may.
 func (a *readAhead) freeSpace() (space []byte, full bool) {
@@ -117,11 +155,12 @@
 func (a *readAhead) addChunk() error {
 	added := heldMemory{memory: a.memory.memory}
 	if a.started {
-		a.setStarved(true)
-		if err := added.acquire(a.ctx, a.deadline, copyBufferBytes); err != nil {
+		a.beginHoldUp(true)
+		err := added.acquire(a.ctx, a.deadline, copyBufferBytes)
+		a.endHoldUp(err)
+		if err != nil {
 			return err
 		}
-		a.setStarved(false)
 	} else {
 		a.started = true
 		added.take(copyBufferBytes)
@@ -134,12 +173,6 @@
 	return nil
 }
 
-func (a *readAhead) setStarved(starved bool) {
-	a.mu.Lock()
-	a.starved = starved
-	a.mu.Unlock()
-}
-
 // endError returns the error of a body that is given up since the context has ended.
 func (a *readAhead) endError() error {
 	a.mu.Lock()
@@ -161,7 +194,7 @@
 func (a *readAhead) finish(total int64, err error) {
 	a.mu.Lock()
 	complete := err == io.EOF && !a.stopped
-	a.stopped = true
+	a.stopped, a.complete = true, complete
 	a.mu.Unlock()
 	a.x.Close(complete)
 	if cause := a.report(total, complete); cause != nil {
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -24,7 +24,7 @@
 // http.ErrAbortHandler, so that the receiver sees an aborted connection and not a
 // complete response.
 func relayResponse(w http.ResponseWriter, r *http.Request, x *Exchange, d delivery) {
-	rr := responseRelay{w: w, r: r, x: x}
+	rr := responseRelay{w: w, r: r, x: x, startedAt: time.Now(), bodyEnded: x.bodyRead || !hasBody(x.Response)}
 	rr.setHeader(d.extra)
 	if d.use != nil && x.Sent() {
 		rr.relayOverLink(d)
@@ -36,7 +36,7 @@
 		_ = controller.SetWriteDeadline(d.deadline)
 	}
 	if err := rr.write(controller); err != nil {
-		x.truncated = errors.Is(err, errResponseBody) && r.Context().Err() == nil
+		x.truncated = rr.backendAtFault(err, d.deadline)
 		x.Close(false)
 		d.reportRead(false)
 		rr.abort(controller)
@@ -51,9 +51,15 @@
 
 // responseRelay is a response that is being forwarded to its receiver.
 type responseRelay struct {
-	w http.ResponseWriter
-	r *http.Request
-	x *Exchange
+	w         http.ResponseWriter
+	r         *http.Request
+	x         *Exchange
+	startedAt time.Time
+	// bodyEnded is set when the body has been read to its end, and holdUp measures the
+	// writes to the receiver. ahead replaces both if the body is read ahead.
+	bodyEnded bool
+	holdUp    holdUp
+	ahead     *readAhead
 	// closeDelimited is set when the end of the response is marked only by the
 	// end of the connection.
 	closeDelimited bool
@@ -150,13 +156,11 @@
 	defer copyBufferPool.Put(buf)
 	for {
 		n, err := rr.readPart(body, *buf)
+		rr.bodyEnded = rr.bodyEnded || err == io.EOF
 		if n > 0 {
-			if werr := rr.writePart((*buf)[:n]); werr != nil {
+			if werr := rr.writePart((*buf)[:n], controller, flush); werr != nil {
 				return werr
 			}
-			if controller != nil && (flush || rr.pace != nil) {
-				_ = controller.Flush()
-			}
 		}
 		if err == io.EOF {
 			return nil
@@ -174,12 +178,19 @@
 	return rr.pace.next(body, buf)
 }
 
-func (rr *responseRelay) writePart(part []byte) error {
+// writePart writes a part of the body. It is flushed if flush is set or the body is paced,
+// unless there is no controller.
+func (rr *responseRelay) writePart(part []byte, controller *http.ResponseController, flush bool) error {
 	if rr.pace != nil {
 		if err := rr.pace.await(len(part)); err != nil {
 			return err
 		}
 	}
+	rr.holdUp.begin()
+	defer rr.holdUp.end(minHoldUp)
 	_, err := rr.w.Write(part)
+	if err == nil && controller != nil && (flush || rr.pace != nil) {
+		_ = controller.Flush()
+	}
 	return err
 }
