Count a timeout also if the sender left at its deadline a moment earlier

Cause: the sender of a request measures the same deadline as the proxy. A caller that gives up at it, or the entry proxy that closes its connection to the proxy beside the backend server, may be first by the difference of two transit times. Then the entry reported Abandoned instead of a timeout, so a silent backend server was not counted as failing, and the other proxy reported a lost connection, so admission did not learn from the timeout. If the proxy's own timer was first, both were reported. The entry also dropped a timeout that the other proxy had reported if the caller was gone by then. Ruled out: waiting requests; those are refused expiryMargin before the deadline. Change: an exchange that its sender cancels within expiryMargin of the deadline (10 % of its time, at most 20 ms) has expired. The entry reports a run without response until the deadline to routing although the caller has left. Before: the new test fails with a sender that leaves 0.5 ms before the deadline and passes with one that leaves 1 ms after it. After: both count; a sender that leaves a second earlier still does not. Tests of internal/forward pass with -race. Conclusion: who is first does not change what routing and admission learn.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -25,6 +25,7 @@
 	// end of the connection.
 	selfDelimited bool
 	conn          *connection
+	limit         timeLimit
 	stopCancel    func() bool
 	upload        *upload
 	// uploadErr is the result of the upload, valid once the upload has
@@ -45,17 +46,19 @@
 // exchange ends at the deadline or when ctx is cancelled. The error is
 // ErrNotSent if no byte was sent, ErrMalformedResponse if a response was
 // received that cannot be forwarded, and ErrConnectionLost otherwise. It is
-// also ErrDeadlineExpired if the deadline has passed.
+// also ErrDeadlineExpired if the deadline has passed, or if ctx was cancelled shortly
+// before it: the sender then left because of the deadline.
 func (p *Pool) Do(ctx context.Context, deadline time.Time, address string, out *outgoingRequest) (*Exchange, error) {
-	if !time.Now().Before(deadline) {
+	limit := newTimeLimit(deadline)
+	if limit.expired(ctx) {
 		return nil, errors.Mark(errors.Wrap(ErrNotSent, "deadline"), ErrDeadlineExpired)
 	}
 	c, err := p.acquire(ctx, deadline, address, out.nonRepeatable)
 	if err != nil {
-		return nil, markExpired(err, deadline)
+		return nil, limit.markExpired(ctx, err)
 	}
 	c.beginExchange()
-	x := &Exchange{pool: p, conn: c, upload: out.upload, dialect: out.dialect, requestID: out.dialect.requestID(out.in)}
+	x := &Exchange{pool: p, conn: c, limit: limit, upload: out.upload, dialect: out.dialect, requestID: out.dialect.requestID(out.in)}
 	if out.use != nil {
 		x.held = &out.use.held
 	}
@@ -63,18 +66,11 @@
 	x.stopCancel = context.AfterFunc(ctx, func() { _ = c.SetDeadline(pastDeadline) })
 	if err := x.roundTrip(ctx, deadline, out); err != nil {
 		x.abort()
-		return nil, markExpired(err, deadline)
+		return nil, limit.markExpired(ctx, err)
 	}
 	return x, nil
 }
 
-func markExpired(err error, deadline time.Time) error {
-	if time.Now().Before(deadline) {
-		return err
-	}
-	return errors.Mark(err, ErrDeadlineExpired)
-}
-
 // roundTrip sends the request and reads the response header.
 func (x *Exchange) roundTrip(ctx context.Context, deadline time.Time, out *outgoingRequest) error {
 	// The process may have been paused since the deadline was checked.
--- a/internal/forward/fault.go
+++ b/internal/forward/fault.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,6 +23,32 @@
 	return max(0, min(left/10, maxExpiryMargin))
 }
 
+// timeLimit is the deadline of an exchange.
+type timeLimit struct {
+	deadline time.Time
+	margin   time.Duration
+}
+
+// newTimeLimit returns the limit of an exchange that begins now.
+func newTimeLimit(deadline time.Time) timeLimit {
+	return timeLimit{deadline: deadline, margin: expiryMargin(time.Until(deadline))}
+}
+
+// expired reports whether the deadline has passed. A sender that cancels ctx within the
+// margin has left because of the deadline, which it measures itself.
+func (l timeLimit) expired(ctx context.Context) bool {
+	left := time.Until(l.deadline)
+	return left <= 0 || left <= l.margin && ctx.Err() != nil
+}
+
+// markExpired marks the error of an exchange with ErrDeadlineExpired if that applies.
+func (l timeLimit) markExpired(ctx context.Context, err error) error {
+	if l.expired(ctx) {
+		return errors.Mark(err, ErrDeadlineExpired)
+	}
+	return err
+}
+
 // holdUp measures the time in which the receiver of a response, or the link, kept its
 // body from being read.
 type holdUp struct {
@@ -54,11 +81,10 @@
 // backend server is then at fault unless its response was complete or the receiver held
 // it up for most of the time.
 func (rr *responseRelay) backendAtFault(err error, deadline time.Time) bool {
-	margin := expiryMargin(deadline.Sub(rr.startedAt))
 	switch {
 	case errors.Is(err, errNoMemory):
 		return false
-	case time.Until(deadline) > margin:
+	case time.Until(deadline) > expiryMargin(deadline.Sub(rr.startedAt)):
 		return errors.Is(err, errResponseBody) && rr.r.Context().Err() == nil
 	}
 	heldUp, complete := rr.progress()
--- a/internal/forward/fault_test.go
+++ b/internal/forward/fault_test.go
@@ -14,6 +14,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"heatherlift.example/heatherlift/internal/admission"
+	"heatherlift.example/heatherlift/internal/outcome"
 )
 
 // slowReceiver takes each part of a response after a delay. Its writes fail at the
@@ -117,3 +120,46 @@
 		}
 	}
 }
+
+// dialSilent is a Dial to a server that reads and never responds.
+func dialSilent(context.Context, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	go func() { _, _ = io.Copy(io.Discard, far) }()
+	return near, nil
+}
+
+// Senders give up at the deadline that they named, a moment before the proxy or after it.
+// A silent backend server must not escape being counted because its callers were first.
+func TestSenderThatLeavesAtItsDeadlineDoesNotHideTheTimeout(t *testing.T) {
+	for _, leaves := range []time.Duration{-500 * time.Microsecond, time.Millisecond, -time.Second} {
+		t.Run(leaves.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				core, pool := newFakeCore("a"), NewPool(dialSilent, 0)
+				defer pool.Close()
+				core.budget = 2 * time.Second
+				local := NewLocalForwarder(core, pool, "b", false, Dialect{})
+				ctx, cancel := context.WithTimeout(t.Context(), core.budget+leaves)
+				defer cancel()
+				r := httptest.NewRequest(http.MethodGet, "/a", nil).WithContext(ctx)
+				result := local.forwardRequest(ctx, &outgoingRequest{in: r, dialect: local.dialect}, admission.Arrived{
+					Request: "r", Organisation: "o", Deadline: time.Now().Add(core.budget),
+				})
+				expired := leaves > -time.Second
+				is.Equal(result.refusal.Reason == outcome.DeadlineExpired, expired)
+				is.Equal(core.endedRuns[0].Reason == outcome.DeadlineExpired, expired)
+
+				ctx, cancel = context.WithTimeout(t.Context(), core.budget+leaves)
+				defer cancel()
+				func() {
+					defer func() { _ = recover() }() // aborted if the caller left
+					NewIngress(core, pool, "entry", local, "", "desk").ServeHTTP(httptest.NewRecorder(), r.WithContext(ctx))
+				}()
+				is.Equal(len(core.endedAttempts) == 1, expired)
+				if expired {
+					is.Equal(core.endedAttempts[0].Reason, outcome.DeadlineExpired)
+				}
+			})
+		})
+	}
+}
--- a/internal/forward/ingress.go
+++ b/internal/forward/ingress.go
@@ -207,12 +207,14 @@
 }
 
 // reportFailure reports a failed attempt to routing, which decides what to do
-// next. If the caller has disconnected, the request is abandoned. The result is
-// always false: the caller has no response yet.
+// next. If the caller has disconnected, the request is abandoned, but an attempt without a
+// response until the deadline still counts. The result is always false: the caller has no
+// response yet.
 func (c *callerRequest) reportFailure(d routing.Send, start time.Time, r outcome.Refusal, load float64, costs routing.CostReport) bool {
 	c.logAttempt(d, start, true, "outcome", r.Outcome, "reason", r.Reason, "detail", c.detail)
 	c.detail = ""
-	if c.r.Context().Err() != nil {
+	left := c.r.Context().Err() != nil
+	if left && !(r.Outcome == outcome.Unknown && r.Reason == outcome.DeadlineExpired) {
 		c.core.Route(routing.Abandoned{ID: c.id})
 		panic(http.ErrAbortHandler)
 	}
@@ -228,6 +230,10 @@
 		Costs:      costs,
 		LinkBusy:   r.LinkBusy,
 	})
+	if left {
+		c.core.Route(routing.Abandoned{ID: c.id})
+		panic(http.ErrAbortHandler)
+	}
 	return false
 }
 
--- a/internal/forward/rig_test.go
+++ b/internal/forward/rig_test.go
@@ -48,6 +48,7 @@
 	endedAttempts []routing.AttemptEnded
 	reported      []routing.Reported
 	abandoned     int
+	endedRuns     []admission.Ended
 }
 
 func newFakeCore(targets ...string) *fakeCore {
@@ -117,6 +118,9 @@
 func (f *fakeCore) Admit(e admission.Event) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if ended, ok := e.(admission.Ended); ok {
+		f.endedRuns = append(f.endedRuns, ended)
+	}
 	for _, effect := range f.admission.Step(time.Now(), e) {
 		switch effect := effect.(type) {
 		case admission.Run:
--- a/internal/forward/verify.go
+++ b/internal/forward/verify.go
@@ -33,7 +33,7 @@
 	}
 	if err := x.findMatchingResponse(ctx, deadline); err != nil {
 		x.abort()
-		return markExpired(err, deadline)
+		return x.limit.markExpired(ctx, err)
 	}
 	return nil
 }
