Report a lack of memory for a response as overload, not as a timeout

Cause: a response that is verified waits for memory until the deadline of the exchange. When it got none, both deadlines had ended together and the error was marked as expired, so routing counted a timeout against the instance and admission learned a service time from a request that its backend server had answered. Change: the wait for memory ends expiryMargin before the deadline (10 % of the time, at most 20 ms), and the attempt is reported as unknown, overload, 504. Before: the new test fails (refused at the deadline, reason deadline-expired). After: it passes; tests of internal/forward pass with -race. Conclusion: neither side counts this as a failure of the backend server.

--- a/internal/forward/fault.go
+++ b/internal/forward/fault.go
@@ -34,6 +34,10 @@
 	return timeLimit{deadline: deadline, margin: expiryMargin(time.Until(deadline))}
 }
 
+// refuseAt returns when to give up a wait inside this process, so that the refusal reaches
+// the sender before its own deadline.
+func (l timeLimit) refuseAt() time.Time { return l.deadline.Add(-l.margin) }
+
 // expired reports whether the deadline has passed. A sender that cancels ctx within the
 // margin has left because of the deadline, which it measures itself.
 func (l timeLimit) expired(ctx context.Context) bool {
--- a/internal/forward/fault_test.go
+++ b/internal/forward/fault_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -163,3 +164,43 @@
 		})
 	}
 }
+
+// A response that this proxy has no memory for until the deadline must not count as a
+// timeout of its backend server, neither in admission nor in routing.
+func TestLackOfMemoryIsNoTimeoutOfTheBackendServer(t *testing.T) {
+	response := "HTTP/1.1 200 OK\r\n" + signedHeader + contentLength(200<<10) + "\r\n\r\n"
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		core, pool := newFakeCore("a"), NewPool(dialResponse(response), 0)
+		defer pool.Close()
+		core.budget = 2 * time.Second
+		local := NewLocalForwarder(core, pool, "b", false, fullDialect())
+		local.PaceResponses(1000, ResponseObserver{Held: func(int64) {}, Paced: func(int) {}})
+		is.True(local.link.memory.large.TryAcquire(maxHeldBytes))
+		r := httptest.NewRequest(http.MethodGet, "/a", nil)
+		r.Header.Set("X-Id", "r1")
+		deadline := time.Now().Add(core.budget)
+		out := &outgoingRequest{in: r, dialect: local.dialect, use: local.link.newUse("")}
+		result := local.forwardRequest(t.Context(), out, admission.Arrived{Request: "r", Deadline: deadline})
+		is.True(time.Now().Before(deadline)) // the refusal reaches the sender in time
+		is.Equal(result.refusal, outcome.Refusal{Outcome: outcome.Unknown, Reason: outcome.Overload, Status: http.StatusGatewayTimeout})
+		is.Equal(core.endedRuns[0].Reason, outcome.Overload)
+
+		w := httptest.NewRecorder()
+		NewIngress(core, pool, "entry", local, "", "desk").ServeHTTP(w, r)
+		is.Equal(core.endedAttempts[0].Reason, outcome.Overload)
+	})
+}
+
+// dialResponse returns a Dial to a server that responds with the same bytes to each
+// request and reads on.
+func dialResponse(response string) Dial {
+	return func(context.Context, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		go func() {
+			for respondOnce(far, bufio.NewReader(far), response) {
+			}
+		}()
+		return near, nil
+	}
+}
--- a/internal/forward/ingress.go
+++ b/internal/forward/ingress.go
@@ -164,7 +164,7 @@
 		x.Close(false)
 		return c.reportFailure(d, start, refusal, load, costs)
 	}
-	if err := x.verifyResponse(c.r.Context(), d.Deadline); err != nil {
+	if err := x.verifyResponse(c.r.Context()); err != nil {
 		c.detail = err.Error()
 		return c.reportFailure(d, start, refusalForError(err), 0, routing.CostReport{})
 	}
--- a/internal/forward/local.go
+++ b/internal/forward/local.go
@@ -241,7 +241,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return x, x.verifyResponse(c.ctx, c.deadline)
+	return x, x.verifyResponse(c.ctx)
 }
 
 // setBackendHeaders sets the headers for the backend server.
--- a/internal/forward/verify.go
+++ b/internal/forward/verify.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -27,11 +26,11 @@
 // between proxies, then fails the attempt instead of aborting the caller's
 // connection. Larger bodies, and all responses of a dialect without signatures,
 // are streamed.
-func (x *Exchange) verifyResponse(ctx context.Context, deadline time.Time) error {
+func (x *Exchange) verifyResponse(ctx context.Context) error {
 	if x.dialect.SignatureHeader == "" {
 		return nil
 	}
-	if err := x.findMatchingResponse(ctx, deadline); err != nil {
+	if err := x.findMatchingResponse(ctx); err != nil {
 		x.abort()
 		return x.limit.markExpired(ctx, err)
 	}
@@ -40,10 +39,10 @@
 
 // findMatchingResponse reads responses until one belongs to the request, and
 // buffers and verifies that one.
-func (x *Exchange) findMatchingResponse(ctx context.Context, deadline time.Time) error {
+func (x *Exchange) findMatchingResponse(ctx context.Context) error {
 	for range maxMismatchedResponses {
 		if x.requestID == "" || x.Response.Header.Get(x.dialect.RequestIDHeader) == x.requestID {
-			return x.bufferBody(ctx, deadline)
+			return x.bufferBody(ctx)
 		}
 		if err := x.skipMismatched(); err != nil {
 			return err
@@ -76,7 +75,7 @@
 // bufferBody reads the body into memory unless it is too large. A 2xx response
 // without the backend server's signature is an error, and so is a close-delimited
 // response that is too large.
-func (x *Exchange) bufferBody(ctx context.Context, deadline time.Time) error {
+func (x *Exchange) bufferBody(ctx context.Context) error {
 	resp := x.Response
 	if resp.StatusCode/100 == 2 && resp.Header.Get(x.dialect.SignatureHeader) == "" {
 		return errors.Wrap(ErrMalformedResponse, "2xx response without signature")
@@ -84,7 +83,7 @@
 	if resp.ContentLength > maxVerifiedBodyBytes {
 		return nil
 	}
-	body, err := x.readVerified(ctx, deadline)
+	body, err := x.readVerified(ctx)
 	if err != nil {
 		return err
 	}
@@ -108,14 +107,14 @@
 // readVerified reads up to maxVerifiedBodyBytes+1 bytes of the body into memory. On a
 // shared link the memory is counted, and that of a large body is acquired at once: a
 // response that holds a part and waits for more could keep others waiting for ever.
-func (x *Exchange) readVerified(ctx context.Context, deadline time.Time) ([]byte, error) {
+func (x *Exchange) readVerified(ctx context.Context) ([]byte, error) {
 	resp := x.Response
 	if x.held != nil && hasBody(resp) {
 		n := resp.ContentLength
 		if n < 0 {
-			return x.readUnknownLength(ctx, deadline)
+			return x.readUnknownLength(ctx)
 		}
-		if err := x.held.acquire(ctx, deadline, n); err != nil {
+		if err := x.held.acquire(ctx, x.limit.refuseAt(), n); err != nil {
 			return nil, err
 		}
 	}
@@ -124,7 +123,7 @@
 
 // readUnknownLength is readVerified for a body of unknown length, of which the first
 // bytes need no memory to be free.
-func (x *Exchange) readUnknownLength(ctx context.Context, deadline time.Time) ([]byte, error) {
+func (x *Exchange) readUnknownLength(ctx context.Context) ([]byte, error) {
 	body := x.Response.Body
 	x.held.take(transfer.LargeResponseBytes)
 	first, err := readUpTo(body, transfer.LargeResponseBytes)
@@ -132,7 +131,7 @@
 		return first, err
 	}
 	const rest = maxVerifiedBodyBytes + 1 - transfer.LargeResponseBytes
-	if err := x.held.acquire(ctx, deadline, rest); err != nil {
+	if err := x.held.acquire(ctx, x.limit.refuseAt(), rest); err != nil {
 		return nil, err
 	}
 	second, err := readUpTo(body, rest)
