Answer a caller whose response failed before any of it was forwarded

Cause: the entry holds up to 32 KB of a response before it writes the header. If the response broke off or its deadline passed by then, the connection of the caller was aborted although nothing had been written on it, with the requests pipelined behind. Verified responses were not concerned; those of a dialect without signatures, for HTTP/1.0 and read ahead over a link were. A response for HTTP/1.0 that broke off also did not count against its instance. Change: callerExchange.Discard drops what was not written. The attempt is then reported to routing as a failure (unknown: connection lost, deadline expired, or overload if the link or memory of this proxy was short), which retries a repeatable request or refuses with 502 or 504. The proxy beside the backend server still aborts towards the entry, which does this for it. Conclusion: a cut remains for a caller that has left, for a response of which a part was written, and for a panic.

--- a/internal/forward/callerexchange.go
+++ b/internal/forward/callerexchange.go
@@ -182,6 +182,18 @@
 // always be read while the response is written.
 func (x *callerExchange) EnableFullDuplex() error { return nil }
 
+// Discard drops the response written so far, so that another one can be written. It
+// returns false if a part of it may have reached the caller.
+func (x *callerExchange) Discard() bool {
+	if x.headerWritten {
+		return false
+	}
+	clear(x.header)
+	x.buffered.Reset()
+	x.status, x.written, x.contentLength, x.writeDeadline = 0, 0, -1, time.Time{}
+	return true
+}
+
 // Reset closes the connection with a TCP reset.
 func (x *callerExchange) Reset() {
 	x.waitForPreceding()
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -36,6 +36,8 @@
 	// truncated is set when the response was aborted because its body did not end
 	// in time or not properly.
 	truncated bool
+	// unforwarded is the error of a response of which nothing has reached the caller.
+	unforwarded error
 	// bodyRead is set when the whole body is in memory. held counts what is kept of it,
 	// nil if that is not counted.
 	bodyRead bool
--- a/internal/forward/ingress.go
+++ b/internal/forward/ingress.go
@@ -146,7 +146,7 @@
 	start := time.Now()
 	c.outgoing.nonRepeatable = !d.Repeatable
 	c.outgoing.offerBody = d.Upload
-	if d.Address == c.selfAddress && c.local != nil {
+	if c.isLocal(d) {
 		return c.attemptLocal(d, start)
 	}
 	use := c.local.link.newUse("")
@@ -168,9 +168,10 @@
 		c.detail = err.Error()
 		return c.reportFailure(d, start, refusalForError(err), 0, routing.CostReport{})
 	}
-	defer c.reportResponse(d, x, start, c.peerCosts(d, x.Response.Header))()
+	costs := c.peerCosts(d, x.Response.Header)
+	defer c.reportResponse(d, x, start, costs)()
 	relayResponse(c.w, c.r, x, delivery{deadline: d.Deadline, extra: versionField(d), use: use, sameMachine: sameMachine(c.w)})
-	return true
+	return c.endRelay(d, start, x, costs)
 }
 
 // attemptLocal makes one attempt at the local backend server.
@@ -203,7 +204,26 @@
 	}
 	defer c.reportResponse(d, result.exchange, start, result.costReport())()
 	result.relay(c.w, c.r, delivery{extra: versionField(d), use: use, sameMachine: sameMachine(c.w)})
-	return true
+	return c.endRelay(d, start, result.exchange, result.costReport())
+}
+
+// endRelay reports whether the caller has the response. If none of it was forwarded, the
+// attempt has failed.
+func (c *callerRequest) endRelay(d routing.Send, start time.Time, x *Exchange, costs routing.CostReport) bool {
+	if x.unforwarded == nil {
+		return true
+	}
+	c.detail = x.unforwarded.Error()
+	refusal := refusalForError(x.unforwarded)
+	if c.isLocal(d) {
+		refusal.Reason = c.local.crashReason(c.r.Context(), refusal.Reason)
+	}
+	return c.reportFailure(d, start, refusal, parseLoad(x.Response.Header), costs)
+}
+
+// isLocal reports whether an attempt goes to the local backend server.
+func (c *callerRequest) isLocal(d routing.Send) bool {
+	return d.Address == c.selfAddress && c.local != nil
 }
 
 // reportFailure reports a failed attempt to routing, which decides what to do
@@ -258,7 +278,7 @@
 // reportResponse logs an attempt whose response header has arrived, and reports what the
 // backend server states in it. It returns the function that reports the end of the
 // attempt, and whether the response was truncated; the reported latency is that until
-// the header.
+// the header. If no part of the response was forwarded, endRelay reports the end.
 func (c *callerRequest) reportResponse(d routing.Send, x *Exchange, start time.Time, costs routing.CostReport) func() {
 	resp := x.Response
 	report, _ := c.dialect.backendReport(resp.Header) // the proxy beside the backend server logs invalid ones
@@ -279,6 +299,9 @@
 		Costs:    costs,
 	}
 	return func() {
+		if x.unforwarded != nil {
+			return // reported as a failure
+		}
 		if e.Truncated = x.truncated; e.Truncated {
 			c.logAttempt(d, start, true, "outcome", e.Outcome, "detail", "the response body did not end properly")
 		}
--- a/internal/forward/pacedrelay.go
+++ b/internal/forward/pacedrelay.go
@@ -44,7 +44,7 @@
 	}
 	if err != nil {
 		rr.x.truncated = rr.backendAtFault(err, d.deadline)
-		rr.abort(controller)
+		rr.giveUp(controller, err)
 	}
 }
 
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -21,7 +21,7 @@
 	if errors.Is(err, ErrDeadlineExpired) {
 		r.Reason, r.Status = outcome.DeadlineExpired, http.StatusGatewayTimeout
 	}
-	if errors.Is(err, errNoMemory) { // not a failure of the instance
+	if errors.IsAny(err, errNoMemory, errNoLinkTime) { // not a failure of the instance
 		r.Reason, r.Status = outcome.Overload, http.StatusGatewayTimeout
 	}
 	return r
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -22,7 +22,8 @@
 // relayResponse forwards a response to its receiver and ends the exchange. If
 // the response cannot be forwarded completely it panics with
 // http.ErrAbortHandler, so that the receiver sees an aborted connection and not a
-// complete response.
+// complete response. If none of it has reached a caller, it sets x.unforwarded and
+// returns instead: another response can be written.
 func relayResponse(w http.ResponseWriter, r *http.Request, x *Exchange, d delivery) {
 	rr := responseRelay{w: w, r: r, x: x, startedAt: time.Now(), bodyEnded: x.bodyRead || !hasBody(x.Response)}
 	rr.setHeader(d.extra)
@@ -39,7 +40,8 @@
 		x.truncated = rr.backendAtFault(err, d.deadline)
 		x.Close(false)
 		d.reportRead(false)
-		rr.abort(controller)
+		rr.giveUp(controller, err)
+		return
 	}
 	if !small {
 		_ = controller.Flush()
@@ -111,9 +113,10 @@
 	delete(rr.w.Header(), "Trailer")
 	buffered, err := io.ReadAll(io.LimitReader(resp.Body, maxHTTP10BufferBytes))
 	if err != nil {
-		return err
+		return errors.Mark(errors.Wrap(err, "response body"), errResponseBody)
 	}
 	rr.closeDelimited = len(buffered) == maxHTTP10BufferBytes
+	rr.bodyEnded = !rr.closeDelimited
 	if !rr.closeDelimited {
 		rr.w.Header().Set("Content-Length", strconv.Itoa(len(buffered)))
 	}
@@ -124,6 +127,16 @@
 	return rr.copyBody(nil, false)
 }
 
+// giveUp ends a response that could not be forwarded because of err.
+func (rr *responseRelay) giveUp(controller *http.ResponseController, err error) {
+	ctx := rr.r.Context()
+	if w, ok := rr.w.(interface{ Discard() bool }); ok && ctx.Err() == nil && w.Discard() {
+		rr.x.unforwarded = rr.x.limit.markExpired(ctx, err)
+		return
+	}
+	rr.abort(controller)
+}
+
 // abort aborts the connection to the receiver. If the response is
 // close-delimited, the connection is reset, because a normal close would mark
 // the response as complete.
