Do not take a request cancelled before its first byte for a failed connection

Cause: when the sender of a waiting request leaves at the moment at which the request gets its slot, the request is not sent. The error ErrNotSent was reported to admission as connect-failed, which resets the concurrency limit of the backend server to that of a cold one. If the sender was noticed before the slot was given, the same request was reported as abandoned, without any effect. Ruled out: the entry, which reports Abandoned in both orders. Change: such a request ends as not-run, cancelled, as in the other order. Before: the new test fails (connect-failed). After: it passes. Conclusion: the order of the decision and the cancellation does not matter.

--- a/internal/forward/fault_test.go
+++ b/internal/forward/fault_test.go
@@ -204,3 +204,20 @@
 		return near, nil
 	}
 }
+
+// A sender that leaves when its request gets its slot must not look like a backend server
+// that cannot be reached, which would reduce its concurrency limit.
+func TestSenderThatLeavesBeforeTheFirstByteIsNoFailedConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		core, pool := newFakeCore(), NewPool(DialTCP, 0)
+		defer pool.Close()
+		local := NewLocalForwarder(core, pool, closedAddress, false, Dialect{})
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		result := local.forwardRequest(ctx, newGetRequest(), admission.Arrived{Request: "r", Deadline: time.Now().Add(time.Second)})
+		is.Equal(result.refusal.Reason, outcome.Cancelled)
+		is.Equal(core.endedRuns[0].Reason, outcome.Cancelled)
+		is.Equal(core.endedRuns[0].Outcome, outcome.NotRun)
+	})
+}
--- a/internal/forward/local.go
+++ b/internal/forward/local.go
@@ -194,7 +194,7 @@
 	x, err := c.roundTrip()
 	c.serviceTime = time.Since(sentAt)
 	if err != nil {
-		refusal := refusalForError(err)
+		refusal := c.refusalFor(err)
 		c.detail = err.Error()
 		refusal.Reason = c.crashReason(c.ctx, refusal.Reason)
 		c.core.Admit(admission.Ended{ID: c.arrived.ID, Outcome: refusal.Outcome, Reason: refusal.Reason, Inconclusive: c.inconclusive(err)})
@@ -214,6 +214,15 @@
 	return backendResult{request: c, exchange: x}
 }
 
+// refusalFor maps the error of a failed exchange. One that the sender cancelled before the
+// first byte says nothing about the connection to the backend server.
+func (c *backendRequest) refusalFor(err error) outcome.Refusal {
+	if c.ctx.Err() != nil && errors.Is(err, ErrNotSent) && !errors.Is(err, ErrDeadlineExpired) {
+		return notRun(outcome.Cancelled, http.StatusServiceUnavailable)
+	}
+	return refusalForError(err)
+}
+
 // inconclusive reports whether the failure of an exchange says nothing about the process
 // of the backend server, since the sender left or this proxy could not send.
 func (c *backendRequest) inconclusive(err error) bool {
