Do not blame the instance for an upload that its sender does not finish

Cause: the deadline of an exchange ends while a streamed body is still to come, or the body breaks off and the connection to the next hop is closed. The error came from reading the response, so routing counted a timeout or a lost connection of the instance, and admission learned a service time or looked for a crash. A caller could have healthy instances ejected by stalling uploads or malformed chunks. Change: the upload measures how long it waits for its sender, as the relay does for its receiver. An exchange whose body broke off, or that expired with an unfinished body after waiting for it for more than half of the time, ends with the reason malformed-request, outcome and status as before. Routing does not count that reason and does not retry; admission draws no conclusion. Before: the new test fails for a sender that stalls (deadline-expired) and for a malformed body (connection-lost); it passes for a backend server that does not read or does not respond. After: all four pass; tests of internal/forward pass with -race. Conclusion: the fault follows who was waited for, not which deadline ended it.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -49,7 +49,8 @@
 // ErrNotSent if no byte was sent, ErrMalformedResponse if a response was
 // received that cannot be forwarded, and ErrConnectionLost otherwise. It is
 // also ErrDeadlineExpired if the deadline has passed, or if ctx was cancelled shortly
-// before it: the sender then left because of the deadline.
+// before it: the sender then left because of the deadline. It is also errBody if
+// the sender of a streamed body is at fault.
 func (p *Pool) Do(ctx context.Context, deadline time.Time, address string, out *outgoingRequest) (*Exchange, error) {
 	limit := newTimeLimit(deadline)
 	if limit.expired(ctx) {
@@ -67,6 +68,9 @@
 	_ = c.SetDeadline(deadline)
 	x.stopCancel = context.AfterFunc(ctx, func() { _ = c.SetDeadline(pastDeadline) })
 	if err := x.roundTrip(ctx, deadline, out); err != nil {
+		if out.upload.senderAtFault(limit.expired(ctx)) {
+			err = errors.Mark(err, errBody)
+		}
 		x.abort()
 		return nil, limit.markExpired(ctx, err)
 	}
@@ -157,6 +161,7 @@
 	case x.uploadErr == nil:
 		x.conn.setUserTimeout(userTimeout)
 	case errors.Is(x.uploadErr, errBody):
+		out.upload.broken.Store(true)
 		_ = x.conn.Close() // the receiver must not take a truncated body for a complete one
 	default:
 		out.upload.discardRest() // the receiver may have responded before the end of the body
--- a/internal/forward/fault_test.go
+++ b/internal/forward/fault_test.go
@@ -221,3 +221,45 @@
 		is.Equal(core.endedRuns[0].Outcome, outcome.NotRun)
 	})
 }
+
+// The body of an upload that its sender does not send in time, or breaks off, must not
+// count against the backend server that waits for it: callers could have it ejected.
+func TestUploadThatItsSenderDoesNotFinishIsItsOwnFault(t *testing.T) {
+	for _, test := range []struct {
+		name, body string
+		// reads means that the backend server reads the body.
+		reads  bool
+		reason outcome.Reason
+	}{
+		{"sender stalls", "5\r\nhello\r\n", true, outcome.MalformedRequest},
+		{"malformed", "5\r\nhello\r\nzz\r\n", true, outcome.MalformedRequest},
+		{"backend server does not read", strings.Repeat("8000\r\n"+strings.Repeat("x", 32<<10)+"\r\n", 1000), false, outcome.DeadlineExpired},
+		{"backend server does not respond", "5\r\nhello\r\n0\r\n\r\n", true, outcome.DeadlineExpired},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			g := &rig{}
+			g.start(t, rawServer(t, func(_ net.Conn, r *bufio.Reader) {
+				if test.reads {
+					_, _ = io.Copy(io.Discard, r)
+					return
+				}
+				time.Sleep(testTimeout / 5)
+			}))
+			g.core.budget = time.Second
+			caller := dialRaw(t, g.callersAddr)
+			go func() {
+				_, _ = io.WriteString(caller, "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"+test.body)
+			}()
+			_, _, err := caller.read("POST")
+			is.NoErr(err)
+			g.core.waitForFreeSlots(t)
+			g.core.mu.Lock()
+			defer g.core.mu.Unlock()
+			is.Equal(g.core.endedAttempts[0].Outcome, outcome.Unknown)
+			is.Equal(g.core.endedAttempts[0].Reason, test.reason)
+			is.Equal(g.core.endedRuns[0].Reason, test.reason)
+		})
+	}
+}
--- a/internal/forward/outgoingrequest.go
+++ b/internal/forward/outgoingrequest.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -55,7 +56,13 @@
 	w http.ResponseWriter
 	// sendDone is closed when reading of the body has ended. It is nil before
 	// sending has started.
-	sendDone chan struct{}
+	sendDone  chan struct{}
+	startedAt time.Time
+	// broken is set when the body could not be read to its end.
+	broken atomic.Bool
+	// mu guards holdUp, which measures the waits for the sender of the body.
+	mu     sync.Mutex
+	holdUp holdUp
 }
 
 func newUpload(w http.ResponseWriter, r *http.Request) *upload {
@@ -71,10 +78,38 @@
 // start marks the upload as started and allows the response to be written while
 // the body is still read.
 func (u *upload) start() {
-	u.sendDone = make(chan struct{})
+	u.sendDone, u.startedAt = make(chan struct{}), time.Now()
 	_ = http.NewResponseController(u.w).EnableFullDuplex()
 }
 
+// read reads a part of the body.
+func (u *upload) read(p []byte) (int, error) {
+	u.mu.Lock()
+	u.holdUp.begin()
+	u.mu.Unlock()
+	n, err := u.r.Body.Read(p)
+	u.mu.Lock()
+	u.holdUp.end(minHoldUp)
+	u.mu.Unlock()
+	return n, err
+}
+
+// senderAtFault reports whether an exchange failed because of the sender of the body: the
+// body broke off, or the deadline has passed and the wait for the body was most of the time.
+func (u *upload) senderAtFault(expired bool) bool {
+	switch {
+	case !u.started():
+		return false
+	case u.broken.Load():
+		return true
+	case !expired || u.finished():
+		return false
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.holdUp.duration() > time.Since(u.startedAt)/2
+}
+
 // finished reports whether reading of the body has ended, completely or not.
 func (u *upload) finished() bool {
 	select {
@@ -179,7 +214,7 @@
 	defer copyBufferPool.Put(buf)
 	chunked := out.in.ContentLength < 0
 	for {
-		n, err := out.in.Body.Read(*buf)
+		n, err := out.upload.read(*buf)
 		if n > 0 {
 			if werr := writeBodyPart(w, (*buf)[:n], chunked); werr != nil {
 				return werr
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -21,6 +21,9 @@
 	if errors.Is(err, ErrDeadlineExpired) {
 		r.Reason, r.Status = outcome.DeadlineExpired, http.StatusGatewayTimeout
 	}
+	if errors.Is(err, errBody) { // the status stays one that does not exclude a run
+		r.Reason = outcome.MalformedRequest
+	}
 	if errors.IsAny(err, errNoMemory, errNoLinkTime) { // not a failure of the instance
 		r.Reason, r.Status = outcome.Overload, http.StatusGatewayTimeout
 	}
