Decide whether an address is unreachable by its error, not by the clock

Cause: a failed connection attempt counted as unreachable if the deadline had not passed when the failure was looked at. A process that was paused during the attempt reported the address as unreachable although nobody had looked at the connection; beside the backend server that is a sign of a crash. Change: a refused connection is unreachable, whatever the time. An unreachable address is not marked as expired; routing ends the request at its deadline itself. Before: three of the four cases of the new test fail (dial timeout first, paused, refused). After: all pass; tests of internal/forward pass with -race.

--- a/internal/forward/errors.go
+++ b/internal/forward/errors.go
@@ -6,8 +6,8 @@
 var (
 	// ErrNotSent marks an exchange of which no byte reached the network.
 	ErrNotSent = errors.New("request not sent")
-	// errUnreachable marks an ErrNotSent whose connection could not be opened, although
-	// there was time to do so.
+	// errUnreachable marks an ErrNotSent whose connection was refused or could not be
+	// opened within dialTimeout.
 	errUnreachable = errors.New("cannot connect")
 	// ErrConnectionLost marks an exchange whose connection failed after part of
 	// the request was sent and before the response was received: its header, and
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -49,14 +49,18 @@
 // ErrNotSent if no byte was sent, ErrMalformedResponse if a response was
 // received that cannot be forwarded, and ErrConnectionLost otherwise. It is
 // also ErrDeadlineExpired if the deadline has passed, or if ctx was cancelled shortly
-// before it: the sender then left because of the deadline. It is also errBody if
-// the sender of a streamed body is at fault.
+// before it: the sender then left because of the deadline. An ErrNotSent is
+// errUnreachable instead if the address cannot be reached. An ErrConnectionLost is
+// also errBody if the sender of a streamed body is at fault.
 func (p *Pool) Do(ctx context.Context, deadline time.Time, address string, out *outgoingRequest) (*Exchange, error) {
 	limit := newTimeLimit(deadline)
 	if limit.expired(ctx) {
 		return nil, errors.Mark(errors.Wrap(ErrNotSent, "deadline"), ErrDeadlineExpired)
 	}
 	c, err := p.acquire(ctx, deadline, address, out.nonRepeatable)
+	if errors.Is(err, errUnreachable) {
+		return nil, err
+	}
 	if err != nil {
 		return nil, limit.markExpired(ctx, err)
 	}
--- a/internal/forward/fault_test.go
+++ b/internal/forward/fault_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -10,10 +11,12 @@
 	"net/http/httptest"
 	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"heatherlift.example/heatherlift/internal/admission"
@@ -263,3 +266,36 @@
 		})
 	}
 }
+
+// Whether an address counts as unreachable must not depend on how soon a failed connection
+// attempt is noticed when its time limit and the deadline are close together.
+func TestUnreachableAddressNearTheDeadline(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		left, busy  time.Duration // until the deadline, and until the failure is noticed
+		err         error         // nil for that of the context
+		unreachable bool
+		expired     bool
+	}{
+		{"dial timeout first", dialTimeout + time.Millisecond, 5 * time.Millisecond, nil, true, false},
+		{"deadline first", dialTimeout - time.Millisecond, 0, nil, false, true},
+		{"paused", 2 * time.Second, time.Second, nil, false, false},
+		{"refused", dialTimeout - time.Millisecond, 5 * time.Millisecond, syscall.ECONNREFUSED, true, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				pool := NewPool(func(ctx context.Context, _ string) (net.Conn, error) {
+					<-ctx.Done()
+					time.Sleep(test.busy)
+					return nil, cmp.Or(test.err, ctx.Err())
+				}, 0)
+				defer pool.Close()
+				_, err := pool.Do(t.Context(), time.Now().Add(test.left), "a", newGetRequest())
+				is.True(errors.Is(err, ErrNotSent))
+				is.Equal(errors.Is(err, errUnreachable), test.unreachable)
+				is.Equal(errors.Is(err, ErrDeadlineExpired), test.expired)
+			})
+		})
+	}
+}
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -148,21 +148,33 @@
 }
 
 func (p *Pool) dialNew(ctx context.Context, deadline time.Time, address string) (*connection, error) {
-	dialDeadline := time.Now().Add(dialTimeout)
-	if deadline.Before(dialDeadline) {
+	full := time.Now().Add(dialTimeout)
+	dialDeadline := full
+	if deadline.Before(full) {
 		dialDeadline = deadline
 	}
 	dialCtx, cancel := context.WithDeadline(ctx, dialDeadline)
 	defer cancel()
 	c, err := p.dial(dialCtx, address)
-	if err != nil {
-		notSent := errors.Wrapf(ErrNotSent, "%v", err)
-		if ctx.Err() == nil && time.Now().Before(deadline) {
-			return nil, errors.Mark(notSent, errUnreachable)
-		}
+	if err == nil {
+		return newConnection(c, address), nil
+	}
+	notSent := errors.Wrapf(ErrNotSent, "%v", err)
+	if ctx.Err() != nil || isTimeout(err) && !timedOut(dialDeadline, full) {
 		return nil, notSent
 	}
-	return newConnection(c, address), nil
+	return nil, errors.Mark(notSent, errUnreachable)
+}
+
+// timedOut reports whether a connection attempt that ended at a deadline had the full time
+// and the process was not paused meanwhile: a connection opened by then goes unnoticed.
+func timedOut(deadline, full time.Time) bool {
+	return deadline.Equal(full) && time.Since(deadline) < maxExpiryMargin
+}
+
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
 }
 
 // put returns a connection to the pool.
