End a response whose flush to its receiver failed

Cause: copyBody ignored the error of a flush. A receiver whose connection had failed was noticed only after another 32 KB or by the end of its context, and the exchange went on until then. What its sender did meanwhile could be reported instead. Change: writePart returns the error, except that of a writer without flush. Before: the new test fails: a response of which a part comes every 100 ms was relayed until its deadline. After: it ends with the first part.

--- a/internal/forward/fault_test.go
+++ b/internal/forward/fault_test.go
@@ -299,3 +299,31 @@
 		})
 	}
 }
+
+// brokenReceiver takes the header of a response and fails when it is flushed.
+type brokenReceiver struct{ slowReceiver }
+
+func (*brokenReceiver) FlushError() error { return syscall.EPIPE }
+
+// A receiver whose connection failed must end the exchange at once, and not hide behind
+// what its sender does later.
+func TestFailedFlushEndsTheResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		began := time.Now()
+		r := httptest.NewRequest(http.MethodGet, "/a", nil)
+		pool := NewPool(dialEndless(0, 100*time.Millisecond), 0)
+		defer pool.Close()
+		x, err := pool.Do(t.Context(), began.Add(2*time.Second), "a", newGetRequest())
+		is.NoErr(err)
+		func() {
+			defer func() { is.Equal(recover(), http.ErrAbortHandler) }()
+			w := &brokenReceiver{slowReceiver{header: make(http.Header)}}
+			relayResponse(w, r, x, delivery{deadline: began.Add(2 * time.Second)})
+		}()
+		took := time.Since(began)
+		time.Sleep(time.Second) // the server sees that the connection is closed
+		is.True(took < 100*time.Millisecond)
+		is.True(!x.truncated)
+	})
+}
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -202,8 +202,11 @@
 	rr.holdUp.begin()
 	defer rr.holdUp.end(minHoldUp)
 	_, err := rr.w.Write(part)
-	if err == nil && controller != nil && (flush || rr.pace != nil) {
-		_ = controller.Flush()
+	if err != nil || controller == nil || !flush && rr.pace == nil {
+		return err
 	}
-	return err
+	if err := controller.Flush(); !errors.Is(err, http.ErrNotSupported) {
+		return err
+	}
+	return nil
 }
