Refuse a response that waits behind a slow one until its deadline

Cause: a large response whose turn on a pipelined connection came after its deadline was begun and then cut, since its rest could not be read any more; the deadline of the write is extended by the wait, that of the read is not. The cut also counted against its instance, which had waited for this proxy. Change: the relay waits for its turn before the header is written and gives the response up if its deadline has passed with a part of the body unread. The caller gets a refusal (unknown, overload, 504). What was held up on the way to its receiver is reported as overload in the same way for the link (errHeldUp). Nothing is read after the deadline, so the share of the wait is measured up to it. Before: the new test fails (unexpected EOF at the caller). After: it passes with and without a link; tests of internal/forward pass with -race.

--- a/internal/forward/callerexchange.go
+++ b/internal/forward/callerexchange.go
@@ -45,8 +45,10 @@
 	written       int64
 	err           error
 	// writeDeadline is the deadline set by the handler. It is applied to the
-	// connection only once all preceding responses are written.
-	writeDeadline time.Time
+	// connection only once all preceding responses are written; deadlineApplied is then
+	// set.
+	writeDeadline   time.Time
+	deadlineApplied bool
 }
 
 // newCallerExchange returns the exchange for a request. A nil req stands for a
@@ -182,12 +184,18 @@
 // always be read while the response is written.
 func (x *callerExchange) EnableFullDuplex() error { return nil }
 
+// AwaitTurn waits until all preceding responses are written.
+func (x *callerExchange) AwaitTurn() { x.acquireConn() }
+
 // Discard drops the response written so far, so that another one can be written. It
 // returns false if a part of it may have reached the caller.
 func (x *callerExchange) Discard() bool {
 	if x.headerWritten {
 		return false
 	}
+	if x.deadlineApplied {
+		_ = x.conn.Conn.SetWriteDeadline(time.Time{})
+	}
 	clear(x.header)
 	x.buffered.Reset()
 	x.status, x.written, x.contentLength, x.writeDeadline = 0, 0, -1, time.Time{}
@@ -214,6 +222,7 @@
 	}
 	x.writeDeadline = x.writeDeadline.Add(time.Since(waitStart))
 	_ = x.conn.Conn.SetWriteDeadline(x.writeDeadline)
+	x.deadlineApplied = true
 }
 
 // sendHeader writes the response header to the connection. If complete is set,
--- a/internal/forward/errors.go
+++ b/internal/forward/errors.go
@@ -26,8 +26,9 @@
 	errResponseBody = errors.New("could not read response body")
 	// errNoMemory marks a response that this proxy had no memory for until its deadline.
 	errNoMemory = errors.New("no memory for the response in time")
-	// errNoLinkTime marks a response for which the link had no time until its deadline.
-	errNoLinkTime = errors.New("no time of the link for the response")
+	// errHeldUp marks a response that was held up until its deadline on the way from this
+	// proxy to its receiver.
+	errHeldUp = errors.New("response held up until its deadline")
 	// errBody marks a request body that could not be read from its sender.
 	errBody = errors.New("could not read request body")
 )
--- a/internal/forward/fault.go
+++ b/internal/forward/fault.go
@@ -84,15 +84,16 @@
 // deadlines of both connections end together, and receivers leave at that time. The
 // backend server is then at fault unless its response was complete or the receiver held
 // it up for most of the time.
-func (rr *responseRelay) backendAtFault(err error, deadline time.Time) bool {
+func (rr *responseRelay) backendAtFault(err error) bool {
+	budget := rr.deadline.Sub(rr.startedAt)
 	switch {
 	case errors.Is(err, errNoMemory):
 		return false
-	case time.Until(deadline) > expiryMargin(deadline.Sub(rr.startedAt)):
+	case time.Until(rr.deadline) > expiryMargin(budget):
 		return errors.Is(err, errResponseBody) && rr.r.Context().Err() == nil
 	}
 	heldUp, complete := rr.progress()
-	return !complete && heldUp <= time.Since(rr.startedAt)/2
+	return !complete && heldUp <= min(budget, time.Since(rr.startedAt))/2 // nothing is read after the deadline
 }
 
 // progress returns how long reading the body was held up, and whether it was read to its
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -24,7 +24,7 @@
 	if errors.Is(err, errBody) { // the status stays one that does not exclude a run
 		r.Reason = outcome.MalformedRequest
 	}
-	if errors.IsAny(err, errNoMemory, errNoLinkTime) { // not a failure of the instance
+	if errors.IsAny(err, errNoMemory, errHeldUp) { // not a failure of the instance
 		r.Reason, r.Status = outcome.Overload, http.StatusGatewayTimeout
 	}
 	return r
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -25,7 +26,7 @@
 // complete response. If none of it has reached a caller, it sets x.unforwarded and
 // returns instead: another response can be written.
 func relayResponse(w http.ResponseWriter, r *http.Request, x *Exchange, d delivery) {
-	rr := responseRelay{w: w, r: r, x: x, startedAt: time.Now(), bodyEnded: x.bodyRead || !hasBody(x.Response)}
+	rr := responseRelay{w: w, r: r, x: x, startedAt: time.Now(), deadline: d.deadline, bodyEnded: x.bodyRead || !hasBody(x.Response)}
 	rr.setHeader(d.extra)
 	if d.use != nil && x.Sent() {
 		rr.relayOverLink(d)
@@ -37,7 +38,7 @@
 		_ = controller.SetWriteDeadline(d.deadline)
 	}
 	if err := rr.write(controller); err != nil {
-		x.truncated = rr.backendAtFault(err, d.deadline)
+		x.truncated = rr.backendAtFault(err)
 		x.Close(false)
 		d.reportRead(false)
 		rr.giveUp(controller, err)
@@ -53,15 +54,19 @@
 
 // responseRelay is a response that is being forwarded to its receiver.
 type responseRelay struct {
-	w         http.ResponseWriter
-	r         *http.Request
-	x         *Exchange
-	startedAt time.Time
+	w                   http.ResponseWriter
+	r                   *http.Request
+	x                   *Exchange
+	startedAt, deadline time.Time
 	// bodyEnded is set when the body has been read to its end, and holdUp measures the
 	// writes to the receiver. ahead replaces both if the body is read ahead.
 	bodyEnded bool
 	holdUp    holdUp
 	ahead     *readAhead
+	// written counts the bytes of the body that were written, and turnCame is set when the
+	// preceding responses of the connection are written.
+	written  int
+	turnCame bool
 	// closeDelimited is set when the end of the response is marked only by the
 	// end of the connection.
 	closeDelimited bool
@@ -131,6 +136,9 @@
 func (rr *responseRelay) giveUp(controller *http.ResponseController, err error) {
 	ctx := rr.r.Context()
 	if w, ok := rr.w.(interface{ Discard() bool }); ok && ctx.Err() == nil && w.Discard() {
+		if !rr.x.truncated {
+			err = errors.Mark(err, errHeldUp)
+		}
 		rr.x.unforwarded = rr.x.limit.markExpired(ctx, err)
 		return
 	}
@@ -191,6 +199,23 @@
 	return rr.pace.next(body, buf)
 }
 
+// awaitTurn waits for the preceding responses of the connection if writing the next n bytes
+// of the body would send the header. It fails if the rest of the body cannot be read any
+// more by then.
+func (rr *responseRelay) awaitTurn(n int, flush bool) error {
+	rr.written += n
+	w, ok := rr.w.(interface{ AwaitTurn() })
+	if !ok || rr.turnCame || !flush && rr.pace == nil && rr.written <= maxBufferedResponseBytes {
+		return nil
+	}
+	w.AwaitTurn()
+	rr.turnCame = true
+	if _, complete := rr.progress(); complete || time.Now().Before(rr.deadline) {
+		return nil
+	}
+	return errors.Wrap(context.DeadlineExceeded, "waiting for preceding responses")
+}
+
 // writePart writes a part of the body. It is flushed if flush is set or the body is paced,
 // unless there is no controller.
 func (rr *responseRelay) writePart(part []byte, controller *http.ResponseController, flush bool) error {
@@ -201,6 +226,9 @@
 	}
 	rr.holdUp.begin()
 	defer rr.holdUp.end(minHoldUp)
+	if err := rr.awaitTurn(len(part), flush); err != nil {
+		return err
+	}
 	_, err := rr.w.Write(part)
 	if err != nil || controller == nil || !flush && rr.pace == nil {
 		return err
--- a/internal/forward/relay_test.go
+++ b/internal/forward/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -77,3 +78,42 @@
 		}
 	}
 }
+
+// A response that waits behind a slow one of the same connection until its deadline cannot
+// be read any more. Its caller must get a refusal and not the start of it, and the
+// instance is not at fault.
+func TestResponseBehindASlowOneIsRefusedAtItsDeadline(t *testing.T) {
+	for _, linkMbps := range []float64{0, 1000} {
+		is := is.New(t)
+		const length = 2 << 20
+		hop := rawServer(t, func(c net.Conn, r *bufio.Reader) {
+			for {
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				if req.URL.Path == "/slow" {
+					time.Sleep(400 * time.Millisecond)
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello")
+					continue
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+contentLength(length)+"\r\n\r\n"+strings.Repeat("x", length))
+			}
+		})
+		core, pool := newFakeCore(hop), NewPool(DialTCP, 0)
+		t.Cleanup(pool.Close)
+		local := NewLocalForwarder(core, pool, "", false, Dialect{})
+		local.PaceResponses(linkMbps, ResponseObserver{Held: func(int64) {}, Paced: func(int) {}})
+		ingress := NewIngress(core, pool, "entry", local, "", "desk")
+		caller := dialRaw(t, serveCallers(t, NewCallerServer(ingress, testTimeout, testTimeout)))
+		caller.send(t, "GET /slow HTTP/1.1\r\nHost: a\r\nHeatherlift-Deadline-Ms: 5000\r\n\r\n"+
+			"GET /large HTTP/1.1\r\nHost: a\r\nHeatherlift-Deadline-Ms: 200\r\n\r\n")
+		_, body, err := caller.read("GET")
+		is.NoErr(err)
+		is.Equal(body, "hello")
+		resp, _, err := caller.read("GET")
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusBadGateway) // the fake core's refusal
+		is.Equal(resp.Header.Get(ReasonHeader), string(outcome.Overload))
+	}
+}
--- a/internal/forward/responselink.go
+++ b/internal/forward/responselink.go
@@ -139,7 +139,7 @@
 	select {
 	case <-u.granted:
 	case <-ctx.Done():
-		return errors.Mark(errors.Wrap(ctx.Err(), "waiting for the link"), errNoLinkTime)
+		return errors.Wrap(ctx.Err(), "waiting for the link")
 	}
 	l.mu.Lock()
 	l.gate.Sent(time.Now(), u.id, bytes)
