--- a/internal/forward/errors.go
+++ b/internal/forward/errors.go
@@ -6,8 +6,8 @@
 var (
 	// ErrNotSent marks an exchange of which no byte reached the network.
 	ErrNotSent = errors.New("request not sent")
-	// errUnreachable marks an ErrNotSent whose connection could not be opened, although
-	// there was time to do so.
+	// errUnreachable marks an ErrNotSent whose connection was refused or could not be
+	// opened within dialTimeout.
 	errUnreachable = errors.New("cannot connect")
 	// errTooLate marks an ErrNotSent whose connection was ready only after the time by
 	// which a cold backend server may be sent the request.
@@ -29,6 +29,9 @@
 	errResponseBody = errors.New("could not read response body")
 	// errNoMemory marks a response that this proxy had no memory for until its deadline.
 	errNoMemory = errors.New("no memory for the response in time")
+	// errHeldUp marks a response that was held up until its deadline on the way from this
+	// proxy to its receiver.
+	errHeldUp = errors.New("response held up until its deadline")
 	// errBody marks a request body that could not be read from its sender.
 	errBody = errors.New("could not read request body")
 )
--- a/internal/forward/local.go
+++ b/internal/forward/local.go
@@ -47,10 +47,6 @@
 	return &LocalForwarder{core: core, pool: pool, address: address, shedNotRun: shedNotRun, dialect: &dialect}
 }
 
-// maxExpiryMargin limits how long before its deadline a waiting request may be
-// refused, so that the refusal reaches the sender in time.
-const maxExpiryMargin = 20 * time.Millisecond
-
 // backendRequest is one request for the backend server.
 type backendRequest struct {
 	*LocalForwarder
@@ -159,7 +155,7 @@
 	default:
 	}
 	remaining := time.Until(c.deadline)
-	expiry := time.NewTimer(remaining - min(remaining/10, maxExpiryMargin))
+	expiry := time.NewTimer(remaining - expiryMargin(remaining))
 	defer expiry.Stop()
 	for {
 		select {
@@ -199,7 +195,7 @@
 	x, err := c.roundTrip(sendBy)
 	c.serviceTime = time.Since(sentAt)
 	if err != nil {
-		refusal := refusalForError(err)
+		refusal := c.refusalFor(err)
 		c.detail = err.Error()
 		refusal.Reason = c.crashReason(c.ctx, refusal.Reason)
 		c.core.Admit(admission.Ended{ID: c.arrived.ID, Outcome: refusal.Outcome, Reason: refusal.Reason, Inconclusive: c.inconclusive(err)})
@@ -219,6 +215,15 @@
 	return backendResult{request: c, exchange: x}
 }
 
+// refusalFor maps the error of a failed exchange. One that the sender cancelled before the
+// first byte says nothing about the connection to the backend server.
+func (c *backendRequest) refusalFor(err error) outcome.Refusal {
+	if c.ctx.Err() != nil && errors.Is(err, ErrNotSent) && !errors.Is(err, ErrDeadlineExpired) {
+		return notRun(outcome.Cancelled, http.StatusServiceUnavailable)
+	}
+	return refusalForError(err)
+}
+
 // inconclusive reports whether the failure of an exchange says nothing about the process
 // of the backend server, since the sender left or this proxy could not send.
 func (c *backendRequest) inconclusive(err error) bool {
@@ -248,7 +253,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return x, x.verifyResponse(c.ctx, c.deadline)
+	return x, x.verifyResponse(c.ctx)
 }
 
 // setBackendHeaders sets the headers for the backend server.
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -22,9 +23,10 @@
 // relayResponse forwards a response to its receiver and ends the exchange. If
 // the response cannot be forwarded completely it panics with
 // http.ErrAbortHandler, so that the receiver sees an aborted connection and not a
-// complete response.
+// complete response. If none of it has reached a caller, it sets x.unforwarded and
+// returns instead: another response can be written.
 func relayResponse(w http.ResponseWriter, r *http.Request, x *Exchange, d delivery) {
-	rr := responseRelay{w: w, r: r, x: x}
+	rr := responseRelay{w: w, r: r, x: x, startedAt: time.Now(), deadline: d.deadline, bodyEnded: x.bodyRead || !hasBody(x.Response)}
 	rr.setHeader(d.extra)
 	if d.use != nil && x.Sent() {
 		rr.relayOverLink(d)
@@ -36,10 +38,11 @@
 		_ = controller.SetWriteDeadline(d.deadline)
 	}
 	if err := rr.write(controller); err != nil {
-		x.truncated = errors.Is(err, errResponseBody) && r.Context().Err() == nil
+		x.truncated = rr.backendAtFault(err)
 		x.Close(false)
 		d.reportRead(false)
-		rr.abort(controller)
+		rr.giveUp(controller, err)
+		return
 	}
 	if !small {
 		_ = controller.Flush()
@@ -51,9 +54,19 @@
 
 // responseRelay is a response that is being forwarded to its receiver.
 type responseRelay struct {
-	w http.ResponseWriter
-	r *http.Request
-	x *Exchange
+	w                   http.ResponseWriter
+	r                   *http.Request
+	x                   *Exchange
+	startedAt, deadline time.Time
+	// bodyEnded is set when the body has been read to its end, and holdUp measures the
+	// writes to the receiver. ahead replaces both if the body is read ahead.
+	bodyEnded bool
+	holdUp    holdUp
+	ahead     *readAhead
+	// written counts the bytes of the body that were written, and turnCame is set when the
+	// preceding responses of the connection are written.
+	written  int
+	turnCame bool
 	// closeDelimited is set when the end of the response is marked only by the
 	// end of the connection.
 	closeDelimited bool
@@ -105,9 +118,10 @@
 	delete(rr.w.Header(), "Trailer")
 	buffered, err := io.ReadAll(io.LimitReader(resp.Body, maxHTTP10BufferBytes))
 	if err != nil {
-		return err
+		return errors.Mark(errors.Wrap(err, "response body"), errResponseBody)
 	}
 	rr.closeDelimited = len(buffered) == maxHTTP10BufferBytes
+	rr.bodyEnded = !rr.closeDelimited
 	if !rr.closeDelimited {
 		rr.w.Header().Set("Content-Length", strconv.Itoa(len(buffered)))
 	}
@@ -118,6 +132,19 @@
 	return rr.copyBody(nil, false)
 }
 
+// giveUp ends a response that could not be forwarded because of err.
+func (rr *responseRelay) giveUp(controller *http.ResponseController, err error) {
+	ctx := rr.r.Context()
+	if w, ok := rr.w.(interface{ Discard() bool }); ok && ctx.Err() == nil && w.Discard() {
+		if !rr.x.truncated {
+			err = errors.Mark(err, errHeldUp)
+		}
+		rr.x.unforwarded = rr.x.limit.markExpired(ctx, err)
+		return
+	}
+	rr.abort(controller)
+}
+
 // abort aborts the connection to the receiver. If the response is
 // close-delimited, the connection is reset, because a normal close would mark
 // the response as complete.
@@ -150,13 +177,11 @@
 	defer copyBufferPool.Put(buf)
 	for {
 		n, err := rr.readPart(body, *buf)
+		rr.bodyEnded = rr.bodyEnded || err == io.EOF
 		if n > 0 {
-			if werr := rr.writePart((*buf)[:n]); werr != nil {
+			if werr := rr.writePart((*buf)[:n], controller, flush); werr != nil {
 				return werr
 			}
-			if controller != nil && (flush || rr.pace != nil) {
-				_ = controller.Flush()
-			}
 		}
 		if err == io.EOF {
 			return nil
@@ -174,12 +199,42 @@
 	return rr.pace.next(body, buf)
 }
 
-func (rr *responseRelay) writePart(part []byte) error {
+// awaitTurn waits for the preceding responses of the connection if writing the next n bytes
+// of the body would send the header. It fails if the rest of the body cannot be read any
+// more by then.
+func (rr *responseRelay) awaitTurn(n int, flush bool) error {
+	rr.written += n
+	w, ok := rr.w.(interface{ AwaitTurn() })
+	if !ok || rr.turnCame || !flush && rr.pace == nil && rr.written <= maxBufferedResponseBytes {
+		return nil
+	}
+	w.AwaitTurn()
+	rr.turnCame = true
+	if _, complete := rr.progress(); complete || time.Now().Before(rr.deadline) {
+		return nil
+	}
+	return errors.Wrap(context.DeadlineExceeded, "waiting for preceding responses")
+}
+
+// writePart writes a part of the body. It is flushed if flush is set or the body is paced,
+// unless there is no controller.
+func (rr *responseRelay) writePart(part []byte, controller *http.ResponseController, flush bool) error {
 	if rr.pace != nil {
 		if err := rr.pace.await(len(part)); err != nil {
 			return err
 		}
 	}
+	rr.holdUp.begin()
+	defer rr.holdUp.end(minHoldUp)
+	if err := rr.awaitTurn(len(part), flush); err != nil {
+		return err
+	}
 	_, err := rr.w.Write(part)
-	return err
+	if err != nil || controller == nil || !flush && rr.pace == nil {
+		return err
+	}
+	if err := controller.Flush(); !errors.Is(err, http.ErrNotSupported) {
+		return err
+	}
+	return nil
 }
