--- a/internal/warmup/budget.go
+++ b/internal/warmup/budget.go
@@ -11,9 +11,9 @@
 	// span is the time over which the platform counts the requests that a cold backend
 	// server receives.
 	span = time.Second
-	// SendDelay is the longest time from the admission of a request until it is sent; a
-	// later one is not sent to a cold backend server. It
-	// covers slow machines and connections that are established first.
+	// SendDelay is the longest time from the admission of a request until it is sent. It
+	// covers slow machines and connections that are established first; later a request is
+	// not sent to a cold backend server.
 	SendDelay = 250 * time.Millisecond
 	// Window is the time over which admitted requests are counted: those sent within
 	// one span were admitted within it.
