Draw grace periods, long runs and stops of all proxies in the soak

Cause: the soak knew one grace period, 6 s, and runs of 30 ms.

Change: -grace and -draw-grace set the grace period of a run, which the proxies get as the bound gracePeriodS and after which the soak kills them. -long adds callers with runs of 3 to 8 s on kept and pipelined connections, with calls. The kind stop-all stops the proxies of all machines in turn. The backend stand-in records how each run ended.

The check of losses around a planned stop follows the rule of the platform. It is stricter than before in these cases: requests that were pipelined and passed on, 502 and 504 in place of a run that lasts, requests held for more than 200 ms without being passed on, slow or redeployed backend servers that no longer excuse other losses. It no longer counts what the rule allows: deadline reached, broken off by the backend server, run lasting in the last sixth of the grace period.

--- a/bench/soak/callers.go
+++ b/bench/soak/callers.go
@@ -45,6 +45,8 @@
 	// impatient repeats each request that was not served at once, up to maxRepeats
 	// times, and ignores Retry-After.
 	impatient bool
+	// long sends requests with runs of seconds.
+	long bool
 }
 
 func formatHex(n uint64) string { return strconv.FormatUint(n, 16) }
@@ -68,13 +70,14 @@
 			var err error
 			if conn, err = standin.Dial(address(m.processIP, callersPort), time.Second); err != nil {
 				conn = nil
+				m.observed.refused.Add(1)
 				time.Sleep(meanBatchPause)
 				continue
 			}
 		}
 		batch := repeats
 		if len(batch) == 0 {
-			batch = m.nextBatch(rng, kind.pipelining)
+			batch = m.nextBatch(rng, kind)
 		}
 		last, ok := m.sendBatch(conn, batch)
 		if !ok || rng.Float64() < 0.1 {
@@ -125,9 +128,9 @@
 // nextBatch returns one random request or, for half of the batches of a pipelining
 // caller, pipelineDepth of them. Requests that are not repeatable are not
 // pipelined.
-func (m *machine) nextBatch(rng *rand.Rand, pipelining bool) []*attempt {
+func (m *machine) nextBatch(rng *rand.Rand, kind callerKind) []*attempt {
 	n := 1
-	if pipelining && rng.Float64() < 0.5 {
+	if kind.pipelining && rng.Float64() < 0.5 {
 		n = pipelineDepth
 	}
 	batch := make([]*attempt, n)
@@ -139,6 +142,8 @@
 		}
 		batch[i] = &attempt{Request: r, machine: m.index, service: m.service}
 		switch {
+		case kind.long:
+			batch[i].setLong(rng, n > 1)
 		case !batch[i].nonRepeatable():
 		case n > 1:
 			batch[i].Path = repeatablePath + r.ID
@@ -183,8 +188,8 @@
 // reused.
 func (m *machine) sendBatch(conn *standin.Conn, batch []*attempt) (standin.Response, bool) {
 	starts := int(m.starts.Load())
-	for _, a := range batch {
-		a.startsWhenSent, a.sent = starts, time.Now()
+	for i, a := range batch {
+		a.behind, a.startsWhenSent, a.sent = i > 0, starts, time.Now()
 		_ = conn.SetWriteDeadline(time.Now().Add(a.Deadline + answerTimeoutMargin))
 		switch err := conn.Send(a.Request); {
 		case errors.Is(err, standin.ErrAbandoned):
@@ -192,14 +197,17 @@
 		case err != nil:
 			a.result = sendFailed
 		}
+		a.written = time.Now()
 	}
 	var last standin.Response
+	cut := false
 	ok := batch[0].result != abandoned
 	for _, a := range batch {
 		if ok {
 			last, ok = m.receiveAnswer(conn, a)
+			cut = a.result == connectionClosed || last.CloseAfter
 		} else if a.result != sendFailed && a.result != abandoned {
-			a.result = answerNotRead
+			a.result, a.cutBehind = answerNotRead, cut
 		}
 		a.ended, a.startsWhenEnded = time.Now(), int(m.starts.Load())
 		m.observed.recordAttempt(a)
@@ -210,6 +218,7 @@
 func (m *machine) receiveAnswer(conn *standin.Conn, a *attempt) (standin.Response, bool) {
 	_ = conn.SetReadDeadline(time.Now().Add(a.Deadline + answerTimeoutMargin))
 	answer, err := conn.Receive(a.Method)
+	a.err = err
 	var timeout interface{ Timeout() bool }
 	switch {
 	case err == nil:
--- a/bench/soak/calls.go
+++ b/bench/soak/calls.go
@@ -51,6 +51,9 @@
 	if m.service == services[1] {
 		path = repeatablePath
 	}
+	if work := longWork(run.Target); work > 0 {
+		path = workPath(map[string]string{secondServicePath: nonRepeatableLongPath, repeatablePath: longPath}[path], work)
+	}
 	a := &attempt{
 		Request: standin.Request{
 			ID: fmt.Sprintf("%016x", rand.Uint64()), Method: http.MethodGet, Host: hostName,
--- a/bench/soak/check.go
+++ b/bench/soak/check.go
@@ -78,6 +78,7 @@
 	c.checkCold()
 	c.checkEvacuations()
 	c.checkMemory()
+	c.checkStops()
 	return c.violations
 }
 
@@ -109,7 +110,7 @@
 
 // nonRepeatable reports whether the request must run at most once.
 func (a *attempt) nonRepeatable() bool {
-	return strings.HasPrefix(a.Path, nonRepeatablePath) || strings.HasPrefix(a.Path, uploadPath)
+	return strings.HasPrefix(a.Path, nonRepeatablePath) || strings.HasPrefix(a.Path, uploadPath) || strings.HasPrefix(a.Path, nonRepeatableLongPath)
 }
 
 // checkAttempt checks the result of one request against its arrivals at backend
@@ -241,7 +242,7 @@
 	switch {
 	case strings.HasPrefix(path, movedPath):
 		return ""
-	case strings.HasPrefix(path, secondServicePath), strings.HasPrefix(path, uploadPath):
+	case strings.HasPrefix(path, secondServicePath), strings.HasPrefix(path, uploadPath), strings.HasPrefix(path, nonRepeatableLongPath):
 		return services[1]
 	}
 	return services[0]
@@ -273,9 +274,9 @@
 }
 
 // checkLostAnswers checks connections that ended without an answer to a request
-// that a backend server had started to run. Losses near a disturbance other than a
-// planned stop are allowed. A planned stop of the caller's proxy must cause none,
-// and without one at most maxStrayLosses are allowed in a run.
+// that a backend server had started to run, apart from planned stops of the caller's
+// proxy. Losses near a disturbance other than a planned stop are allowed, and without
+// one at most maxStrayLosses in a run.
 func (c *checker) checkLostAnswers() {
 	strayLosses := 0
 	var first *attempt
@@ -283,9 +284,8 @@
 		if a.result != connectionClosed || len(c.executedByID[a.ID]) == 0 || c.disturbed(anyComponent, a.sent.Add(-undisturbedTime), a.ended, kindStop) {
 			continue
 		}
-		if c.disturbed(a.machine, a.sent.Add(-stopTimeout), a.ended) {
-			c.addViolation("lost", "%v: answer lost during a planned stop, after the request ran at %s", a, c.executedByID[a.ID][0].Instance)
-			continue
+		if c.stopAround(a.machine, a) != nil {
+			continue // checkStops
 		}
 		strayLosses++
 		if first == nil {
--- a/bench/soak/cluster.go
+++ b/bench/soak/cluster.go
@@ -55,6 +55,8 @@
 	rateLimit float64
 	// callersPerMachine is the number of callers that each machine always has.
 	callersPerMachine int
+	// longCallers is the number of callers of each machine whose requests have long runs.
+	longCallers int
 	// lossPercent is the share of the responses that all backend servers lose until the
 	// plan has ended.
 	lossPercent atomic.Int64
@@ -68,6 +70,8 @@
 	downloadKind string
 	// evacuationMu is held while an availability zone is evacuated.
 	evacuationMu sync.Mutex
+	// stopAllMu is held while the proxies of all machines are stopped in turn.
+	stopAllMu sync.Mutex
 	// storeFaultMu serialises store faults, as the store has one at a time.
 	storeFaultMu sync.Mutex
 	// runningSteps waits for the steps of the plan that have not ended.
@@ -79,7 +83,7 @@
 // newCluster starts a fleet and waits until every proxy is ready.
 func newCluster(ctx context.Context, l *lab.Lab, o options) (*cluster, error) {
 	c := &cluster{
-		lab: l, seed: o.seed, rateLimit: o.rateLimit, ending: o.ending, callersPerMachine: max(1, defaultCallers/o.machines) * max(1, o.load), ctx: ctx, secondOctet: 10 + os.Getpid()%200, store: standin.NewStore(), observed: &observations{},
+		lab: l, seed: o.seed, rateLimit: o.rateLimit, longCallers: o.longCallers, ending: o.ending, callersPerMachine: max(1, defaultCallers/o.machines) * max(1, o.load), ctx: ctx, secondOctet: 10 + os.Getpid()%200, store: standin.NewStore(), observed: &observations{grace: cmp.Or(o.grace, defaultGrace)},
 	}
 	c.lossPercent.Store(int64(100 * o.loss))
 	if o.selects(kindCold, kindColdZone, kindEvacuate) {
@@ -149,6 +153,8 @@
 	switch s.Kind {
 	case kindStop:
 		m.stopProxy()
+	case kindStopAll:
+		c.stopEach()
 	case kindKill:
 		m.killProxy(s.Kind)
 	case kindKillAll:
@@ -275,6 +281,8 @@
 	b := m.backend.Load()
 	if s.Kind == kindSlowBackend {
 		b.SetFault(10*meanServiceTime, m.lossRate())
+		m.slowed.Store(true)
+		defer m.slowed.Store(false)
 	} else {
 		b.SetFault(meanServiceTime, 0.3)
 	}
@@ -285,7 +293,7 @@
 const (
 	hostName = "a.example"
 	// Path prefixes of the routes that every version has. All are repeatable except
-	// those of nonRepeatablePath and uploadPath.
+	// those of nonRepeatablePath, uploadPath and nonRepeatableLongPath.
 	repeatablePath    = "/look/"  // to the first service
 	nonRepeatablePath = "/book/"  // to the first service
 	secondServicePath = "/rota/"  // to the second service
@@ -332,6 +340,13 @@
 		route(secondServicePath, services[1], true, 2), route(movedPath, v.movedService, true, 2),
 		route(uploadPath, services[1], false, 1),
 	}
+	if c.longCallers > 0 {
+		for i, path := range []string{longPath, nonRepeatableLongPath} {
+			long := route(path, services[i], path == longPath, 2)
+			long.Timeout, long.Target = longDeadline, longTarget
+			routes = append(routes, long)
+		}
+	}
 	if c.downloadKind != "" {
 		download := route(downloadPath, services[0], true, 2)
 		download.Download = c.downloadKind == "download"
--- a/bench/soak/machine.go
+++ b/bench/soak/machine.go
@@ -32,9 +32,6 @@
 	backendSlots = 8
 	// meanServiceTime is the mean time that a backend server takes for a request.
 	meanServiceTime = 30 * time.Millisecond
-	// stopTimeout is how long the platform waits for a process to exit after
-	// SIGTERM.
-	stopTimeout = 6 * time.Second
 	// restartDelay is the time between the end of a process and its next start.
 	restartDelay = 200 * time.Millisecond
 	// drainDuration is how long a leaving instance still serves: until all proxies
@@ -65,6 +62,8 @@
 	process            atomic.Pointer[lab.Process]
 	// starts counts the starts of the proxy process.
 	starts atomic.Int64
+	// slowed is set while the backend server is slow.
+	slowed atomic.Bool
 	// exitExpected is set before the process is ended on purpose.
 	exitExpected  atomic.Bool
 	backend       atomic.Pointer[standin.Backend]
@@ -105,7 +104,7 @@
 	for i := range seedMachines {
 		s.Platform.Seeds = append(s.Platform.Seeds, address(fmt.Sprintf("127.%d.1.%d", c.secondOctet, i+1), peersPort))
 	}
-	s.Platform.Bounds = standin.RetryBounds(budgetRatio, budgetSlack, budgetWindow)
+	s.Platform.Bounds = append(standin.RetryBounds(budgetRatio, budgetSlack, budgetWindow), fmt.Sprintf("gracePeriodS=%g", c.observed.grace.Seconds()))
 	if c.downloadKind != "" {
 		s.Platform.LinkMbps = downloadLinkMbps
 	}
@@ -144,7 +143,7 @@
 func (m *machine) readyURL() string { return "http://" + address(m.processIP, adminPort) + "/readyz" }
 
 // stopProxy stops the proxy with SIGTERM and starts it again. An exit with an error
-// or not within stopTimeout is a failure; the process is then killed.
+// or not within the grace period is a failure; the process is then killed.
 func (m *machine) stopProxy() {
 	m.proxyMu.Lock()
 	defer m.proxyMu.Unlock()
@@ -153,7 +152,7 @@
 	p := m.process.Load()
 	began := time.Now()
 	p.Signal(syscall.SIGTERM)
-	if err := p.WaitTimeout(stopTimeout); err != nil {
+	if err := p.WaitTimeout(m.observed.grace); err != nil {
 		m.observed.recordFailure(fmt.Sprintf("%s did not stop cleanly on SIGTERM: %v after %v", m.name, err, time.Since(began).Round(time.Millisecond)))
 		m.kill(p)
 	}
@@ -217,7 +216,7 @@
 		_ = server.Close()
 		go m.replaceCrashedBackend(id, cmp.Or(e.BackAfter, entryTTL))
 	}
-	b.Call = m.callForRun
+	b.Call, b.Work, b.Finished = m.callForRun, m.runWork, m.observed.recordRunEnd
 	b.SetFault(meanServiceTime, m.lossRate())
 	b.Stated = func(s standin.Statement) { m.recordStated(b.Process, s) }
 	if m.rateLimit > 0 && m.index%limitedShare == 0 {
--- a/bench/soak/main.go
+++ b/bench/soak/main.go
@@ -36,13 +36,16 @@
 
 // report is the result of one run.
 type report struct {
-	seed uint64
+	seed  uint64
+	grace time.Duration
 	// attempts, served and refused count the requests other than crashing ones;
 	// the refused ones were reported as not run.
 	attempts, served, refused int
 	crashes                   []crashes
 	statements                statementSummary
 	cold                      coldSummary
+	// losses is what planned stops may have cut.
+	losses string
 	// memory is the highest memory of a proxy in bytes.
 	memory     int64
 	budget     budgetSummary
@@ -73,6 +76,9 @@
 	})
 	optional := flag.Bool("optional", false, "also draw the kinds that are otherwise drawn only if they are named")
 	flag.StringVar(&o.downloadKind, "download-kind", repeatableKind, "kind of the route of downloads: "+repeatableKind+" or download")
+	flag.DurationVar(&o.grace, "grace", defaultGrace, "grace period of the proxies")
+	drawGrace := flag.Bool("draw-grace", false, fmt.Sprintf("draw the grace period from %v", drawnGraces))
+	flag.IntVar(&o.longCallers, "long", 0, "number of callers of each machine whose requests have runs of seconds")
 	flag.IntVar(&o.load, "load", 1, "multiple of the usual number of callers")
 	flag.Float64Var(&o.loss, "loss", 0, "share of the responses that backend servers lose until the end of the plan")
 	flag.BoolVar(&o.calm, "calm", false, "inject no faults")
@@ -84,6 +90,9 @@
 	failed, first := 0, o.seed
 	for i := range *seeds {
 		o.seed = first + uint64(i)
+		if *drawGrace {
+			o.grace = drawnGraces[o.seed%uint64(len(drawnGraces))]
+		}
 		r, err := runSeed(o)
 		if err != nil {
 			fmt.Fprintln(os.Stderr, err)
@@ -114,11 +123,11 @@
 }
 
 func (r report) String() string {
-	text := fmt.Sprintf("seed %d: %d faults, %d requests, %d served, %d refused, %d violations", r.seed, r.plannedSteps, r.attempts, r.served, r.refused, len(r.violations))
+	text := fmt.Sprintf("seed %d: grace %v, %d faults, %d requests, %d served, %d refused, %d violations", r.seed, r.grace, r.plannedSteps, r.attempts, r.served, r.refused, len(r.violations))
 	for _, s := range r.crashes {
 		text += fmt.Sprintf("\n  %s ended %d backend servers, sent late %d times", s.path, s.ended, s.late)
 	}
-	text += r.statements.String() + r.cold.String() + r.budget.String() + fmt.Sprintf("\n  memory: at most %d MB", r.memory>>20)
+	text += r.statements.String() + r.cold.String() + r.losses + r.budget.String() + fmt.Sprintf("\n  memory: at most %d MB", r.memory>>20)
 	for i, b := range r.violations {
 		if i == 10 {
 			return text + "\n  ..."
@@ -155,6 +164,10 @@
 	// rateLimit is the rate limit that a third of the backend servers name
 	// throughout the run, in requests per second, 0 for none.
 	rateLimit float64
+	// grace is the grace period of the proxies, 0 for defaultGrace.
+	grace time.Duration
+	// longCallers is the number of callers of each machine whose requests have long runs.
+	longCallers int
 	// downloadKind is the kind of the route of downloads, repeatableKind by default.
 	downloadKind string
 	keep         bool
@@ -188,6 +201,10 @@
 		plan = nil
 	}
 	for _, m := range c.machines {
+		for n := range c.longCallers {
+			rng := c.newRand(longStream, uint64(m.index*c.longCallers+n))
+			c.callers.Go(func() { m.runCaller(ctx, rng, callerKind{pipelining: (m.index+n)%2 == 0, long: true}) })
+		}
 		for n := range c.callersPerMachine {
 			rng := c.newRand(callerStream, uint64(m.index*c.callersPerMachine+n))
 			c.callers.Go(func() { m.runCaller(ctx, rng, callerKind{pipelining: (m.index+n)%2 == 0}) })
@@ -206,7 +223,7 @@
 	time.Sleep(recoveryWindow)
 	cancel()
 	c.callers.Wait()
-	r := report{seed: o.seed, plannedSteps: len(plan)}
+	r := report{seed: o.seed, grace: c.observed.grace, plannedSteps: len(plan)}
 	for _, m := range c.machines {
 		if !m.lab.RespondsOK(m.readyURL()) {
 			r.violations = append(r.violations, "recover: "+m.name+" is not ready")
@@ -233,6 +250,7 @@
 	r.statements = c.summariseStatements()
 	r.budget = c.summariseBudget()
 	r.cold = c.summariseCold()
+	r.losses = fmt.Sprintf("\n  stops: %+v, %d connections refused", c.checkStops(), o.refused.Load())
 	_, r.memory = o.largestProxy()
 	for _, a := range o.attempts {
 		switch {
--- a/bench/soak/observations.go
+++ b/bench/soak/observations.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"heatherlift.example/heatherlift/platform/standin"
@@ -45,10 +46,16 @@
 	repeats int
 	// slowReader means that the caller reads the response so slowly that it may be cut
 	// off.
-	slowReader  bool
-	sent, ended time.Time
-	result      attemptResult
-	answer      standin.Response
+	slowReader bool
+	// behind means that it was sent behind another request on its connection, cutBehind
+	// that the proxy ended the connection before it could be answered.
+	behind, cutBehind bool
+	// written is when the whole request was written.
+	sent, written, ended time.Time
+	result               attemptResult
+	// err is why the connection failed.
+	err    error
+	answer standin.Response
 }
 
 // version is a published configuration version.
@@ -95,7 +102,9 @@
 // observations are what callers and backend servers observed in a run, with the
 // published versions and the disturbances. Its methods are safe for concurrent use.
 type observations struct {
-	mu           sync.Mutex
+	mu sync.Mutex
+	// grace is the grace period of the proxies.
+	grace        time.Duration
 	attempts     []*attempt
 	arrivals     []*standin.Arrival
 	versions     []version
@@ -106,6 +115,8 @@
 	evacuations  []*evacuation
 	// memory is the highest memory of each proxy in bytes.
 	memory map[string]int64
+	// refused counts the connections that callers could not open.
+	refused atomic.Int64
 	// failures describes unexpected exits, unclean stops and failed starts.
 	failures []string
 }
--- a/bench/soak/plan.go
+++ b/bench/soak/plan.go
@@ -53,6 +53,7 @@
 	kindColdZone  kind = "cold-zone" // all backend servers of an availability zone become cold
 	kindEvacuate  kind = "evacuate"  // an availability zone is evacuated and taken back
 	kindDownloads kind = "downloads" // further callers fetch large responses, some read them slowly
+	kindStopAll   kind = "stop-all"  // SIGTERM to the proxies of all machines in turn, then restarts
 	kindUneven    kind = "uneven"    // work takes a different and changing time on each machine
 )
 
@@ -105,6 +106,7 @@
 	{kindEvacuate, 2},
 	{kindDownloads, 4},
 	{kindUneven, 3},
+	{kindStopAll, 2},
 }
 
 // kindsOf returns the names of kinds.
--- a/bench/soak/random.go
+++ b/bench/soak/random.go
@@ -13,6 +13,7 @@
 	pressureStream  uint64 = 4 << 40
 	downloadStream  uint64 = 5 << 40
 	speedStream     uint64 = 6 << 40
+	longStream      uint64 = 7 << 40
 )
 
 // newRand returns the generator of one source, which has a number below 1<<40 among
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -90,7 +90,7 @@
 		Body: crc32.ChecksumIEEE([]byte("b")), At: testStart.Add(10 * time.Millisecond), Deadline: requestDeadline - 10*time.Millisecond, Executed: true,
 	}
 	v := version{number: 1, movedService: services[0], sent: testStart.Add(-time.Minute), acked: testStart.Add(-time.Minute)}
-	return &observations{attempts: []*attempt{a}, arrivals: []*standin.Arrival{r}, versions: []version{v}}, a, r
+	return &observations{grace: defaultGrace, attempts: []*attempt{a}, arrivals: []*standin.Arrival{r}, versions: []version{v}}, a, r
 }
 
 // For each rule, a correct run is changed so that it breaks the rule. The check must
@@ -220,6 +220,30 @@
 	is.Equal(len(checkRun(o, testStart.Add(time.Hour))), 1)
 }
 
+// The last sixth of the grace period excuses only a run that still lasts then, and only
+// requests sent soon after SIGTERM; a proxy's own answer counts like a cut.
+func TestRequestsCutByStopsAreCounted(t *testing.T) {
+	is := is.New(t)
+	o, a, r := testRun()
+	o.grace = 10 * time.Second
+	o.disturbances = []*disturbance{{kind: kindStop, from: testStart}}
+	a.result, a.Deadline, r.End = connectionClosed, longDeadline, standin.RunCut
+	cut := func(sent, ended time.Duration) int {
+		a.sent, a.ended, r.At, r.Ended = testStart.Add(sent), testStart.Add(ended), testStart.Add(sent), testStart.Add(ended)
+		return len(checkRun(o, testStart.Add(time.Hour)))
+	}
+	is.Equal(cut(-time.Second, 5*time.Second), 1)
+	is.Equal(cut(-time.Second, 9*time.Second), 0)  // in the last sixth
+	is.Equal(cut(4*time.Second, 9*time.Second), 1) // sent too late for that
+	is.Equal(cut(-longDeadline, time.Millisecond), 0) // the deadline was reached
+	a.result, a.answer = answered, standin.Response{Status: http.StatusBadGateway}
+	is.Equal(cut(-time.Second, 5*time.Second), 1)
+	a.result, o.arrivals = connectionClosed, nil // not passed on
+	is.Equal(cut(-time.Second, 5*time.Second), 1)
+	a.behind = true
+	is.Equal(cut(-time.Second, 5*time.Second), 0)
+}
+
 // Sends of a crashing request count as late only after the bound and from proxies that
 // were undisturbed.
 func TestLateSendsOfCrashingRequestsAreCounted(t *testing.T) {
