--- a/bench/soak/main.go
+++ b/bench/soak/main.go
@@ -79,6 +79,7 @@
 	flag.DurationVar(&o.grace, "grace", defaultGrace, "grace period of the proxies")
 	drawGrace := flag.Bool("draw-grace", false, fmt.Sprintf("draw the grace period from %v", drawnGraces))
 	flag.IntVar(&o.longCallers, "long", 0, "number of callers of each machine whose requests have runs of seconds")
+	flag.IntVar(&o.idleCallers, "idle", 0, fmt.Sprintf("number of callers of each machine that pause for %v on average", idlePause))
 	flag.IntVar(&o.load, "load", 1, "multiple of the usual number of callers")
 	flag.Float64Var(&o.loss, "loss", 0, "share of the responses that backend servers lose until the end of the plan")
 	flag.BoolVar(&o.calm, "calm", false, "inject no faults")
@@ -168,6 +169,8 @@
 	grace time.Duration
 	// longCallers is the number of callers of each machine whose requests have long runs.
 	longCallers int
+	// idleCallers is the number of callers of each machine that pause for idlePause.
+	idleCallers int
 	// downloadKind is the kind of the route of downloads, repeatableKind by default.
 	downloadKind string
 	keep         bool
@@ -205,6 +208,10 @@
 			rng := c.newRand(longStream, uint64(m.index*c.longCallers+n))
 			c.callers.Go(func() { m.runCaller(ctx, rng, callerKind{pipelining: (m.index+n)%2 == 0, long: true}) })
 		}
+		for n := range o.idleCallers {
+			rng := c.newRand(idleStream, uint64(m.index*o.idleCallers+n))
+			c.callers.Go(func() { m.runCaller(ctx, rng, callerKind{pause: idlePause}) })
+		}
 		for n := range c.callersPerMachine {
 			rng := c.newRand(callerStream, uint64(m.index*c.callersPerMachine+n))
 			c.callers.Go(func() { m.runCaller(ctx, rng, callerKind{pipelining: (m.index+n)%2 == 0}) })
--- a/bench/soak/random.go
+++ b/bench/soak/random.go
@@ -14,6 +14,7 @@
 	downloadStream  uint64 = 5 << 40
 	speedStream     uint64 = 6 << 40
 	longStream      uint64 = 7 << 40
+	idleStream      uint64 = 8 << 40
 )
 
 // newRand returns the generator of one source, which has a number below 1<<40 among
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -233,8 +233,8 @@
 		return len(checkRun(o, testStart.Add(time.Hour)))
 	}
 	is.Equal(cut(-time.Second, 5*time.Second), 1)
-	is.Equal(cut(-time.Second, 9*time.Second), 0)  // in the last sixth
-	is.Equal(cut(4*time.Second, 9*time.Second), 1) // sent too late for that
+	is.Equal(cut(-time.Second, 9*time.Second), 0)     // in the last sixth
+	is.Equal(cut(4*time.Second, 9*time.Second), 1)    // sent too late for that
 	is.Equal(cut(-longDeadline, time.Millisecond), 0) // the deadline was reached
 	a.result, a.answer = answered, standin.Response{Status: http.StatusBadGateway}
 	is.Equal(cut(-time.Second, 5*time.Second), 1)
