Excuse an answer in place of a run if the stop of either proxy allows it

Cause: the check took the stop of the proxy beside the run although that of the caller's proxy had ended the request.

Change: the last sixth is judged for the stop of the caller's proxy first, then for that of the proxy beside the run.

--- a/bench/soak/calls.go
+++ b/bench/soak/calls.go
@@ -52,7 +52,7 @@
 		path = repeatablePath
 	}
 	if work := longWork(run.Target); work > 0 {
-		path = workPath(map[string]string{secondServicePath: nonRepeatableLongPath, repeatablePath: longPath}[path], work)
+		path = fmt.Sprintf("%s%d.", map[string]string{secondServicePath: nonRepeatableLongPath, repeatablePath: longPath}[path], work.Milliseconds())
 	}
 	a := &attempt{
 		Request: standin.Request{
--- a/bench/soak/cluster.go
+++ b/bench/soak/cluster.go
@@ -341,7 +341,7 @@
 	if c.longCallers > 0 {
 		for i, path := range []string{longPath, nonRepeatableLongPath} {
 			long := route(path, services[i], path == longPath, 2)
-			long.Timeout, long.Target = longDeadline, longTarget
+			long.Timeout, long.Target = longDeadline, 3*longDeadline/4
 			routes = append(routes, long)
 		}
 	}
--- a/bench/soak/main.go
+++ b/bench/soak/main.go
@@ -167,10 +167,9 @@
 	rateLimit float64
 	// grace is the grace period of the proxies, 0 for defaultGrace.
 	grace time.Duration
-	// longCallers is the number of callers of each machine whose requests have long runs.
-	longCallers int
-	// idleCallers is the number of callers of each machine that pause for idlePause.
-	idleCallers int
+	// longCallers and idleCallers are the numbers of callers of each machine whose requests
+	// have long runs, and that pause for idlePause.
+	longCallers, idleCallers int
 	// downloadKind is the kind of the route of downloads, repeatableKind by default.
 	downloadKind string
 	keep         bool
@@ -257,7 +256,7 @@
 	r.statements = c.summariseStatements()
 	r.budget = c.summariseBudget()
 	r.cold = c.summariseCold()
-	r.losses = fmt.Sprintf("\n  stops: %+v, %d connections refused", c.checkStops(), o.refused.Load())
+	r.losses = fmt.Sprintf("\n  planned stops: %v, %d connections refused", c.checkStops(), o.refused.Load())
 	_, r.memory = o.largestProxy()
 	for _, a := range o.attempts {
 		switch {
--- a/bench/soak/stops.go
+++ b/bench/soak/stops.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -16,15 +17,12 @@
 	// defaultGrace is the grace period of the small deployments: the time from SIGTERM
 	// until the platform kills a process.
 	defaultGrace = 6 * time.Second
-	// afterGrace is how long after the grace period lost requests count.
-	afterGrace = time.Second
-	// lateSendTime is the time after SIGTERM until which a request may be sent that is cut
-	// in the last sixth of the grace period, if its run still lasts.
+	// lateSendTime is the time after SIGTERM until which a request may be sent whose run is
+	// cut in the last sixth of the grace period.
 	lateSendTime = 3 * time.Second
 	// crossingTime is the time within which the end of a connection crosses a request.
 	crossingTime = 200 * time.Millisecond
-	// deadlineRounding is by how much a proxy may end a request before its deadline, which
-	// it gets in milliseconds.
+	// deadlineRounding is by how much a proxy may end a request before its deadline.
 	deadlineRounding = 20 * time.Millisecond
 	// stoppingShare is the inverse of the largest share of machines that stop at a time in
 	// a step of kindStopAll, if each takes the grace period.
@@ -35,18 +33,13 @@
 	longPath              = "/long/"
 	nonRepeatableLongPath = "/lengthy/"
 	longDeadline          = 12 * time.Second
-	longTarget            = 9 * time.Second
 	minWork, maxWork      = 3 * time.Second, 8 * time.Second
 	// idlePause is the mean pause of callers whose connections are idle during a stop.
 	idlePause = 2 * time.Second
 )
 
-// drawnGraces are the grace periods to draw from.
 var drawnGraces = []time.Duration{3 * time.Second, defaultGrace, 10 * time.Second}
 
-// planned are the kinds that excuse no lost answer; see endedByServer for redeployments.
-var planned = []kind{kindStop, kindSlowBackend, kindUneven, kindRelease, kindAnnouncedEnd}
-
 // stopEach stops the proxies of all machines in turn, at most one in stoppingShare at a
 // time, and waits until they have started again.
 func (c *cluster) stopEach() {
@@ -70,11 +63,7 @@
 	}
 	a.Method, a.Body, a.Chunked, a.Abandoned = http.MethodGet, "", false, false
 	a.Deadline = longDeadline - time.Duration(rng.IntN(3000))*time.Millisecond
-	a.Path = workPath(path, work/time.Duration(depth+1)) + formatHex(rng.Uint64()) + callingSuffix(depth)
-}
-
-func workPath(prefix string, work time.Duration) string {
-	return prefix + strconv.FormatInt(work.Milliseconds(), 10) + "."
+	a.Path = fmt.Sprintf("%s%d.%x%s", path, work.Milliseconds()/int64(depth+1), rng.Uint64(), callingSuffix(depth))
 }
 
 // longWork returns the time of a run that its path names, 0 for the usual.
@@ -103,22 +92,20 @@
 	r.End, r.Ended = end, time.Now()
 }
 
-// lossSummary counts requests that were not passed on before a planned stop ended their
-// connection, by kind.
-type lossSummary struct{ stops, crossed, behind int }
-
-// checkStops checks that no planned stop cuts a request that was read, and counts those
-// that it may cut.
-func (c *checker) checkStops() (s lossSummary) {
+// checkStops checks that no planned stop cuts a request that was read. It returns the
+// number of stops and, by kind, of the requests that were not passed on before a stop
+// ended their connection.
+func (c *checker) checkStops() map[string]int {
+	counts := make(map[string]int)
 	for _, d := range c.disturbances {
 		if d.kind == kindStop {
-			s.stops++
+			counts["stops"]++
 		}
 	}
 	for _, a := range c.attempts {
-		c.checkStopped(a, &s)
+		c.checkStopped(a, counts)
 	}
-	return s
+	return counts
 }
 
 // stopAround returns the latest planned stop of the machine that may have cut a request,
@@ -126,7 +113,7 @@
 func (c *checker) stopAround(machine int, a *attempt) (latest *disturbance) {
 	for _, d := range c.disturbances {
 		if d.kind == kindStop && d.machine == machine && d.from.Before(a.ended) && (latest == nil || d.from.After(latest.from)) &&
-			(d.to.IsZero() || d.to.After(a.sent.Add(-c.grace)) || a.ended.Before(d.from.Add(c.grace+afterGrace))) {
+			(d.to.IsZero() || d.to.After(a.sent.Add(-c.grace)) || a.ended.Before(d.from.Add(c.grace+time.Second))) {
 			latest = d
 		}
 	}
@@ -135,36 +122,43 @@
 
 // checkStopped checks one request. It counts as read if it reached a backend server, or if
 // its connection stayed open for longer than crossingTime.
-func (c *checker) checkStopped(a *attempt, s *lossSummary) {
+func (c *checker) checkStopped(a *attempt, counts map[string]int) {
 	var run *standin.Arrival // the latest
 	if runs := c.arrivalsByID[a.ID]; len(runs) > 0 {
 		run = runs[len(runs)-1]
 	}
 	cut := a.result == connectionClosed || a.result == answerNotRead && a.cutBehind
 	stop := c.stopAround(a.machine, a)
-	if !cut && run != nil {
+	if !cut && run != nil && (stop == nil || !c.lastsTooLong(a, run, stop)) {
 		stop = cmp.Or(c.stopAround(run.Machine, a), stop) // the caller's proxy answers when that beside the run is gone
 	}
 	if stop == nil || !cut && !replacesRun(a, run) || !a.ended.Before(a.sent.Add(a.Deadline-deadlineRounding)) ||
-		c.disturbed(anyComponent, a.sent.Add(-undisturbedTime), a.ended, planned...) {
+		c.disturbed(anyComponent, a.sent.Add(-undisturbedTime), a.ended, kindStop, kindSlowBackend, kindUneven, kindRelease, kindAnnouncedEnd) {
 		return
 	}
-	after, lastSixth := a.ended.Sub(stop.from), c.grace*5/6
+	after := a.ended.Sub(stop.from)
 	switch {
 	case run == nil && a.behind:
-		s.behind++
+		counts["behind another"]++
 	case run == nil && a.ended.Sub(a.written) <= crossingTime:
-		s.crossed++
+		counts["crossed"]++
 	case run == nil:
 		c.addViolation("lost", "%v: not passed on, cut after %v, %v after SIGTERM of machine %d: %v", a, a.ended.Sub(a.written), after, stop.machine, a.err)
 	case run.End == standin.RunBroken, c.disturbed(run.Machine, run.At, a.ended, kindStop, kindSlowBackend, kindUneven): // the backend server broke off
-	case a.sent.Before(stop.from.Add(lateSendTime)) && after >= lastSixth && (run.Ended.IsZero() || run.Ended.Sub(stop.from) >= lastSixth):
+	case c.lastsTooLong(a, run, stop):
 	default:
 		c.addViolation("lost", "%v: sent %v and cut %v after SIGTERM of machine %d, pipelined %t; at %s %v after it, run %v at %v: %v", a, a.sent.Sub(stop.from), after, stop.machine,
 			a.behind, run.Process, run.At.Sub(stop.from), run.End, run.Ended.Sub(stop.from), a.err)
 	}
 }
 
+// lastsTooLong reports whether a stop may cut the run, which the backend server was still
+// at work on in the last sixth of the grace period.
+func (c *checker) lastsTooLong(a *attempt, run *standin.Arrival, stop *disturbance) bool {
+	lastSixth := stop.from.Add(c.grace * 5 / 6)
+	return run != nil && a.sent.Before(stop.from.Add(lateSendTime)) && !a.ended.Before(lastSixth) && (run.Ended.IsZero() || !run.Ended.Before(lastSixth))
+}
+
 // replacesRun reports whether the answer is one of a proxy in place of a run at which the
 // backend server was at work.
 func replacesRun(a *attempt, run *standin.Arrival) bool {
