--- a/internal/host/build.go
+++ b/internal/host/build.go
@@ -35,12 +35,14 @@
 		c.LinkMbps = s.Platform.LinkMbps
 		c.Seeds = slices.DeleteFunc(slices.Clone(s.Platform.Seeds), func(a string) bool { return a == s.Listen.Peers })
 		c.Dist.Followed = true
+		c.ResyncLimit = adapter.ResyncLimit
 		c.Routing.Retries = adapter.Retries
 		if s.Platform.LinkMbps > 0 {
 			c.Routing.SelfAddress = s.Listen.Forward
 		}
 		c.Admission.MinRetryAfter = adapter.MinRetryAfter
 		c.Admission.ColdTolerance = adapter.ColdTolerance
+		c.Admission.EvacuationLimit = adapter.EvacuationLimit
 		c.Routing.ColdTolerance = adapter.ColdTolerance
 	}
 	return c
