Show that a complete response is lost behind a request that a shutdown cuts

Callers that pipeline lose responses of runs that had ended before or soon after SIGTERM: the request before them on the connection still ran at the end of the shutdown, and its connection is closed without an answer to any of them.

--- a/internal/host/shutdown_test.go
+++ b/internal/host/shutdown_test.go
@@ -208,3 +208,35 @@
 		is.Equal(resp.StatusCode, http.StatusOK)
 	}
 }
+
+// A complete response was discarded because a longer request before it on its connection
+// was cut at the end of the shutdown.
+func TestResponseBehindACutRequestIsDelivered(t *testing.T) {
+	is := is.New(t)
+	h := newTestHost(t, settings.Shutdown{})
+	h.shutdownBounds = ShutdownBounds{Notice: testNotice, GracePeriod: time.Second}
+	complete := make(chan struct{})
+	s, address := serveCallers(t, h, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/long" {
+			close(complete)
+			return
+		}
+		select {
+		case <-time.After(testTimeout):
+		case <-r.Context().Done():
+			w.WriteHeader(http.StatusBadGateway)
+		}
+	})
+	c, r := dial(t, address)
+	_, err := io.WriteString(c, "GET /long HTTP/1.1\r\nHost: a\r\n\r\nGET /short HTTP/1.1\r\nHost: a\r\n\r\n")
+	is.NoErr(err)
+	<-complete
+	h.shutDown(s)
+	for _, status := range []int{http.StatusBadGateway, http.StatusOK} {
+		resp, err := http.ReadResponse(r, nil)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, status)
+		_, err = io.Copy(io.Discard, resp.Body)
+		is.NoErr(err)
+	}
+}
