Answer what still runs at the end of a shutdown instead of cutting it

Callers that pipeline lost complete responses: the request before them on the connection still ran at the end of the shutdown, and the connection was closed with all of them.

Cause: a caller's connection was closed as a whole. Now the requests in progress are cancelled with a cause of their own, and routing's caller writes a refusal (502, or 503 if nothing was sent) where a disconnected caller gets none. The connections have 100 ms for these responses and those behind them. Requests of other proxies are cut as before; the entry proxy answers its caller.

--- a/internal/forward/callerconn.go
+++ b/internal/forward/callerconn.go
@@ -38,7 +38,10 @@
 	// was read. Only the reading goroutine uses it.
 	discardedInput bool
 	pipelineSlots  chan struct{}
-	handlers       sync.WaitGroup
+	// ctx is the context of all requests of the connection, and abort cancels it.
+	ctx      context.Context
+	abort    context.CancelCauseFunc
+	handlers sync.WaitGroup
 
 	mu sync.Mutex
 	// inProgress counts the requests whose response is not completely written.
@@ -55,6 +58,7 @@
 
 func newCallerConn(s *CallerServer, c net.Conn) *callerConn {
 	conn := &callerConn{Conn: c, server: s, headerBytesLeft: unlimitedBytes, pipelineSlots: make(chan struct{}, maxPipelinedRequests)}
+	conn.ctx, conn.abort = context.WithCancelCause(context.WithValue(context.Background(), http.LocalAddrContextKey, c.LocalAddr()))
 	conn.reader = bufio.NewReaderSize(conn, 4<<10)
 	return conn
 }
@@ -97,12 +101,11 @@
 // serve reads requests until the connection closes.
 func (c *callerConn) serve() {
 	defer c.server.remove(c)
-	ctx, cancel := context.WithCancel(context.WithValue(context.Background(), http.LocalAddrContextKey, c.LocalAddr()))
-	defer cancel()
+	defer c.abort(nil)
 	previous := make(chan struct{})
 	close(previous)
 	for {
-		x, ok := c.nextRequest(ctx, previous)
+		x, ok := c.nextRequest(previous)
 		if !ok {
 			break
 		}
@@ -112,7 +115,7 @@
 			break
 		}
 	}
-	c.cancelOnDisconnect(cancel)
+	c.cancelOnDisconnect()
 	c.handlers.Wait()
 	c.linger()
 }
@@ -120,13 +123,13 @@
 // cancelOnDisconnect cancels the requests in progress if the caller disconnects
 // before the last response is written. Further input from the caller is
 // discarded.
-func (c *callerConn) cancelOnDisconnect(cancel context.CancelFunc) {
+func (c *callerConn) cancelOnDisconnect() {
 	for c.requestsInProgress() > 0 {
 		n, err := c.reader.Discard(max(1, c.reader.Buffered()))
 		c.discardedInput = c.discardedInput || n > 0
 		if err != nil {
 			if !errors.Is(err, os.ErrDeadlineExceeded) {
-				cancel()
+				c.abort(nil)
 			}
 			return
 		}
@@ -140,7 +143,7 @@
 }
 
 // nextRequest waits for a request. It returns false if there is none.
-func (c *callerConn) nextRequest(ctx context.Context, previous chan struct{}) (*callerExchange, bool) {
+func (c *callerConn) nextRequest(previous chan struct{}) (*callerExchange, bool) {
 	c.pipelineSlots <- struct{}{}
 	if !c.waitForRequest() {
 		return nil, false
@@ -155,7 +158,7 @@
 	if status == 0 {
 		return nil, false
 	}
-	x := newCallerExchange(ctx, c, req, previous)
+	x := newCallerExchange(c.ctx, c, req, previous)
 	x.body.bytesLeft = limits.BodyBytes
 	if status != http.StatusOK {
 		x.rejectStatus = status
--- a/internal/forward/callerserver.go
+++ b/internal/forward/callerserver.go
@@ -179,6 +179,14 @@
 	}
 }
 
+// AbortRequests cancels the requests in progress with errShuttingDown, so that they end
+// with a response of this proxy. Complete responses behind them can then be delivered.
+func (s *CallerServer) AbortRequests() {
+	for _, c := range s.connections() {
+		c.abort(errShuttingDown)
+	}
+}
+
 // Close closes all connections immediately.
 func (s *CallerServer) Close() {
 	s.mu.Lock()
--- a/internal/forward/cut.go
+++ b/internal/forward/cut.go
@@ -1,8 +1,11 @@
 package forward
 
 import (
+	"context"
 	"net/http"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // CutCause tells why a connection of a caller ended without a complete response to a
@@ -53,7 +56,7 @@
 // request. The caller counts as disconnected only if nothing else ended the request.
 func (x *callerExchange) reportCut(cause CutCause) {
 	switch {
-	case x.conn.server.isClosed():
+	case x.conn.server.isClosed(), errors.Is(context.Cause(x.req.Context()), errShuttingDown):
 		cause = CutByShutdown
 	case x.req.Context().Err() != nil:
 		cause = CutByCaller
--- a/internal/forward/errors.go
+++ b/internal/forward/errors.go
@@ -12,6 +12,9 @@
 	// errTooLate marks an ErrNotSent whose connection was ready only after the time by
 	// which a cold backend server may be sent the request.
 	errTooLate = errors.New("too late for a cold backend server")
+	// errShuttingDown is the cause of requests that are cancelled at the end of a
+	// shutdown.
+	errShuttingDown = errors.New("shutting down")
 	// ErrConnectionLost marks an exchange whose connection failed after part of
 	// the request was sent and before the response was received: its header, and
 	// its body if that is buffered to verify it.
--- a/internal/forward/ingress.go
+++ b/internal/forward/ingress.go
@@ -1,10 +1,13 @@
 package forward
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"heatherlift.example/heatherlift/internal/admission"
 	"heatherlift.example/heatherlift/internal/outcome"
 	"heatherlift.example/heatherlift/internal/routing"
@@ -136,8 +139,8 @@
 				return
 			}
 		case <-c.r.Context().Done():
-			c.core.Route(routing.Abandoned{ID: c.id})
-			panic(http.ErrAbortHandler) // returning would write an empty response
+			c.endCancelled(c.lastRefusal)
+			return
 		}
 	}
 }
@@ -250,18 +253,18 @@
 
 // reportFailure reports a failed attempt to routing, which decides what to do
 // next. If the caller has disconnected, the request is abandoned, but an attempt without a
-// response until the deadline still counts. The result is always false: the caller has no
-// response yet.
+// response until the deadline still counts. It reports whether the caller has its response,
+// which is so if this proxy has cancelled the request.
 func (c *callerRequest) reportFailure(d routing.Send, start time.Time, r outcome.Refusal, load float64, costs routing.CostReport) bool {
 	c.logAttempt(d, start, true, "outcome", r.Outcome, "reason", r.Reason, "detail", c.detail)
 	c.detail = ""
+	c.lastRefusal = r
+	c.maybeRun = c.maybeRun || r.Outcome != outcome.NotRun
 	left := c.r.Context().Err() != nil
 	if left && !(r.Outcome == outcome.Unknown && r.Reason == outcome.DeadlineExpired) {
-		c.core.Route(routing.Abandoned{ID: c.id})
-		panic(http.ErrAbortHandler)
+		c.endCancelled(r)
+		return true
 	}
-	c.lastRefusal = r
-	c.maybeRun = c.maybeRun || r.Outcome != outcome.NotRun
 	c.core.Route(routing.AttemptEnded{
 		ID:         c.id,
 		Outcome:    r.Outcome,
@@ -273,10 +276,24 @@
 		LinkBusy:   r.LinkBusy,
 	})
 	if left {
-		c.core.Route(routing.Abandoned{ID: c.id})
-		panic(http.ErrAbortHandler)
+		c.endCancelled(r)
 	}
-	return false
+	return left
+}
+
+// endCancelled ends a request whose context was cancelled. If this proxy has cancelled it
+// at the end of a shutdown, the caller gets a refusal with the result of the last attempt,
+// and otherwise none, as it has disconnected.
+func (c *callerRequest) endCancelled(last outcome.Refusal) {
+	c.core.Route(routing.Abandoned{ID: c.id})
+	if !errors.Is(context.Cause(c.r.Context()), errShuttingDown) {
+		panic(http.ErrAbortHandler) // returning would write an empty response
+	}
+	if last.Status == 0 {
+		last = notRun(outcome.InstanceLeaving, http.StatusServiceUnavailable)
+	}
+	last.Reason = outcome.InstanceLeaving
+	c.refuse(last)
 }
 
 // refuse sends a refusal to the caller. If an earlier attempt may have run the
--- a/internal/host/shutdown.go
+++ b/internal/host/shutdown.go
@@ -88,11 +88,22 @@
 		left := h.requestsInFlight()
 		h.log.Warn("shutdown limit reached; aborting requests in flight", "after_ms", time.Since(start).Milliseconds(),
 			"routed", left.Routed, "running", left.Running, "waiting", left.Waiting)
+		abortRequests(s, start.Add(plan.Cut))
 	}
 	s.callerServer.Close()
 	_ = s.forwardServer.Close()
 }
 
+// abortRequests ends the requests in flight. Callers of this proxy get a response until the
+// given time; other proxies see that their connections close and answer their callers.
+func abortRequests(s *servers, until time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
+	_ = s.forwardServer.Close()
+	s.callerServer.AbortRequests()
+	_ = s.callerServer.Shutdown(ctx)
+}
+
 // awaitIdle waits until no request is in progress. It returns false if ctx ends
 // first.
 func (h *Host) awaitIdle(ctx context.Context) bool {
--- a/internal/host/shutdownplan.go
+++ b/internal/host/shutdownplan.go
@@ -27,6 +27,8 @@
 	exitFraction    = 1.0 / 12
 	minExitDuration = 250 * time.Millisecond
 	maxExitDuration = time.Second
+	// cutDelay is the time for the last responses to be written.
+	cutDelay = 100 * time.Millisecond
 )
 
 // shutdownPlan divides the time of a graceful shutdown. All times count from its start.
@@ -34,13 +36,14 @@
 	// AdmitPeers is until when requests of other proxies are admitted, Notice until
 	// when new requests of callers are.
 	AdmitPeers, Notice time.Duration
-	// Limit is when requests in flight are aborted.
-	Limit time.Duration
+	// Limit is when requests in flight are ended with a response, and Cut when the
+	// connections that are still open are closed.
+	Limit, Cut time.Duration
 }
 
 // planShutdown returns the plan for a platform's bounds, or that of the settings if the
 // platform states no grace period. Requests in flight may use the whole grace period
-// except for the exit: what is cut earlier could have been answered. At least half of the
+// except for the exit: what is ended earlier could have been answered. At least half of the
 // time is left for requests that arrive at the end of the notice.
 func planShutdown(s settings.Shutdown, b ShutdownBounds) shutdownPlan {
 	p := shutdownPlan{Notice: time.Duration(s.Notice), Limit: time.Duration(s.Notice) + time.Duration(s.Limit)}
@@ -52,6 +55,7 @@
 		}
 		p.Notice = min(p.Notice, p.Limit/2)
 	}
+	p.Cut = p.Limit + cutDelay
 	p.AdmitPeers = time.Duration(admitFraction * float64(p.Notice))
 	return p
 }
--- a/internal/host/shutdownplan_test.go
+++ b/internal/host/shutdownplan_test.go
@@ -20,7 +20,8 @@
 		t.Run(fmt.Sprint(grace), func(t *testing.T) {
 			is := is.New(t)
 			p := planShutdown(s, ShutdownBounds{Notice: 2500 * time.Millisecond, GracePeriod: grace})
-			is.True(p.Limit < grace)
+			is.True(p.Limit < p.Cut)
+			is.True(p.Cut < grace)
 			is.True(p.Limit >= min(grace*5/6, grace-250*time.Millisecond))
 			is.True(p.Notice <= 3*time.Second)
 			is.True(p.Notice <= p.Limit/2)
@@ -28,5 +29,5 @@
 		})
 	}
 	is := is.New(t)
-	is.Equal(planShutdown(s, ShutdownBounds{}), shutdownPlan{AdmitPeers: 1500 * time.Millisecond, Notice: 2500 * time.Millisecond, Limit: 5 * time.Second})
+	is.Equal(planShutdown(s, ShutdownBounds{}), shutdownPlan{AdmitPeers: 1500 * time.Millisecond, Notice: 2500 * time.Millisecond, Limit: 5 * time.Second, Cut: 5100 * time.Millisecond})
 }
