Call an unavailable store less often at proxies that follow readers

Cause: a proxy whose readers report that they have lost the store calls it itself, for the instances and for the configuration, as often as a reader does, and asks no reader again until one of its own calls succeeds.

Now such a proxy asks a reader and the store by turns from its second failed call on, at the longest interval of retries. No proxy asks for the configuration while its calls for the instances fail. Proxies still find out by themselves if the store turns only the readers away, and learn through these when it is back.

--- a/internal/source/configurationwatch.go
+++ b/internal/source/configurationwatch.go
@@ -40,9 +40,10 @@
 
 // NextConfigurationCall returns the next configuration call. It returns false
 // if none is due because one is in flight, because the first version is still to be
-// confirmed or because other calls return the configuration.
+// confirmed, because other calls return the configuration or because the store fails: the
+// calls for the instances find out when it is back.
 func (f *Follower) NextConfigurationCall(now time.Time) (Call, bool) {
-	if f.configurationWatch.inFlight || !f.listed || !f.isLargeFleet() || f.restored.unconfirmed != nil {
+	if f.configurationWatch.inFlight || f.failures > 0 || !f.listed || !f.isLargeFleet() || f.restored.unconfirmed != nil {
 		return Call{}, false
 	}
 	if reader, _ := f.selectReader(now); reader != nil {
--- a/internal/source/follow.go
+++ b/internal/source/follow.go
@@ -268,11 +268,16 @@
 			return v, Call{At: now, Reader: seed, AllowStale: true}
 		}
 	}
-	return v, f.retryCall(now)
+	return v, f.outageCall(now)
 }
 
 // retryCall returns the next call to the store after a failure.
 func (f *Follower) retryCall(now time.Time) Call {
+	return f.retryCallAfter(now, f.backoff(max(0, f.failures-1)))
+}
+
+// retryCallAfter returns the next call to the store after at most the given time.
+func (f *Follower) retryCallAfter(now time.Time, wait time.Duration) Call {
 	next := f.nextCall(now)
 	next.Wait, next.Reader, next.Force = 0, nil, false
 	if !f.listed {
@@ -280,7 +285,6 @@
 	}
 	// Half of the delay is random, so that proxies that failed at the same time
 	// do not retry at the same time.
-	wait := f.backoff(max(0, f.failures-1))
 	next.At = now.Add(wait/2 + time.Duration(f.rng.Int64N(int64(wait/2)+1)))
 	return next
 }
--- a/internal/source/relay.go
+++ b/internal/source/relay.go
@@ -244,6 +244,9 @@
 	var v Update
 	v.addNote("reader lost", id+": "+cause)
 	f.readerFailedAt[id] = now
+	if f.failures > 0 {
+		return v, f.callAfterReader(now)
+	}
 	next := f.nextCall(now)
 	// A change may have been missed since the failed call began. If the next reader is
 	// silent as well, there must be time left to ask the store.
