--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -25,6 +25,7 @@
 	// end of the connection.
 	selfDelimited bool
 	conn          *connection
+	limit         timeLimit
 	stopCancel    func() bool
 	upload        *upload
 	// uploadErr is the result of the upload, valid once the upload has
@@ -35,6 +36,8 @@
 	// truncated is set when the response was aborted because its body did not end
 	// in time or not properly.
 	truncated bool
+	// unforwarded is the error of a response of which nothing has reached the caller.
+	unforwarded error
 	// bodyRead is set when the whole body is in memory. held counts what is kept of it,
 	// nil if that is not counted.
 	bodyRead bool
@@ -45,17 +48,24 @@
 // exchange ends at the deadline or when ctx is cancelled. The error is
 // ErrNotSent if no byte was sent, ErrMalformedResponse if a response was
 // received that cannot be forwarded, and ErrConnectionLost otherwise. It is
-// also ErrDeadlineExpired if the deadline has passed.
+// also ErrDeadlineExpired if the deadline has passed, or if ctx was cancelled shortly
+// before it: the sender then left because of the deadline. An ErrNotSent is
+// errUnreachable instead if the address cannot be reached. An ErrConnectionLost is
+// also errBody if the sender of a streamed body is at fault.
 func (p *Pool) Do(ctx context.Context, deadline time.Time, address string, out *outgoingRequest) (*Exchange, error) {
-	if !time.Now().Before(deadline) {
+	limit := newTimeLimit(deadline)
+	if limit.expired(ctx) {
 		return nil, errors.Mark(errors.Wrap(ErrNotSent, "deadline"), ErrDeadlineExpired)
 	}
 	c, err := p.acquire(ctx, deadline, address, out.nonRepeatable)
+	if errors.Is(err, errUnreachable) {
+		return nil, err
+	}
 	if err != nil {
-		return nil, markExpired(err, deadline)
+		return nil, limit.markExpired(ctx, err)
 	}
 	c.beginExchange()
-	x := &Exchange{pool: p, conn: c, upload: out.upload, dialect: out.dialect, requestID: out.dialect.RequestID(out.in)}
+	x := &Exchange{pool: p, conn: c, limit: limit, upload: out.upload, dialect: out.dialect, requestID: out.dialect.RequestID(out.in)}
 	if out.use != nil {
 		x.held = &out.use.held
 	}
@@ -69,16 +79,12 @@
 		x.conn.endExchange() // a slow backend server would otherwise never get a connection in time
 		p.put(x.conn)
 	default:
+		if out.upload.senderAtFault(limit.expired(ctx)) {
+			err = errors.Mark(err, errBody)
+		}
 		x.abort()
 	}
-	return nil, markExpired(err, deadline)
-}
-
-func markExpired(err error, deadline time.Time) error {
-	if time.Now().Before(deadline) {
-		return err
-	}
-	return errors.Mark(err, ErrDeadlineExpired)
+	return nil, limit.markExpired(ctx, err)
 }
 
 // roundTrip sends the request and reads the response header.
@@ -168,6 +174,7 @@
 	case x.uploadErr == nil:
 		x.conn.setUserTimeout(userTimeout)
 	case errors.Is(x.uploadErr, errBody):
+		out.upload.broken.Store(true)
 		_ = x.conn.Close() // the receiver must not take a truncated body for a complete one
 	default:
 		out.upload.discardRest() // the receiver may have responded before the end of the body
