Keep the name of the grace period's bound within the adapter's package

The soak named the bound itself, which TestPlatformNamesStayInPackage did not forbid. The soak's own limits of a shutdown had no effect beside the bound and are gone. No change of behaviour.

--- a/bench/soak/machine.go
+++ b/bench/soak/machine.go
@@ -15,7 +15,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/pelletier/go-toml/v2"
 
-	"heatherlift.example/heatherlift/internal/config"
 	"heatherlift.example/heatherlift/internal/lab"
 	"heatherlift.example/heatherlift/internal/settings"
 	"heatherlift.example/heatherlift/platform/standin"
@@ -104,12 +103,11 @@
 	for i := range seedMachines {
 		s.Platform.Seeds = append(s.Platform.Seeds, address(fmt.Sprintf("127.%d.1.%d", c.secondOctet, i+1), peersPort))
 	}
-	s.Platform.Bounds = append(standin.RetryBounds(budgetRatio, budgetSlack, budgetWindow), fmt.Sprintf("gracePeriodS=%g", c.observed.grace.Seconds()))
+	s.Platform.Bounds = append(standin.RetryBounds(budgetRatio, budgetSlack, budgetWindow), standin.GracePeriodBound(c.observed.grace))
 	if c.downloadKind != "" {
 		s.Platform.LinkMbps = downloadLinkMbps
 	}
 	s.Peers.Plaintext = true
-	s.Shutdown = settings.Shutdown{Notice: config.Duration(2500 * time.Millisecond), Limit: config.Duration(2500 * time.Millisecond)} // as in deploy/proxy.toml
 	s.Log.Format = "json"
 	text, err := toml.Marshal(s)
 	if err != nil {
