Read the configuration until a reader has replied

Cause: a proxy that called the store itself, since its readers were lost, stopped reading the configuration as soon as a reader could be asked again, although its call for instances was still in flight and the next call, to the reader, was delayed by 500 ms. If that reader was gone too, its time-outs came on top. Change: the configuration is read until a reader has replied, and a reader is asked at once after a change. Test: source.TestConfigurationIsReadUntilAReaderReplies, which failed before. No test or check was changed.

--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -63,8 +63,8 @@
 	case ReaderDelayed:
 		update, next = n.follower.HandleReaderDelay(now, e.Reader)
 	case StoreRelayed:
-		superseded = !e.AnyAge && n.follower.EndReaderDelay(e.Reader)
 		update, next = n.applyRelayReply(now, e)
+		superseded = !e.AnyAge && n.follower.EndReaderDelay(e.Reader)
 	}
 	if !superseded {
 		out.Store = append(out.Store, next)
--- a/internal/source/configurationwatch.go
+++ b/internal/source/configurationwatch.go
@@ -15,6 +15,9 @@
 	position Position
 	next     Call
 	failures int
+	// active reports that this proxy has read the configuration from the store since
+	// a reader last replied.
+	active bool
 }
 
 // advance moves the position forward.
@@ -45,10 +48,11 @@
 	if f.configurationWatch.inFlight || !f.listed || !f.isLargeFleet() || f.restored.unconfirmed != nil {
 		return Call{}, false
 	}
-	if reader, _ := f.selectReader(now); reader != nil {
+	// A reader that can be asked may not be asked yet, or not reply.
+	if reader, _ := f.selectReader(now); reader != nil && !f.configurationWatch.active {
 		return Call{}, false
 	}
-	f.configurationWatch.inFlight = true
+	f.configurationWatch.inFlight, f.configurationWatch.active = true, true
 	call := f.configurationWatch.next
 	if call.Part != ConfigurationOnly || call.At.Before(now) {
 		call.At = now
@@ -67,7 +71,7 @@
 	}
 	var v Update
 	previous := f.configurationWatch.position
-	f.configurationWatch = configurationWatchState{position: previous}
+	f.configurationWatch = configurationWatchState{position: previous, active: f.configurationWatch.active}
 	f.configurationWatch.advance(c.Position())
 	f.acceptConfiguration(c.Configuration, &v)
 	f.applyEvacuationChanges(c, &v)
@@ -100,6 +104,7 @@
 	}
 	f.configurationWatch = configurationWatchState{
 		position: f.configurationWatch.position,
+		active:   f.configurationWatch.active,
 		failures: failures,
 		next:     Call{Part: ConfigurationOnly, At: now.Add(wait), List: true},
 	}
--- a/internal/source/follow.go
+++ b/internal/source/follow.go
@@ -239,7 +239,7 @@
 	f.updateEvacuations(now, &v)
 	f.acceptConfiguration(c.Configuration, &v)
 	next := f.nextCall(now)
-	if len(c.Instances) > 0 || len(c.Evacuations) > 0 || c.Configuration != nil {
+	if next.Reader == nil && (len(c.Instances) > 0 || len(c.Evacuations) > 0 || c.Configuration != nil) {
 		next.At = now.Add(batchDelay)
 	}
 	if c.Configuration != nil {
--- a/internal/source/relay.go
+++ b/internal/source/relay.go
@@ -219,6 +219,9 @@
 	// If the readers fail, only the newest version needs to be read.
 	f.configurationWatch.next = Call{Part: ConfigurationOnly, List: true}
 	f.configurationWatch.failures = 0
+	if !f.delayed[id] { // another source was asked since
+		f.configurationWatch.active = false
+	}
 	return v, f.nextCall(now)
 }
 
--- a/internal/source/relay_test.go
+++ b/internal/source/relay_test.go
@@ -382,3 +382,28 @@
 	is.True(configCall.List)
 	is.Equal(configCall.At, testStart)
 }
+
+// A proxy that had called the store itself stopped reading the configuration as soon as
+// a reader could be asked again, 1.3 s before it asked one. If that reader was
+// silent as well, a version was in force 2.5 s after its acknowledgement at this proxy alone.
+func TestConfigurationIsReadUntilAReaderReplies(t *testing.T) {
+	is := is.New(t)
+	f, call := newRelayedFollower(t)
+	f.HandleRelayReply(testStart, call.Reader.ID, RelayReply{Revision: 9}, nil)
+	for call.Reader != nil {
+		_, call = f.HandleReaderFailure(testStart, call.Reader.ID, "silent")
+	}
+	_, ok := f.NextConfigurationCall(testStart)
+	is.True(ok)
+	now := testStart.Add(readerRetryDelay)
+	f.HandleConfiguration(now, Changes{Revision: 10, Configuration: &Configuration{Version: 2}})
+	_, ok = f.NextConfigurationCall(now)
+	is.True(ok) // the call to the store for instances is still in flight
+
+	_, call = f.HandleChanges(now, Changes{Revision: 11, Instances: []Entry{removal("i-59", 11)}})
+	is.Equal(call.At, now) // a call to a reader costs nothing that a delay would save
+	f.HandleRelayReply(now, call.Reader.ID, RelayReply{Revision: 11}, nil)
+	f.HandleConfiguration(now, Changes{Revision: 11})
+	_, ok = f.NextConfigurationCall(now)
+	is.True(!ok)
+}
