--- a/internal/forward/ingress.go
+++ b/internal/forward/ingress.go
@@ -33,20 +33,12 @@
 	AbortsAt func() time.Time
 }
 
-// abortMargin is the time before the end of a shutdown at which requests that arrived
-// during it get their final response, which a cut connection would not be.
-const abortMargin = 100 * time.Millisecond
-
 // notAfter returns the latest time of a response, zero if there is no such limit.
 func (e *Ingress) notAfter() time.Time {
 	if e.AbortsAt == nil {
 		return time.Time{}
 	}
-	end := e.AbortsAt()
-	if end.IsZero() {
-		return end
-	}
-	return end.Add(-abortMargin)
+	return e.AbortsAt()
 }
 
 // NewIngress returns the handler for callers. The runID must be unique to this
--- a/internal/host/shutdownplan.go
+++ b/internal/host/shutdownplan.go
@@ -22,10 +22,11 @@
 	// to finish.
 	admitFraction = 0.6
 	// Aborting what is left, the last log lines and the exit take place in the last
-	// part of a grace period: exitFraction of it within the limits below. A process
-	// that has little processor time needs the lower one.
+	// part of a grace period: exitFraction of it within the limits below, and at most
+	// maxExitFraction. A process that has little processor time needs the lower limit.
 	exitFraction    = 1.0 / 12
-	minExitDuration = 250 * time.Millisecond
+	maxExitFraction = 1.0 / 6
+	minExitDuration = 500 * time.Millisecond
 	maxExitDuration = time.Second
 	// cutDelay is the time for the last responses to be written.
 	cutDelay = 100 * time.Millisecond
@@ -48,7 +49,8 @@
 func planShutdown(s settings.Shutdown, b ShutdownBounds) shutdownPlan {
 	p := shutdownPlan{Notice: time.Duration(s.Notice), Limit: time.Duration(s.Notice) + time.Duration(s.Limit)}
 	if b.GracePeriod > 0 {
-		exit := min(max(time.Duration(exitFraction*float64(b.GracePeriod)), minExitDuration), maxExitDuration, b.GracePeriod/2)
+		grace := float64(b.GracePeriod)
+		exit := min(max(time.Duration(exitFraction*grace), minExitDuration), maxExitDuration, time.Duration(maxExitFraction*grace))
 		p.Limit = b.GracePeriod - exit
 		if b.Notice > 0 {
 			p.Notice = b.Notice
