Choose the call of an outage and find this proxy among the readers in one place

outageCall and callAfterReader repeated their choice between the intervals, and the search for this proxy among the readers of its zone stood in selectReader too.

--- a/internal/source/outage.go
+++ b/internal/source/outage.go
@@ -12,22 +12,20 @@
 // the readers retry on its behalf. Its own calls find out if the store turns only the
 // readers away.
 func (f *Follower) outageCall(now time.Time) Call {
-	reader, force := f.readerInOutage(now)
-	if reader == nil {
-		return f.retryCall(now)
+	call := f.callAfterReader(now)
+	if reader, force := f.readerInOutage(now); reader != nil {
+		call.Reader, call.Force, call.Delay = reader, force, 0
 	}
-	call := f.retryCallAfter(now, f.backoff(maxDoublings))
-	call.Reader, call.Force, call.Delay = reader, force, 0
 	return call
 }
 
 // callAfterReader returns the call to the store after a reader could not help during an
 // outage.
 func (f *Follower) callAfterReader(now time.Time) Call {
-	if reader, _ := f.readerInOutage(now); reader == nil {
-		return f.retryCall(now)
+	if reader, _ := f.readerInOutage(now); reader != nil {
+		return f.retryCallAfter(now, f.backoff(maxDoublings))
 	}
-	return f.retryCallAfter(now, f.backoff(maxDoublings))
+	return f.retryCall(now)
 }
 
 // readerInOutage returns the reader to ask during an outage of the store, or nil if there
@@ -37,12 +35,7 @@
 		return nil, false
 	}
 	readers, force := f.electReaders()
-	for _, r := range readers {
-		if r.BackendAddress == f.cfg.BackendAddress {
-			return nil, false
-		}
-	}
-	if len(readers) == 0 {
+	if len(readers) == 0 || f.isAmong(readers) {
 		return nil, false
 	}
 	return readers[f.failures%len(readers)], force
--- a/internal/source/relay.go
+++ b/internal/source/relay.go
@@ -102,10 +102,8 @@
 		return nil, false
 	}
 	readers, force := f.electReaders()
-	for _, r := range readers {
-		if r.BackendAddress == f.cfg.BackendAddress {
-			return nil, false
-		}
+	if f.isAmong(readers) {
+		return nil, false
 	}
 	// Half of the proxies call the second reader first, to balance the load.
 	if len(readers) > 1 && f.cfg.RandSeed%readersPerZone == 1 {
@@ -141,6 +139,11 @@
 	return zone[:min(len(zone), readersPerZone)], true
 }
 
+// isAmong reports whether this proxy is one of the readers.
+func (f *Follower) isAmong(readers []*Instance) bool {
+	return slices.ContainsFunc(readers, func(r *Instance) bool { return r.BackendAddress == f.cfg.BackendAddress })
+}
+
 // readerCandidates returns the live instances that match, in the order of election.
 func (f *Follower) readerCandidates(match func(*Instance) bool) []*Instance {
 	var candidates []*Instance
