Send requests only to the process that holds an address

Cause: for 1.9 s after a loss of power the list holds each address twice, the entry of the process before and that of the one after. The number of proxies among which the retry budget is divided stays doubled for 30 s more.

Change: source.Follower passes on, for each address, the entry that the store created last; the start time in the entry is a clock that may step, and decides only between equals. The proxy beside a backend server refuses requests for its former processes at once, as instance-replaced, which no server counts.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -75,6 +75,8 @@
 	departure *departure
 	// assigned means that the platform has listed the backend server.
 	assigned bool
+	// former holds the processes before the present backend server.
+	former   formerInstances
 	requests *requestTable
 	queue    *priorityQueue
 	// awaitingClaim holds the requests whose claim is not decided yet.
@@ -222,6 +224,8 @@
 	// as draining, suspended or busy with a probe, or has announced its end.
 	case a.acceptMode(now) == acceptNone, a.acceptMode(now) == acceptProbes && len(a.running) > 0, a.departure.concerns(r):
 		a.refuse(now, r, outcome.InstanceLeaving)
+	case a.former.includes(e.Instance):
+		a.refuse(now, r, outcome.InstanceReplaced)
 	case !now.Before(e.Deadline):
 		a.refuse(now, r, outcome.DeadlineExpired)
 	case a.shouldRedirect(now, r):
@@ -295,6 +299,7 @@
 		a.limiter.limit = float64(e.Slots)
 	}
 	a.cfg.Slots = e.Slots
+	a.former.update(e.Instance, e.Superseded)
 	if e.Restarted {
 		a.reportCrash(now, processReplaced)
 		a.monitor = healthMonitor{}
--- a/internal/admission/events.go
+++ b/internal/admission/events.go
@@ -89,6 +89,10 @@
 		// Restarted reports a different backend server, or a restart of the
 		// same one.
 		Restarted bool
+		// Instance identifies the backend server, Superseded the processes that ran at
+		// its address before and are still listed.
+		Instance   string
+		Superseded []string
 	}
 	// Draining reports whether the platform's list of instances marks the
 	// backend server as leaving or lacks it.
--- a/internal/node/instances.go
+++ b/internal/node/instances.go
@@ -42,18 +42,14 @@
 	n.stepQuarantine(now, n.listedPeers(list), out)
 }
 
-// localBackend returns the entry of the local backend server. The entry of the process
-// before it may still be listed; the process that started last counts then.
+// localBackend returns the entry of the local backend server.
 func (n *Node) localBackend(list []source.Instance) (backend source.Instance, ok bool) {
 	for _, i := range list {
-		if i.BackendAddress != n.cfg.BackendAddress || i.Service != n.cfg.Member.Self.Service {
-			continue
-		}
-		if !ok || i.Incarnation >= backend.Incarnation {
-			backend, ok = i, true
+		if i.BackendAddress == n.cfg.BackendAddress && i.Service == n.cfg.Member.Self.Service {
+			return i, true
 		}
 	}
-	return backend, ok
+	return source.Instance{}, false
 }
 
 // updateBackend passes the listed state of the local backend server to admission.
@@ -63,6 +59,11 @@
 	}
 	restarted := n.backend.ID != i.ID || n.backend.Incarnation != i.Incarnation
 	n.backend = i
-	n.stepAdmission(now, admission.Assigned{Slots: i.Slots, Restarted: restarted}, out)
+	n.stepAdmission(now, admission.Assigned{
+		Slots:      i.Slots,
+		Restarted:  restarted,
+		Instance:   i.ID,
+		Superseded: n.follower.Superseded(i.BackendAddress),
+	}, out)
 	n.stepAdmission(now, admission.Draining{Draining: i.State == source.InstanceLeaving}, out)
 }
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -74,6 +74,9 @@
 	MalformedAnswer Reason = "malformed-answer"
 	// OtherInstance means that the address now belongs to a different instance.
 	OtherInstance Reason = "other-instance"
+	// InstanceReplaced means the same, and that the proxy at the address knew it: the
+	// backend server has not seen the request.
+	InstanceReplaced Reason = "instance-replaced"
 	// UpgradeUnsupported means that the caller requested an upgrade to another
 	// protocol.
 	UpgradeUnsupported Reason = "upgrade-unsupported"
--- a/internal/routing/offer.go
+++ b/internal/routing/offer.go
@@ -236,7 +236,7 @@
 		r.recordBusy(now, i, mark, e.RetryAfter)
 	case outcome.ConnectFailed, outcome.InstanceLeaving:
 		i.downUntil = now.Add(unreachableBackoff)
-	case outcome.OtherInstance:
+	case outcome.OtherInstance, outcome.InstanceReplaced:
 		i.downUntil = now.Add(replacedBackoff)
 	}
 }
--- a/internal/source/configurationwatch.go
+++ b/internal/source/configurationwatch.go
@@ -30,7 +30,7 @@
 // isLargeFleet reports whether the fleet is so large that proxies follow the
 // store through readers, and readers follow instances and configuration by
 // separate calls.
-func (f *Follower) isLargeFleet() bool { return len(f.known) >= relayMinInstances }
+func (f *Follower) isLargeFleet() bool { return f.fleetSize() >= relayMinInstances }
 
 // recordVersion records the arrival of a version and reports whether the
 // previous one arrived within burstWindow. A watch returns every version in
--- a/internal/source/entries.go
+++ b/internal/source/entries.go
@@ -64,10 +64,13 @@
 
 // setInstances sets the instances of the update and recomputes the list hash.
 func (f *Follower) setInstances(v *Update) {
+	f.updateHolders()
 	hash := xxhash.New()
-	v.Instances = make([]Instance, 0, len(f.known))
+	v.Instances = make([]Instance, 0, f.fleetSize())
 	for _, e := range f.sortedEntries() {
-		v.Instances = append(v.Instances, e.listed())
+		if !f.isSuperseded(e.ID) {
+			v.Instances = append(v.Instances, e.listed())
+		}
 		fmt.Fprintf(hash, "%s %d\n", e.ID, e.Revision)
 		if e.Era > 0 {
 			fmt.Fprintf(hash, "%d %s\n", e.Era, e.Instance.State)
--- a/internal/source/follow.go
+++ b/internal/source/follow.go
@@ -66,7 +66,8 @@
 // Update is the result of one step. Nil and empty fields mean that nothing
 // changed.
 type Update struct {
-	// Instances is the new list of instances, sorted by identifier.
+	// Instances is the new list of instances, sorted by identifier: of the entries with
+	// one address only that of the process that started last.
 	Instances []Instance
 	// Evacuations are all evacuations in force, sorted by zone; nil if they did not
 	// change.
@@ -87,8 +88,10 @@
 	cfg FollowerConfig
 	rng *rand.Rand
 	// known holds the entries of the list of instances by ID.
-	known    map[string]Entry
-	position Position
+	known map[string]Entry
+	// superseded holds the addresses of the known entries that do not hold them, by ID.
+	superseded map[string]string
+	position   Position
 	// restored holds what is kept across a restoration of the store.
 	restored restoredState
 	// version is the highest version of the configuration returned so far.
@@ -167,6 +170,7 @@
 		declined:       make(map[string]bool),
 		confirmed:      make(map[string]bool),
 		known:          make(map[string]Entry),
+		superseded:     make(map[string]string),
 		retained:       make(map[string]bool),
 		restored:       newRestoredState(),
 		evacuations:    newEvacuationState(cfg.RandSeed),
--- a/internal/source/relay.go
+++ b/internal/source/relay.go
@@ -148,7 +148,7 @@
 func (f *Follower) readerCandidates(match func(*Instance) bool) []*Instance {
 	var candidates []*Instance
 	for _, e := range f.known {
-		if e.Instance.State == InstanceLive && !f.retained[e.ID] && match(e.Instance) {
+		if e.Instance.State == InstanceLive && !f.retained[e.ID] && !f.isSuperseded(e.ID) && match(e.Instance) {
 			candidates = append(candidates, e.Instance)
 		}
 	}
--- a/internal/source/survey.go
+++ b/internal/source/survey.go
@@ -35,8 +35,10 @@
 			f.known[e.ID] = e
 		}
 	}
+	f.updateHolders()
 	if !f.isLargeFleet() {
 		clear(f.known)
+		clear(f.superseded)
 		return list
 	}
 	return f.nextCall(now)
