--- a/internal/source/entries.go
+++ b/internal/source/entries.go
@@ -34,6 +34,7 @@
 
 func (f *Follower) putEntry(e Entry) {
 	delete(f.retained, e.ID)
+	e.Created = e.startedAt(f.known[e.ID])
 	f.known[e.ID] = e
 }
 
--- a/internal/source/feed.go
+++ b/internal/source/feed.go
@@ -80,8 +80,8 @@
 	// Era is the era of the answer that held the entry. The follower sets it.
 	Era      uint64 `json:"era,omitempty"`
 	Revision uint64 `json:"revision"`
-	// Created is the revision at which the entry was first written, 0 if the store does
-	// not name it.
+	// Created is the revision at which the present process first wrote the entry, as far
+	// as it is known, 0 if the store does not name it.
 	Created uint64 `json:"created,omitempty"`
 	// Instance is nil if the entry was removed or is invalid.
 	Instance *Instance `json:"instance,omitempty"`
--- a/internal/source/holders.go
+++ b/internal/source/holders.go
@@ -10,20 +10,24 @@
 // address, whatever service it names. The order of the store decides and not the start
 // time in the entry: that is a reading of the backend server's own clock, which may step.
 
-// firstWritten returns the position at which the entry was created, or that of its last
-// change if the store does not name it.
-func (e Entry) firstWritten() Position {
-	if e.Created > 0 {
-		return Position{e.Era, e.Created}
+// startedAt returns the revision at which the process of the entry first wrote it, given
+// the entry that was known before: the creation, or the first revision seen if the store
+// does not name that or if another process writes under the same identifier now.
+func (e Entry) startedAt(known Entry) uint64 {
+	switch {
+	case known.Instance == nil || known.Era != e.Era:
+		return cmp.Or(e.Created, e.Revision)
+	case known.Instance.Incarnation != e.Instance.Incarnation:
+		return e.Revision
 	}
-	return e.Position()
+	return known.Created
 }
 
-// createdAfter reports whether the entry was created after another one with the same
-// address.
-func (e Entry) createdAfter(o Entry) bool {
+// startedAfter reports whether the process of the entry started after that of another one
+// with the same address.
+func (e Entry) startedAfter(o Entry) bool {
 	return cmp.Or(
-		e.firstWritten().Compare(o.firstWritten()),
+		Position{e.Era, e.Created}.Compare(Position{o.Era, o.Created}),
 		cmp.Compare(e.Instance.Incarnation, o.Instance.Incarnation),
 		cmp.Compare(e.ID, o.ID),
 	) > 0
@@ -34,7 +38,7 @@
 	holders := make(map[string]Entry, len(f.known))
 	for _, e := range f.known {
 		address := e.Instance.BackendAddress
-		if h, ok := holders[address]; !ok || e.createdAfter(h) {
+		if h, ok := holders[address]; !ok || e.startedAfter(h) {
 			holders[address] = e
 		}
 	}
--- a/internal/source/survey.go
+++ b/internal/source/survey.go
@@ -32,7 +32,7 @@
 	}
 	for _, e := range inEra(l.Instances, l.Era) {
 		if e.Instance != nil {
-			f.known[e.ID] = e
+			f.putEntry(e)
 		}
 	}
 	f.updateHolders()
