Keep requests that arrive in the half second before the first version

Cause: after a loss of power of all machines a proxy refuses requests with no-version until it has read a version, for 0.45 to 0.57 s at 295 proxies. The callers come back 1 to 2 s later, when the backend servers, which were idle meanwhile and are cold, have more requests than they can run.

--- a/internal/host/requestmetrics.go
+++ b/internal/host/requestmetrics.go
@@ -25,6 +25,7 @@
 func newRequestMetrics(h *Host) *requestMetrics {
 	return &requestMetrics{host: h, counters: []requestCounter{
 		newRequestCounter("requests", "Requests received from callers.", func(s node.RequestStats) uint64 { return s.Routing.Arrived }),
+		newRequestCounter("waited_for_version", "Requests that waited for the first version of a process that had just started.", func(s node.RequestStats) uint64 { return s.Routing.WaitedForVersion }),
 		newRequestCounter("attempts", "Attempts sent to instances.", func(s node.RequestStats) uint64 { return s.Routing.Attempts }),
 		newRequestCounter("redirects", "Further attempts that are not charged to a retry budget, because no backend server ran the previous attempt.", func(s node.RequestStats) uint64 { return s.Routing.Redirects }),
 		newRequestCounter("retries", "Attempts charged to a retry budget.", func(s node.RequestStats) uint64 { return s.Routing.Retries }),
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -290,6 +290,7 @@
 func (r *Router) abandoned(now time.Time, e Abandoned) {
 	c, ok := r.calls[e.ID]
 	if !ok {
+		r.abandonStarting(e.ID)
 		return
 	}
 	if c.current != nil {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -84,6 +84,8 @@
 	fleet fleetSize
 	orgs  map[string]*organisationState
 	calls map[uint64]*call
+	// starting holds the requests that wait for the first version.
+	starting []startingRequest
 	// retryBudget is the retry budget of this proxy, for all organisations.
 	retryBudget retryBucket
 	// serviceBudgets holds the retry budgets by service.
@@ -141,9 +143,11 @@
 		r.abandoned(now, e)
 	case SnapshotEnforced:
 		r.enforce(e.Snapshot)
+		r.routeStarting(now)
 	case InstancesChanged:
 		r.setInstances(now, e.Instances)
 	case Tick:
+		r.refuseStarting(now)
 	}
 	return r.effects
 }
@@ -158,7 +162,7 @@
 
 // InFlight returns the number of requests in progress.
 func (r *Router) InFlight() int {
-	return len(r.calls)
+	return len(r.calls) + len(r.starting)
 }
 
 // Fingerprint returns the Fingerprint and KnownCrashes of a request in progress, or
@@ -204,9 +208,14 @@
 func (r *Router) arrived(now time.Time, e Arrived) {
 	r.stats.Arrived++
 	if r.table == nil {
-		r.refuse(e.ID, notRunRefusal(outcome.NoVersion, http.StatusServiceUnavailable, r.withJitter(time.Second)))
+		r.awaitVersion(now, e)
 		return
 	}
+	r.route(now, e)
+}
+
+// route routes a request under the version in force.
+func (r *Router) route(now time.Time, e Arrived) {
 	match, known, ok := r.table.Lookup(e.Organisation, e.Method, e.Path)
 	switch {
 	case !known:
--- a/internal/routing/stats.go
+++ b/internal/routing/stats.go
@@ -8,6 +8,8 @@
 // Stats counts routing decisions since the start of the process.
 type Stats struct {
 	Arrived uint64 `json:"arrived"`
+	// WaitedForVersion counts requests that waited for the first version.
+	WaitedForVersion uint64 `json:"waited_for_version"`
 	// Attempts counts Send effects.
 	Attempts uint64 `json:"attempts"`
 	// Redirects counts uncharged further attempts, after ones that no backend
