--- a/internal/forward/decisionlog.go
+++ b/internal/forward/decisionlog.go
@@ -44,11 +44,21 @@
 			"load_age_ms", choice.LoadAge.Milliseconds(),
 			"fingerprint", strconv.FormatUint(c.fingerprint, 16),
 			"left_ms", d.Deadline.Sub(start).Milliseconds(),
+			"target_ms", timeToTarget(d, start).Milliseconds(),
 			"took_ms", time.Since(start).Milliseconds(),
 		}, fields...)
 	})
 }
 
+// timeToTarget returns the time from the start of an attempt until the target of its
+// request, 0 if it has none.
+func timeToTarget(d routing.Send, start time.Time) time.Duration {
+	if d.Target.IsZero() {
+		return 0
+	}
+	return d.Target.Sub(start)
+}
+
 // logRefusal logs the refusal that is the final response to a request.
 func (c *callerRequest) logRefusal(r outcome.Refusal) {
 	logDecision(c.core, true, "refused", func() []any {
--- a/internal/routing/costsim_test.go
+++ b/internal/routing/costsim_test.go
@@ -77,6 +77,9 @@
 	mode           reportMode
 	placement      routing.Placement
 	seed           uint64
+	// pipelined is the share of requests that waited at their callers behind others, for
+	// most of the time to their target.
+	pipelined float64
 }
 
 // admit passes an attempt to the admission of a server.
@@ -184,6 +187,7 @@
 	routes []routeResult
 	// inTime is the share of all requests, sends and remote are per request.
 	inTime, sends, remote float64
+	refused               int
 }
 
 func simulateCosts(sc costScenario) costResult {
@@ -228,6 +232,12 @@
 		capacity *= 1 - slowShare*(1-1/slowFactor)
 	}
 	s.costArrivals(entries, sc.load*capacity, sc.length, rand.New(rand.NewPCG(sc.seed, 3)))
+	waits := rand.New(rand.NewPCG(sc.seed, 6))
+	for _, r := range s.requests {
+		if waits.Float64() < sc.pipelined {
+			r.elapsed = time.Duration((0.6 + 0.35*waits.Float64()) * float64(r.target))
+		}
+	}
 	s.run(sc.length + 3*time.Second)
 	return s.summarizeCosts()
 }
@@ -271,7 +281,7 @@
 			pick -= costRoutes[n].weight
 			n++
 		}
-		r := &request{org: "o", method: "GET", path: "/" + costRoutes[n].name, arrivedAt: at}
+		r := &request{org: "o", method: "GET", path: "/" + costRoutes[n].name, arrivedAt: at, target: costRoutes[n].target}
 		r.work = time.Duration((0.5 + rng.ExpFloat64()/2) * float64(costRoutes[n].work))
 		if rng.IntN(longShare) == 0 {
 			r.work = longFactor * costRoutes[n].work
@@ -311,6 +321,9 @@
 	remote := 0
 	for _, r := range s.requests {
 		remote += r.remote
+		if r.outcome == outcome.NotRun {
+			out.refused++
+		}
 	}
 	out.inTime = float64(inTime) / float64(total)
 	out.sends = float64(s.sends) / float64(len(s.requests))
--- a/internal/routing/offer.go
+++ b/internal/routing/offer.go
@@ -25,6 +25,10 @@
 	// not count: many instances may name one at once, before this proxy knows.
 	maxSends           = 8
 	maxLimitedRefusals = 8
+	// maxOffers limits the offers of one request. The next send is to the fallback: a
+	// service with many instances has always another one to ask, and a request that
+	// none of them can answer within its target must not be refused for that.
+	maxOffers = 7
 	// offerMaxWaitShare is the share of its slack that an offered request may
 	// wait at the instance. The slack is the time until the target less the
 	// expected service time. A transfer cost above this share replaces it if
@@ -74,6 +78,7 @@
 	cost := r.transferCost(c)
 	remoteAllowed := remote != nil && c.remoteOffers < maxRemoteOffers && cost < 1
 	switch {
+	case c.sends-c.limitedRefusals >= maxOffers:
 	case local != nil && remoteAllowed && (local.errorProne(now) && !remote.errorProne(now) || r.leavesColdZone(now, local, remote)):
 		c.remoteOffers++
 		return remote, max(offerMaxWaitShare, cost)
--- a/internal/routing/sim_test.go
+++ b/internal/routing/sim_test.go
@@ -87,6 +87,9 @@
 	// path and work are set for requests to servers with admission.
 	path string
 	work time.Duration
+	// elapsed is the time that the caller has waited before it sent the request.
+	elapsed time.Duration
+	target  time.Duration
 	// remote counts the sends to other availability zones.
 	remote int
 }
@@ -168,7 +171,7 @@
 	if root.path != "" {
 		path = root.path
 	}
-	s.applyEffects(p, p.Step(s.now(), routing.Arrived{ID: id, Organisation: org, Method: root.method, Path: path, Retry: retry}))
+	s.applyEffects(p, p.Step(s.now(), routing.Arrived{ID: id, Organisation: org, Method: root.method, Path: path, Retry: retry, Elapsed: root.elapsed}))
 }
 
 func (s *sim) applyEffects(p policy, effects []routing.Effect) {
