Tell callers of late requests to return over the time that they have left

Cause: in overload a refused request returns within half a second, when it is late already. It takes a slot from one that could be in time, or is refused again until its caller has no attempt left. After a loss of power the same happens until the backend servers are warm, a time that their entries state.

Change: a request that would miss its target after the Retry-After of its refusal gets one that is drawn over a part of the time that its caller has left, and not before the service is warm.

--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -35,6 +35,9 @@
 	// attempts.
 	priorElapsed time.Duration
 	deadline     time.Time
+	// callerDeadline is the time until which the caller may try again, that of this
+	// request if the caller names none.
+	callerDeadline time.Time
 	// sends counts all sends, attempts those that may have reached a backend
 	// server (all of them if the route has no target), and remoteOffers the
 	// offers to instances in other availability zones.
@@ -96,11 +99,11 @@
 // was not sent yet has to wait for an instance held by Retry-After.
 func (r *Router) attempt(now time.Time, c *call, act action, last outcome.Refusal) {
 	if !now.Before(c.deadline) {
-		r.endRefused(c, notRunRefusal(outcome.DeadlineExpired, http.StatusGatewayTimeout, time.Second))
+		r.endRefused(now, c, notRunRefusal(outcome.DeadlineExpired, http.StatusGatewayTimeout, time.Second))
 		return
 	}
 	if c.attempts >= r.maxAttempts(c) || c.sends >= maxSends+min(c.limitedRefusals, maxLimitedRefusals) {
-		r.endRefused(c, last)
+		r.endRefused(now, c, last)
 		return
 	}
 	var chosen *instance
@@ -111,11 +114,11 @@
 		chosen = r.chooseByScore(now, c)
 	}
 	if chosen == nil {
-		r.endRefused(c, r.refusalWithoutInstance(now, c, last))
+		r.endRefused(now, c, r.refusalWithoutInstance(now, c, last))
 		return
 	}
 	if act == sendCharged && !r.admitRetry(now, c, chosen) {
-		r.endRefused(c, last)
+		r.endRefused(now, c, last)
 		return
 	}
 	r.send(now, c, chosen, maxWaitShare)
@@ -226,7 +229,7 @@
 	act := nextAction(c, e)
 	last := refusalFor(e)
 	if act == endRequest {
-		r.endRefused(c, last)
+		r.endRefused(now, c, last)
 		return
 	}
 	r.attempt(now, c, act, last)
@@ -317,11 +320,17 @@
 
 // endRefused ends a request with a refusal. If any attempt may have run, the
 // request is never reported as not run.
-func (r *Router) endRefused(c *call, refusal outcome.Refusal) {
+func (r *Router) endRefused(now time.Time, c *call, refusal outcome.Refusal) {
 	r.finish(c)
 	if c.mayHaveRun {
 		refusal.Outcome = outcome.Unknown
 	}
+	if d, ok := r.returnLate(now, c, refusal); ok {
+		r.stats.LateReturns++
+		refusal.RetryAfter = d
+		r.refuse(c.id, refusal)
+		return
+	}
 	// The times of the former are spread already, and requests refused because of an
 	// evacuation are refused as they arrive.
 	if refusal.Reason != outcome.BackendServerLimited && refusal.Reason != outcome.Evacuated {
--- a/internal/routing/costsim_test.go
+++ b/internal/routing/costsim_test.go
@@ -190,7 +190,8 @@
 	refused               int
 }
 
-func simulateCosts(sc costScenario) costResult {
+// newCostFleet returns the entry proxies and servers of a scenario.
+func newCostFleet(sc costScenario) (*sim, []policy) {
 	s := newSim()
 	s.mode, s.stated = sc.mode, sc.stated
 	s.losses = rand.New(rand.NewPCG(sc.seed, 5))
@@ -223,15 +224,12 @@
 		r.Step(simStart, routing.InstancesChanged{Instances: list})
 		entries[n] = r
 	}
-	mean := 0.0
-	for _, r := range costRoutes {
-		mean += r.weight * r.work.Seconds()
-	}
-	capacity := float64(sc.servers*costSlots) / (mean * (1 + float64(longFactor-1)/longShare))
-	if sc.spells {
-		capacity *= 1 - slowShare*(1-1/slowFactor)
-	}
-	s.costArrivals(entries, sc.load*capacity, sc.length, rand.New(rand.NewPCG(sc.seed, 3)))
+	return s, entries
+}
+
+func simulateCosts(sc costScenario) costResult {
+	s, entries := newCostFleet(sc)
+	s.costArrivals(entries, sc.load*sc.capacity(), sc.length, rand.New(rand.NewPCG(sc.seed, 3)))
 	waits := rand.New(rand.NewPCG(sc.seed, 6))
 	for _, r := range s.requests {
 		if waits.Float64() < sc.pipelined {
@@ -242,6 +240,19 @@
 	return s.summarizeCosts()
 }
 
+// capacity returns the number of requests per second that all servers together can run.
+func (sc costScenario) capacity() float64 {
+	mean := 0.0
+	for _, r := range costRoutes {
+		mean += r.weight * r.work.Seconds()
+	}
+	capacity := float64(sc.servers*costSlots) / (mean * (1 + float64(longFactor-1)/longShare))
+	if sc.spells {
+		capacity *= 1 - slowShare*(1-1/slowFactor)
+	}
+	return capacity
+}
+
 // slowSpells returns the slowdown of a server that is slow for slowShare of the time.
 func slowSpells(rng *rand.Rand, length time.Duration) func(time.Duration) float64 {
 	var starts []time.Duration
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -239,6 +239,10 @@
 		deadline = e.NotAfter
 	}
 	c := &call{id: e.ID, org: org, match: match, group: r.split.nextGroup(match), version: r.table.Version, arrived: arrived, deadline: deadline, retry: e.Retry, fingerprint: e.Fingerprint, knownCrashes: e.KnownCrashes}
+	c.callerDeadline = deadline
+	if e.Budget > 0 {
+		c.callerDeadline = arrived.Add(e.Budget)
+	}
 	c.priorElapsed = r.estimatePriorElapsed(match, e.Budget)
 	r.calls[e.ID] = c
 	org.InFlight++
--- a/internal/routing/sim_test.go
+++ b/internal/routing/sim_test.go
@@ -90,10 +90,19 @@
 	// elapsed is the time that the caller has waited before it sent the request.
 	elapsed time.Duration
 	target  time.Duration
+	// waitsUntil is when the caller gives up, 0 if it names no such time.
+	waitsUntil time.Duration
 	// remote counts the sends to other availability zones.
 	remote int
 }
 
+func (r *request) timeLeft(now time.Duration) time.Duration {
+	if r.waitsUntil == 0 {
+		return 0
+	}
+	return r.waitsUntil - now
+}
+
 type timer struct {
 	at  time.Duration
 	seq int
@@ -127,6 +136,8 @@
 	callbacks map[uint64]func(o outcome.Outcome, status int)
 	roots     map[uint64]*request
 	nextID    uint64
+	// retryAfter is that of the latest refusal.
+	retryAfter time.Duration
 	// requests holds the requests of the callers.
 	requests []*request
 	sends    int
@@ -171,13 +182,14 @@
 	if root.path != "" {
 		path = root.path
 	}
-	s.applyEffects(p, p.Step(s.now(), routing.Arrived{ID: id, Organisation: org, Method: root.method, Path: path, Retry: retry, Elapsed: root.elapsed}))
+	s.applyEffects(p, p.Step(s.now(), routing.Arrived{ID: id, Organisation: org, Method: root.method, Path: path, Retry: retry, Elapsed: root.elapsed, Budget: root.timeLeft(s.at)}))
 }
 
 func (s *sim) applyEffects(p policy, effects []routing.Effect) {
 	for _, e := range effects {
 		switch e := e.(type) {
 		case routing.Refuse:
+			s.retryAfter = e.Refusal.RetryAfter
 			s.finish(e.ID, e.Refusal.Outcome, e.Refusal.Status)
 		case routing.Send:
 			s.sends++
--- a/internal/routing/stats.go
+++ b/internal/routing/stats.go
@@ -37,6 +37,9 @@
 	PlacedByFinish  uint64 `json:"placed_by_finish"`
 	PlacedForTarget uint64 `json:"placed_for_target"`
 	CostReports     uint64 `json:"cost_reports"`
+	// LateReturns counts refused requests that are late in any case, whose callers were
+	// told to return over a part of the time that they have left.
+	LateReturns uint64 `json:"late_returns"`
 	// RateLimited and ConcurrencyLimited count requests refused by a limit.
 	RateLimited        uint64 `json:"rate_limited"`
 	ConcurrencyLimited uint64 `json:"concurrency_limited"`
