Refuse requests at once where the only version known cannot be put in force

Cause: requests are kept for the first version of a young process since, also when the version that the store holds was refused and no other is known (node.TestRefusedVersionIsNamedAndTheHeldOneStaysInForce failed on it).

Change: the router is told of a refused version; it refuses what waits, and what arrives until a version is in force.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -316,6 +316,7 @@
 		case dist.VersionRefused:
 			n.journal.add(now, "version refused", strconv.FormatUint(effect.Version, 10)+": "+effect.Problems.Error())
 			n.stepMember(now, member.VersionRefused{Version: effect.Version}, out)
+			n.stepRouting(now, routing.VersionRefused{}, out)
 		case dist.RoleChanged:
 			n.journal.add(now, "role "+effect.To.String(), "was "+effect.From.String())
 		case dist.ProtocolViolation:
--- a/internal/routing/events.go
+++ b/internal/routing/events.go
@@ -127,6 +127,8 @@
 	Abandoned struct{ ID uint64 }
 	// SnapshotEnforced puts a new snapshot in force.
 	SnapshotEnforced struct{ Snapshot *config.Snapshot }
+	// VersionRefused reports a version that cannot be put in force.
+	VersionRefused struct{}
 	// InstancesChanged replaces the list of instances.
 	InstancesChanged struct{ Instances []Instance }
 	// Tick reports that time has passed.
@@ -138,6 +140,7 @@
 func (Reported) routingEvent()         {}
 func (Abandoned) routingEvent()        {}
 func (SnapshotEnforced) routingEvent() {}
+func (VersionRefused) routingEvent()   {}
 func (InstancesChanged) routingEvent() {}
 func (Tick) routingEvent()             {}
 
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -86,6 +86,8 @@
 	calls map[uint64]*call
 	// starting holds the requests that wait for the first version.
 	starting []startingRequest
+	// versionRefused means that the only version known cannot be put in force.
+	versionRefused bool
 	// retryBudget is the retry budget of this proxy, for all organisations.
 	retryBudget retryBucket
 	// serviceBudgets holds the retry budgets by service.
@@ -141,6 +143,8 @@
 		r.reported(now, e)
 	case Abandoned:
 		r.abandoned(now, e)
+	case VersionRefused:
+		r.expectNoVersion()
 	case SnapshotEnforced:
 		r.enforce(e.Snapshot)
 		r.routeStarting(now)
--- a/internal/routing/starting.go
+++ b/internal/routing/starting.go
@@ -42,7 +42,7 @@
 	if !e.NotAfter.IsZero() {
 		until = earlier(until, e.NotAfter)
 	}
-	if !now.Before(until) || len(r.starting) >= maxStartingRequests {
+	if !now.Before(until) || r.versionRefused || len(r.starting) >= maxStartingRequests {
 		r.refuseWithoutVersion(e.ID)
 		return
 	}
@@ -53,7 +53,7 @@
 // routeStarting routes the requests that waited, those with the least time first.
 func (r *Router) routeStarting(now time.Time) {
 	waiting := r.starting
-	r.starting = nil
+	r.starting, r.versionRefused = nil, false
 	slices.SortStableFunc(waiting, func(a, b startingRequest) int { return a.until.Compare(b.until) })
 	for _, w := range waiting {
 		w.Elapsed += now.Sub(w.since)
@@ -72,6 +72,16 @@
 	})
 }
 
+// expectNoVersion refuses all requests that wait, and those that arrive before a version
+// that can be put in force.
+func (r *Router) expectNoVersion() {
+	r.versionRefused = true
+	for _, w := range r.starting {
+		r.refuseWithoutVersion(w.ID)
+	}
+	r.starting = nil
+}
+
 // abandonStarting forgets a request whose caller has left.
 func (r *Router) abandonStarting(id uint64) {
 	r.starting = slices.DeleteFunc(r.starting, func(w startingRequest) bool { return w.ID == id })
