Call the store less in storms, outages and while it turns machines away

Change: (1) the newest version is read apart only if a watch returned several; (2) in an outage a follower calls the store after four calls to readers, each of which retries on behalf of all, and takes it for an outage after one failure of its own if a reader is out of touch as well; (3) the next candidates take the place of up to three readers that are out of touch. A proxy that does not get through itself, a reader too, asks the others and does not call the store for 3 s once they keep it informed; it does not vouch for what is older than 1.5 s, as two of them could ask each other.

Left: two seconds after an outage readers in doubt of lapsed entries send all followers to the store (115 calls a second for 6 s).

--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -73,7 +73,7 @@
 			continue
 		}
 		reply := n.follower.Reply(pending.Request)
-		reply.Stale = reply.Stale || n.leaving
+		reply.Stale = reply.Stale || n.leaving || n.follower.OutOfTouch(now)
 		reply.AgeMs = n.follower.Age(now).Milliseconds()
 		if !reply.Declined && !pending.Request.EvacuationsOnly {
 			n.addDelta(&reply, pending.Request)
@@ -125,7 +125,11 @@
 	if e.Err == "" && e.Reply.Declined {
 		return source.Update{}, n.follower.HandleReaderDeclined(now, e.Reader)
 	}
-	if e.Err == "" && e.Reply.Stale {
+	stale := e.Err == "" && e.Reply.Stale
+	if stale && !e.AnyAge {
+		return n.follower.HandleStaleReader(now, e.Reader)
+	}
+	if stale {
 		e.Err = "reply is stale: the sender may not have the current content of the store"
 	}
 	var c *source.Configuration
--- a/internal/source/configurationwatch.go
+++ b/internal/source/configurationwatch.go
@@ -87,7 +87,9 @@
 		f.configurationWatch.next = Call{Part: ConfigurationOnly, At: now.Add(configurationBatchDelay)}
 	}
 	if v.Configuration != nil {
-		f.configurationWatch.next.List = f.recordVersion(now)
+		// Versions come faster than they are read. The next watch would return them in
+		// turn, each in full.
+		f.configurationWatch.next.List = c.Versions > 1
 	}
 	return v
 }
--- a/internal/source/entries.go
+++ b/internal/source/entries.go
@@ -60,6 +60,7 @@
 	delete(f.declined, id)
 	delete(f.confirmed, id)
 	delete(f.readerFailedAt, id)
+	delete(f.staleAt, id)
 	v.addNote("instance removed", id+": "+cause)
 }
 
--- a/internal/source/feed.go
+++ b/internal/source/feed.go
@@ -64,7 +64,10 @@
 	Era           uint64         `json:"era,omitempty"`
 	Revision      uint64         `json:"revision"`
 	Configuration *Configuration `json:"configuration,omitempty"`
-	Instances     []Entry        `json:"instances,omitempty"`
+	// Versions is the number of versions that the changes hold, of which Configuration is
+	// the last.
+	Versions  int     `json:"versions,omitempty"`
+	Instances []Entry `json:"instances,omitempty"`
 	// Part is the part of the store that the changes cover.
 	Part Part `json:"part,omitempty"`
 	// Evacuations holds changes or, with Complete, all evacuations.
--- a/internal/source/follow.go
+++ b/internal/source/follow.go
@@ -106,6 +106,8 @@
 	// unavailableSince the time of the first of them.
 	failures         int
 	unavailableSince time.Time
+	// ownFailureAt is when a call of this proxy to the store last failed.
+	ownFailureAt time.Time
 	// graceUntil is the end of the period in which removed entries are retained
 	// after an outage.
 	graceUntil time.Time
@@ -119,6 +121,11 @@
 	// readerFailedAt holds the time of the last failure of each reader that has not
 	// replied since.
 	readerFailedAt map[string]time.Time
+	// readerTurn counts the calls to readers since the last one to the store in an outage.
+	readerTurn int
+	// staleAt holds the time at which a reader was last out of touch with the store, if it
+	// has not replied since.
+	staleAt map[string]time.Time
 	// knownAt is the latest time of which the state of the store is known here.
 	knownAt time.Time
 	// delayed holds the readers with a call in flight whose reply is delayed.
@@ -166,6 +173,7 @@
 		cfg:            cfg,
 		rng:            rand.New(rand.NewPCG(cfg.RandSeed, 3)),
 		readerFailedAt: make(map[string]time.Time),
+		staleAt:        make(map[string]time.Time),
 		delayed:        make(map[string]bool),
 		declined:       make(map[string]bool),
 		confirmed:      make(map[string]bool),
@@ -189,6 +197,7 @@
 	}
 	var v Update
 	f.noteRecovery(now, &v)
+	f.ownFailureAt = time.Time{}
 	f.knownAt = now
 	entered := f.enterEra(now, l.Era, &v)
 	afterOutage := now.Before(f.graceUntil)
@@ -217,6 +226,7 @@
 	}
 	var v Update
 	f.noteRecovery(now, &v)
+	f.ownFailureAt = time.Time{}
 	f.knownAt = now
 	if c.Era > f.position.Era {
 		// The changes are those since a revision of another history.
@@ -267,6 +277,7 @@
 		v.addNote("store lost", cause)
 	}
 	f.failures++
+	f.ownFailureAt = now
 	if !f.listed {
 		if seed := f.nextSeed(); seed != nil {
 			return v, Call{At: now, Reader: seed, AllowStale: true}
--- a/internal/source/readerdelay.go
+++ b/internal/source/readerdelay.go
@@ -64,7 +64,7 @@
 		return
 	}
 	c.Delay = lastReaderDelay
-	readers, _ := f.electReaders()
+	readers, _ := f.electReaders(now)
 	for _, r := range readers {
 		switch {
 		case r.ID == c.Reader.ID:
