Make fewer offers while they are declined, and skip silent machines for 3 s

Change: the number of offers falls from seven to two with the share of accepted ones below a half; a machine that does not answer a connection attempt is skipped for 3 s, one that refuses it for 0.5 s as before.

--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -252,7 +252,8 @@
 		c.attempts-- // it did not reach a backend server
 		r.recordLimited(now, i, e.RetryAfter)
 	} else if c.hasTarget() {
-		r.startBackoff(now, i, e)
+		r.startBackoff(now, c, i, e)
+		i.pool.recordOffer(e)
 		if e.Outcome == outcome.NotRun && e.Reason != outcome.BackendServerShed && e.Reason != outcome.OtherInstance {
 			c.attempts-- // it did not reach a backend server
 		}
--- a/internal/routing/offer.go
+++ b/internal/routing/offer.go
@@ -25,10 +25,15 @@
 	// not count: many instances may name one at once, before this proxy knows.
 	maxSends           = 8
 	maxLimitedRefusals = 8
-	// maxOffers limits the offers of one request. The next send is to the fallback: a
+	// maxOffers limits the offers of one request, minOffers while nearly all offers to
+	// the service are declined, see offerLimit. The next send is to the fallback: a
 	// service with many instances has always another one to ask, and a request that
 	// none of them can answer within its target must not be refused for that.
-	maxOffers = 7
+	maxOffers, minOffers = 7, 2
+	// contendedAcceptance is the share of accepted offers below which fewer are made.
+	contendedAcceptance = 0.5
+	// acceptanceWeight is the weight of an offer in that share.
+	acceptanceWeight = 0.05
 	// offerMaxWaitShare is the share of its slack that an offered request may
 	// wait at the instance. The slack is the time until the target less the
 	// expected service time. A transfer cost above this share replaces it if
@@ -47,6 +52,11 @@
 	// unreachable or refused a request with InstanceLeaving. It is short because a
 	// refused connection costs only a fraction of a millisecond.
 	unreachableBackoff = 500 * time.Millisecond
+	// silentBackoff is how long it is skipped after it did not answer a connection
+	// attempt at all, which costs a request minSilence or more. Machines that have lost
+	// power stay listed for some seconds.
+	silentBackoff = 3 * time.Second
+	minSilence    = 100 * time.Millisecond
 	// replacedBackoff is how long an instance is skipped after a different one
 	// answered at its address. It is the platform's upper bound on the time
 	// until a removed instance has left the instance list, which must then name
@@ -78,7 +88,7 @@
 	cost := r.transferCost(c)
 	remoteAllowed := remote != nil && c.remoteOffers < maxRemoteOffers && cost < 1
 	switch {
-	case c.sends-c.limitedRefusals >= maxOffers:
+	case c.sends-c.limitedRefusals >= r.offerLimit(c.group.Service):
 	case local != nil && remoteAllowed && (local.errorProne(now) && !remote.errorProne(now) || r.leavesColdZone(now, local, remote)):
 		c.remoteOffers++
 		return remote, max(offerMaxWaitShare, cost)
@@ -226,9 +236,36 @@
 	r.meanResponseBytes[route] = mean + responseBytesWeight*(float64(n)-mean)
 }
 
+// Load pattern: more is asked of a service than it can run, for seconds. Every offer is
+// declined, and those of all requests cost the proxies, which have a small share of a
+// processor, the time in which they would forward what the service can run.
+
+// offerLimit returns the number of offers that one request gets. It falls from maxOffers to
+// minOffers with the share of accepted offers: further ones would be declined as well.
+func (r *Router) offerLimit(service string) int {
+	p, ok := r.pools[service]
+	if !ok {
+		return maxOffers
+	}
+	share := min(1, (1-p.declined)/contendedAcceptance)
+	return minOffers + int(share*(maxOffers-minOffers))
+}
+
+// recordOffer records whether an instance accepted an offer.
+func (p *pool) recordOffer(e AttemptEnded) {
+	declined := 0.0
+	if e.Outcome == outcome.NotRun {
+		if e.Reason != outcome.InstanceBusy {
+			return
+		}
+		declined = 1
+	}
+	p.declined += acceptanceWeight * (declined - p.declined)
+}
+
 // startBackoff starts the backoff of an instance that the result of an attempt
 // calls for, if the request was not run.
-func (r *Router) startBackoff(now time.Time, i *instance, e AttemptEnded) {
+func (r *Router) startBackoff(now time.Time, c *call, i *instance, e AttemptEnded) {
 	if e.Outcome != outcome.NotRun {
 		return
 	}
@@ -241,6 +278,9 @@
 		r.recordBusy(now, i, mark, e.RetryAfter)
 	case outcome.ConnectFailed, outcome.InstanceLeaving:
 		i.downUntil = now.Add(unreachableBackoff)
+		if e.Reason == outcome.ConnectFailed && now.Sub(c.sentAt) >= minSilence {
+			i.downUntil = now.Add(silentBackoff)
+		}
 	case outcome.OtherInstance, outcome.InstanceReplaced:
 		i.downUntil = now.Add(replacedBackoff)
 	}
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -29,6 +29,8 @@
 	// service names no warm-up.
 	coldPerSecond float64
 	costs         poolCosts
+	// declined is the moving average of the share of offers that instances decline.
+	declined float64
 }
 
 // ejected returns the number of instances that are ejected at the given time. Evacuated
