Try silent machines when no other one is left

Cause, by reading: a proxy that was cut off finds every instance silent and had skipped all of them for 3 s since, also after the cut had healed.

--- a/internal/routing/instance.go
+++ b/internal/routing/instance.go
@@ -89,6 +89,8 @@
 	// downUntil is the time until which no request is sent to the instance's
 	// proxy.
 	downUntil time.Time
+	// silentUntil is the time until which it is tried only if no other one is left.
+	silentUntil time.Time
 
 	ejectedUntil time.Time
 	ejections    int
--- a/internal/routing/offer.go
+++ b/internal/routing/offer.go
@@ -52,8 +52,8 @@
 	// unreachable or refused a request with InstanceLeaving. It is short because a
 	// refused connection costs only a fraction of a millisecond.
 	unreachableBackoff = 500 * time.Millisecond
-	// silentBackoff is how long it is skipped after it did not answer a connection
-	// attempt at all, which costs a request minSilence or more. Machines that have lost
+	// silentBackoff is how long it gets no requests while there are others, after it did
+	// not answer a connection attempt at all, which costs a request minSilence or more. Machines that have lost
 	// power stay listed for some seconds.
 	silentBackoff = 3 * time.Second
 	minSilence    = 100 * time.Millisecond
@@ -117,7 +117,10 @@
 		}
 		return limited, 1 // as long as the target allows, since another one follows
 	}
-	return r.pick(now, c, r.candidates.ejected), 0
+	if len(r.candidates.ejected) > 0 {
+		return r.pick(now, c, r.candidates.ejected), 0
+	}
+	return r.pick(now, c, r.candidates.silent), 0
 }
 
 // reachedWithoutLink returns the candidate on this machine for a download, nil if there
@@ -279,7 +282,7 @@
 	case outcome.ConnectFailed, outcome.InstanceLeaving:
 		i.downUntil = now.Add(unreachableBackoff)
 		if e.Reason == outcome.ConnectFailed && now.Sub(c.sentAt) >= minSilence {
-			i.downUntil = now.Add(silentBackoff)
+			i.silentUntil = now.Add(silentBackoff)
 		}
 	case outcome.OtherInstance, outcome.InstanceReplaced:
 		i.downUntil = now.Add(replacedBackoff)
--- a/internal/routing/selection.go
+++ b/internal/routing/selection.go
@@ -14,7 +14,7 @@
 // State tells whether an instance is usable, and if not, why.
 type State string
 
-// States. Only instances in the first three get requests, usable ones first.
+// States. Only instances in the first four get requests, usable ones first.
 const (
 	Usable State = "usable"
 	// Ejected instances failed too often. They are used only if no usable one
@@ -23,6 +23,9 @@
 	// Suspect instances may have failed. They are used only as a last resort,
 	// for repeatable requests of routes without a target.
 	Suspect State = "suspect"
+	// Silent instances did not answer a connection attempt. They are tried again after
+	// that only if no other one is left, as this proxy may be the one that was cut off.
+	Silent State = "silent"
 	// Down instances were recently found to be unreachable, stopping or
 	// replaced by another instance.
 	Down State = "down"
@@ -44,7 +47,7 @@
 // candidates holds the instances of one selection by kind. Its memory is
 // reused.
 type candidates struct {
-	local, remote, ejected, suspect []*instance
+	local, remote, ejected, suspect, silent []*instance
 	// busy holds usable instances that recently refused this or another request
 	// because of a long wait or a full queue.
 	busy []*instance
@@ -66,6 +69,7 @@
 	c.remote = c.remote[:0]
 	c.ejected = c.ejected[:0]
 	c.suspect = c.suspect[:0]
+	c.silent = c.silent[:0]
 	c.busy = c.busy[:0]
 	c.limited = c.limited[:0]
 	c.earliestLimitEnd = time.Time{}
@@ -91,6 +95,8 @@
 		return Held
 	case i.Suspect:
 		return Suspect
+	case now.Before(i.silentUntil):
+		return Silent
 	case now.Before(i.ejectedUntil):
 		return Ejected
 	case now.Before(i.limitedUntil):
@@ -160,6 +166,8 @@
 		c.ejected = append(c.ejected, i)
 	case Suspect:
 		c.suspect = append(c.suspect, i)
+	case Silent:
+		c.silent = append(c.silent, i)
 	case Held:
 		if c.earliestHoldEnd.IsZero() || i.heldUntil.Before(c.earliestHoldEnd) {
 			c.earliestHoldEnd = i.heldUntil
@@ -191,6 +199,8 @@
 	switch {
 	case len(r.candidates.ejected) > 0:
 		return r.pick(now, c, r.candidates.ejected)
+	case len(r.candidates.silent) > 0:
+		return r.pick(now, c, r.candidates.silent)
 	case c.match.Route.Repeatable:
 		return r.pick(now, c, r.candidates.suspect)
 	}
--- a/internal/routing/silent_test.go
+++ b/internal/routing/silent_test.go
@@ -33,3 +33,24 @@
 		is.True(sentTo(skipped + time.Millisecond))
 	}
 }
+
+// A proxy that was cut off itself finds all instances silent, and must serve its callers as
+// soon as the cut has healed.
+func TestSilentInstancesAreTriedIfNoOtherIsLeft(t *testing.T) {
+	is := is.New(t)
+	r := New(Config{AvailabilityZone: testZone, MaxAttempts: 3, Seed: 1})
+	r.Step(start, SnapshotEnforced{Snapshot: publishedSnapshot(t, 1, prefixRoute("look", "/a/", "desk"))})
+	r.Step(start, InstancesChanged{Instances: testInstances("desk", 2)})
+	arrived := Arrived{ID: 1, Organisation: "a.example", Method: "GET", Path: "/a/"}
+	_, ok := r.Step(start, arrived)[0].(Send)
+	is.True(ok)
+	now := start.Add(400 * time.Millisecond)
+	r.Step(now, AttemptEnded{ID: 1, Outcome: outcome.NotRun, Reason: outcome.ConnectFailed})
+	now = now.Add(400 * time.Millisecond)
+	_, ok = r.Step(now, AttemptEnded{ID: 1, Outcome: outcome.NotRun, Reason: outcome.ConnectFailed})[0].(Refuse)
+	is.True(ok)
+	now = now.Add(unreachableBackoff)
+	arrived.ID = 2
+	_, ok = r.Step(now, arrived)[0].(Send)
+	is.True(ok)
+}
