--- a/internal/routing/returning.go
+++ b/internal/routing/returning.go
@@ -11,7 +11,7 @@
 // are warm. Requests that were refused come back within half a second, when they are late
 // already, take the slots of those that could be answered in time, or use up the attempts
 // of their callers before there is room. An answer that is late in any case is worth the
-// same as long as its caller waits for it, so that these callers are told to return over a
+// same as long as its caller waits for it, so these callers are told to return over a
 // part of the time that they have left, and not before the service is warm.
 
 const (
