Keep in one place what the last changes wrote twice

Behaviour is as before. The check on calls of the store while machines are turned away holds at 77 proxies too, so its exception goes.

--- a/internal/forward/fault.go
+++ b/internal/forward/fault.go
@@ -24,9 +24,12 @@
 // expiryMargin returns how long before its deadline a request counts as expired that had
 // the given time left when it began.
 func expiryMargin(left time.Duration) time.Duration {
-	return max(0, min(left/10, maxExpiryMargin))
+	return tenthOf(left, maxExpiryMargin)
 }
 
+// tenthOf returns a tenth of the time left, at most the limit.
+func tenthOf(left, limit time.Duration) time.Duration { return max(0, min(left/10, limit)) }
+
 // timeLimit is the deadline of an exchange.
 type timeLimit struct {
 	deadline time.Time
@@ -38,7 +41,7 @@
 // newTimeLimit returns the limit of an exchange that begins now.
 func newTimeLimit(deadline time.Time) timeLimit {
 	left := time.Until(deadline)
-	return timeLimit{deadline: deadline, margin: expiryMargin(left), transit: max(0, min(left/10, maxTransit))}
+	return timeLimit{deadline: deadline, margin: expiryMargin(left), transit: tenthOf(left, maxTransit)}
 }
 
 // refuseAt returns when to give up a wait inside this process, so that the refusal reaches
--- a/internal/node/callcount_test.go
+++ b/internal/node/callcount_test.go
@@ -51,7 +51,7 @@
 		}
 		got := f.callsDuring(6 * time.Second)
 		t.Logf("%d proxies: %d calls, %d at rest", n, got, rest)
-		if n > 100 && got > 2*rest {
+		if got > 2*rest {
 			t.Errorf("%d proxies: %d calls of the store while a third of the machines do not reach it, %d at rest", n, got, rest)
 		}
 		f.publish(f.content.version + 1)
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -125,12 +125,11 @@
 	if e.Err == "" && e.Reply.Declined {
 		return source.Update{}, n.follower.HandleReaderDeclined(now, e.Reader)
 	}
-	stale := e.Err == "" && e.Reply.Stale
-	if stale && !e.AnyAge {
-		return n.follower.HandleStaleReader(now, e.Reader)
-	}
-	if stale {
-		e.Err = "reply is stale: the sender may not have the current content of the store"
+	if e.Err == "" && e.Reply.Stale {
+		if !e.AnyAge {
+			return n.follower.HandleStaleReader(now, e.Reader)
+		}
+		e.Err = source.CauseStale
 	}
 	var c *source.Configuration
 	if e.Err == "" {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -239,8 +239,8 @@
 	}
 	arrived := now.Add(-e.Elapsed)
 	deadline := arrived.Add(budget)
-	if !e.NotAfter.IsZero() && e.NotAfter.Before(deadline) {
-		deadline = e.NotAfter
+	if !e.NotAfter.IsZero() {
+		deadline = earlier(deadline, e.NotAfter)
 	}
 	c := &call{id: e.ID, org: org, match: match, group: r.split.nextGroup(match), version: r.table.Version, arrived: arrived, deadline: deadline, retry: e.Retry, fingerprint: e.Fingerprint, knownCrashes: e.KnownCrashes}
 	c.callerDeadline = deadline
--- a/internal/source/configurationwatch.go
+++ b/internal/source/configurationwatch.go
@@ -32,15 +32,6 @@
 // separate calls.
 func (f *Follower) isLargeFleet() bool { return f.fleetSize() >= relayMinInstances }
 
-// recordVersion records the arrival of a version and reports whether the
-// previous one arrived within burstWindow. A watch returns every version in
-// turn and in full; during a burst only the newest one is read.
-func (f *Follower) recordVersion(now time.Time) bool {
-	burst := !f.lastVersionAt.IsZero() && now.Sub(f.lastVersionAt) < burstWindow
-	f.lastVersionAt = now
-	return burst
-}
-
 // NextConfigurationCall returns the next configuration call. It returns false
 // if none is due because one is in flight, because the first version is still to be
 // confirmed, because other calls return the configuration or because the store fails: the
--- a/internal/source/follow.go
+++ b/internal/source/follow.go
@@ -196,9 +196,7 @@
 		return f.HandleFailure(now, false, cause)
 	}
 	var v Update
-	f.noteRecovery(now, &v)
-	f.ownFailureAt = time.Time{}
-	f.knownAt = now
+	f.noteStoreAnswer(now, &v)
 	entered := f.enterEra(now, l.Era, &v)
 	afterOutage := now.Before(f.graceUntil)
 	f.position = l.Position()
@@ -225,9 +223,7 @@
 		return f.HandleFailure(now, false, cause)
 	}
 	var v Update
-	f.noteRecovery(now, &v)
-	f.ownFailureAt = time.Time{}
-	f.knownAt = now
+	f.noteStoreAnswer(now, &v)
 	if c.Era > f.position.Era {
 		// The changes are those since a revision of another history.
 		f.acceptConfiguration(c.Configuration, &v)
@@ -359,6 +355,22 @@
 	return call
 }
 
+// recordVersion records the arrival of a version and reports whether the
+// previous one arrived within burstWindow. A watch returns every version in
+// turn and in full; during a burst only the newest one is read.
+func (f *Follower) recordVersion(now time.Time) bool {
+	burst := !f.lastVersionAt.IsZero() && now.Sub(f.lastVersionAt) < burstWindow
+	f.lastVersionAt = now
+	return burst
+}
+
+// noteStoreAnswer records that a call of this proxy to the store succeeded.
+func (f *Follower) noteStoreAnswer(now time.Time, v *Update) {
+	f.noteRecovery(now, v)
+	f.ownFailureAt = time.Time{}
+	f.knownAt = now
+}
+
 // noteRecovery records the first successful call after failures.
 func (f *Follower) noteRecovery(now time.Time, v *Update) {
 	if f.failures == 0 {
--- a/internal/source/relay.go
+++ b/internal/source/relay.go
@@ -265,13 +265,16 @@
 	}
 }
 
+// CauseStale is the cause for which a reply that is stale is not used.
+const CauseStale = "reply is stale: the sender may not have the current content of the store"
+
 // HandleStaleReader records that the state of a reader may be out of date, and returns the
 // next call.
 func (f *Follower) HandleStaleReader(now time.Time, id string) (Update, Call) {
 	if f.listed {
 		f.staleAt[id] = now
 	}
-	return f.loseReader(now, id, "reply is stale: the sender may not have the current content of the store", true)
+	return f.loseReader(now, id, CauseStale, true)
 }
 
 // HandleReaderFailure records that a reader did not reply. It returns the next call, to
