--- a/internal/routing/offer.go
+++ b/internal/routing/offer.go
@@ -53,8 +53,8 @@
 	// refused connection costs only a fraction of a millisecond.
 	unreachableBackoff = 500 * time.Millisecond
 	// silentBackoff is how long it gets no requests while there are others, after it did
-	// not answer a connection attempt at all, which costs a request minSilence or more. Machines that have lost
-	// power stay listed for some seconds.
+	// not answer a connection attempt at all, which costs a request minSilence or more.
+	// Machines that have lost power stay listed for some seconds.
 	silentBackoff = 3 * time.Second
 	minSilence    = 100 * time.Millisecond
 	// replacedBackoff is how long an instance is skipped after a different one
@@ -117,10 +117,7 @@
 		}
 		return limited, 1 // as long as the target allows, since another one follows
 	}
-	if len(r.candidates.ejected) > 0 {
-		return r.pick(now, c, r.candidates.ejected), 0
-	}
-	return r.pick(now, c, r.candidates.silent), 0
+	return r.pickLastResort(now, c), 0
 }
 
 // reachedWithoutLink returns the candidate on this machine for a download, nil if there
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -144,7 +144,7 @@
 	case Abandoned:
 		r.abandoned(now, e)
 	case VersionRefused:
-		r.expectNoVersion()
+		r.expectNoVersion(now)
 	case SnapshotEnforced:
 		r.enforce(e.Snapshot)
 		r.routeStarting(now)
--- a/internal/routing/selection.go
+++ b/internal/routing/selection.go
@@ -196,17 +196,24 @@
 	if limited, _ := r.chooseLimited(now, c); limited != nil {
 		return limited
 	}
-	switch {
-	case len(r.candidates.ejected) > 0:
-		return r.pick(now, c, r.candidates.ejected)
-	case len(r.candidates.silent) > 0:
-		return r.pick(now, c, r.candidates.silent)
-	case c.match.Route.Repeatable:
+	if chosen := r.pickLastResort(now, c); chosen != nil {
+		return chosen
+	}
+	if c.match.Route.Repeatable {
 		return r.pick(now, c, r.candidates.suspect)
 	}
 	return nil
 }
 
+// pickLastResort selects one of the ejected candidates or, without such, of the silent
+// ones, nil if there is none.
+func (r *Router) pickLastResort(now time.Time, c *call) *instance {
+	if chosen := r.pick(now, c, r.candidates.ejected); chosen != nil {
+		return chosen
+	}
+	return r.pick(now, c, r.candidates.silent)
+}
+
 // shouldSpill reports whether a request should leave its availability zone for
 // the remote instance.
 func shouldSpill(now time.Time, local, remote *instance) bool {
--- a/internal/routing/starting.go
+++ b/internal/routing/starting.go
@@ -61,10 +61,11 @@
 	}
 }
 
-// refuseStarting refuses the requests that have waited long enough.
+// refuseStarting refuses the requests that have waited long enough, or all of them if no
+// version is to be expected.
 func (r *Router) refuseStarting(now time.Time) {
 	r.starting = slices.DeleteFunc(r.starting, func(w startingRequest) bool {
-		if now.Before(w.until) {
+		if !r.versionRefused && now.Before(w.until) {
 			return false
 		}
 		r.refuseWithoutVersion(w.ID)
@@ -74,12 +75,9 @@
 
 // expectNoVersion refuses all requests that wait, and those that arrive before a version
 // that can be put in force.
-func (r *Router) expectNoVersion() {
+func (r *Router) expectNoVersion(now time.Time) {
 	r.versionRefused = true
-	for _, w := range r.starting {
-		r.refuseWithoutVersion(w.ID)
-	}
-	r.starting = nil
+	r.refuseStarting(now)
 }
 
 // abandonStarting forgets a request whose caller has left.
