--- a/review/harness/leave.go
+++ b/review/harness/leave.go
@@ -130,8 +130,7 @@
 		return false, err
 	}
 	defer f.close()
-	dropped := route{name: "promo", prefix: "/promo/", kind: "non_idempotent", service: services[0], timeoutMs: 800, targetMs: 250, priority: 1}
-	f.publish(append(baseRoutes(), dropped), 300)
+	f.publish(append(baseRoutes(), droppedRoute), 300)
 	if err := f.startAll(); err != nil {
 		return false, err
 	}
--- a/review/harness/logs.go
+++ b/review/harness/logs.go
@@ -154,8 +154,7 @@
 		return false, err
 	}
 	defer f.close()
-	dropped := route{name: "promo", prefix: "/promo/", kind: "non_idempotent", service: services[0], timeoutMs: 800, targetMs: 250, priority: 1}
-	f.publish(append(baseRoutes(), dropped), 300)
+	f.publish(append(baseRoutes(), droppedRoute), 300)
 	collectors, err := f.startCollected()
 	if err != nil {
 		return false, err
@@ -169,7 +168,7 @@
 		r.printf("the log collectors stand still")
 	}
 	time.Sleep(stalledFor)
-	version, _, _ := f.publish(append(baseRoutes(), dropped), 301)
+	version, _, _ := f.publish(append(baseRoutes(), droppedRoute), 301)
 	r.printf("version %s acknowledged: one more idle route", version)
 	time.Sleep(versionGap)
 	version, _, acked := f.publish(baseRoutes(), 301)
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -28,6 +28,7 @@
 	"versions": runVersions,
 	"logs":     runLogs,
 	"gone":     runGone,
+	"restore":  runRestore,
 	"quiet":    runQuiet,
 }
 
--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -39,7 +41,9 @@
 type store struct {
 	retention time.Duration
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// era rises by one each time the store comes back from a copy.
+	era       uint64
 	revision  uint64
 	compacted uint64
 	items     map[string]item
@@ -48,7 +52,7 @@
 }
 
 func newStore(retention time.Duration) *store {
-	return &store{retention: retention, revision: 1, items: make(map[string]item), changed: make(chan struct{})}
+	return &store{retention: retention, era: 1, revision: 1, items: make(map[string]item), changed: make(chan struct{})}
 }
 
 // put writes an item. The write is acknowledged when put returns.
@@ -82,6 +86,36 @@
 	s.changed = make(chan struct{})
 }
 
+// storeCopy is a copy of what the store holds.
+type storeCopy struct {
+	revision uint64
+	items    map[string]item
+}
+
+func (s *store) copy() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return storeCopy{revision: s.revision, items: maps.Clone(s.items)}
+}
+
+// restore brings the store back from a copy. Later revisions are given out again.
+func (s *store) restore(c storeCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.items = c.revision, maps.Clone(c.items)
+	s.history = slices.DeleteFunc(s.history, func(i item) bool { return i.Revision > c.revision })
+	s.compacted = min(s.compacted, c.revision)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) currentEra() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // expire drops the history that is older than the retention. The caller holds mu.
 func (s *store) expire() {
 	n := 0
@@ -188,6 +222,7 @@
 func (d *door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	d.calls.Add(1)
 	time.Sleep(storeLatency)
+	w = &eraWriter{ResponseWriter: w, store: d.store}
 	if d.refuses.Load() {
 		d.refused.Add(1)
 		http.Error(w, "turned away", http.StatusServiceUnavailable)
@@ -212,6 +247,28 @@
 	}
 }
 
+// eraWriter names the era of the store in an answer.
+type eraWriter struct {
+	http.ResponseWriter
+	store *store
+	named bool
+}
+
+func (w *eraWriter) WriteHeader(status int) {
+	if !w.named {
+		w.named = true
+		w.Header().Set("Store-Era", strconv.FormatUint(w.store.currentEra(), 10))
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+func (w *eraWriter) Write(p []byte) (int, error) {
+	if !w.named {
+		w.WriteHeader(http.StatusOK)
+	}
+	return w.ResponseWriter.Write(p)
+}
+
 type countingWriter struct {
 	http.ResponseWriter
 	n int64
--- a/review/harness/versions.go
+++ b/review/harness/versions.go
@@ -37,8 +37,7 @@
 		return false, err
 	}
 	defer f.close()
-	dropped := route{name: "promo", prefix: "/promo/", kind: "non_idempotent", service: services[0], timeoutMs: 800, targetMs: 250, priority: 1}
-	f.publish(append(baseRoutes(), dropped), idleRoutes)
+	f.publish(append(baseRoutes(), droppedRoute), idleRoutes)
 	if err := f.startAll(); err != nil {
 		return false, err
 	}
@@ -58,7 +57,7 @@
 	time.Sleep(400 * time.Millisecond)
 	var acked time.Time
 	for i := range stormVersions {
-		routes := append(baseRoutes(), dropped)
+		routes := append(baseRoutes(), droppedRoute)
 		if i == stormVersions-1 {
 			routes = baseRoutes()
 		}
