--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -65,7 +65,7 @@
 // head returns the bytes of a request.
 func head(id, method, target string, deadline time.Duration, body string) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", method, target, host, headerID, id, headerDeadline, deadline.Milliseconds())
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", method, target, host, protocol.RequestID, id, protocol.Deadline, deadline.Milliseconds())
 	if method == http.MethodPost {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(body))
 	}
@@ -98,7 +98,7 @@
 		return fmt.Errorf("read: %w", err)
 	}
 	text, err := io.ReadAll(resp.Body)
-	a.Status, a.Stamp, a.Body = resp.StatusCode, resp.Header.Get("Heatherlift-Response-Stamp"), string(text)
+	a.Status, a.Stamp, a.Body = resp.StatusCode, resp.Header.Get(protocol.Stamp), string(text)
 	if err != nil {
 		return fmt.Errorf("read body: %w", err)
 	}
--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -8,16 +8,12 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
 )
 
 const (
-	headerID       = "Heatherlift-Request-Id"
-	headerDeadline = "Heatherlift-Deadline-Ms"
-
 	inboundPort  = 8146
 	outboundPort = 8147
 	readyPort    = 8141
@@ -36,12 +32,6 @@
 	host = "ficu95.example"
 )
 
-// bounds are those of the small sites.
-var bounds = []string{
-	"seedLagS=3", "addrReuseS=2", "contactMs=3000", "ackDeadlineMs=4000", "syncS=4", "drainMs=2000", "gracePeriodS=6", "lossSlackMs=200",
-	"configDeadlineMs=2000", "rollbackSlackMs=250", "maxStretchMs=5000", "retryBudgetRatio=0.2", "budgetWindowS=10", "budgetSlack=64", "recoveryS=15",
-}
-
 // machine is a machine with an upstream and the proxy beside it.
 type machine struct {
 	name, ip, zone, service string
@@ -159,9 +149,9 @@
 
 // register writes the entry of the upstream of a machine, with how much longer it is slow.
 func (f *fleet) register(m *machine, warmUpLeft time.Duration) {
-	f.store.put("servers/"+m.upstream.id, map[string]any{
-		"service": m.service, "address": fmt.Sprintf("%s:%d", m.ip, appPort), "zone": m.zone, "version": "v1", "capacitySlots": slots,
-		"state": "ready", "warmupLeftMs": warmUpLeft.Milliseconds(), "sequence": 1, "born": m.born,
+	f.store.put(protocol.InstancePrefix+m.upstream.id, map[string]any{
+		"service": m.service, "address": fmt.Sprintf("%s:%d", m.ip, appPort), "zone": m.zone, "version": "v1", protocol.Slots: slots,
+		"state": "ready", protocol.WarmUpLeft: warmUpLeft.Milliseconds(), "sequence": 1, "born": m.born,
 	})
 }
 
@@ -175,16 +165,11 @@
 	for _, s := range f.machines[:min(3, len(f.machines))] {
 		seeds = append(seeds, fmt.Sprintf("%s:%d", s.ip, controlPort))
 	}
-	limits := make(map[string]any)
-	for _, b := range bounds {
-		name, value, _ := strings.Cut(b, "=")
-		limits[name] = value
-	}
 	values := map[string]any{
 		"nodeName": m.name, "region": "pwani", "zone": m.zone, "service": m.service, "ip": m.ip,
 		"listen.outbound": m.outbound(), "listen.inbound": fmt.Sprintf("%s:%d", m.ip, inboundPort), "listen.control": fmt.Sprintf("%s:%d", m.ip, controlPort),
-		"listen.readyAddr": fmt.Sprintf("%s:%d", m.ip, readyPort), "appAddr": fmt.Sprintf("%s:%d", m.ip, appPort), "platform.address": m.storeAddress(),
-		"limits.linkMbps": "1000.0", "seedNodes": seeds, "bounds": limits,
+		protocol.ReadyAddress: fmt.Sprintf("%s:%d", m.ip, readyPort), "appAddr": fmt.Sprintf("%s:%d", m.ip, appPort), "platform.address": m.storeAddress(),
+		"limits.linkMbps": "1000.0", "seedNodes": seeds, "bounds": protocol.Bounds,
 	}
 	m.settings = filepath.Join(f.dir, m.name+".toml")
 	return os.WriteFile(m.settings, []byte(render(string(text), values)), 0o600)
@@ -297,14 +282,14 @@
 		if name != "" {
 			metadata["name"] = name
 		}
-		list = append(list, map[string]any{"resourceType": kind, "metadata": metadata, "spec": spec})
+		list = append(list, map[string]any{protocol.ResourceType: kind, "metadata": metadata, "spec": spec})
 	}
 	for i := range idle {
 		routes = append(routes, route{name: fmt.Sprintf("idle-%06d", i), prefix: fmt.Sprintf("/idle%06d/", i), kind: "idempotent", service: services[i%2], timeoutMs: 1200, targetMs: 200, priority: 2})
 	}
 	for _, r := range routes {
 		add("routes", "r-"+r.name, map[string]any{
-			"host": host, "prefix": r.prefix, "kind": r.kind, "timeoutMs": r.timeoutMs, "targetLatencyMs": r.targetMs, "priority": r.priority, "service": r.service, "maxAttempts": 2,
+			"host": host, "prefix": r.prefix, "kind": r.kind, "timeoutMs": r.timeoutMs, protocol.TargetLatency: r.targetMs, "priority": r.priority, "service": r.service, "maxAttempts": 2,
 		})
 	}
 	for _, s := range services {
@@ -312,10 +297,10 @@
 	}
 	add("limits", "", map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000})
 	value := map[string]any{"version": version, "baseVersion": fmt.Sprintf("%08x", base), "resources": list}
-	f.store.put("op/config", value)
+	f.store.put(protocol.ConfigurationKey, value)
 	acked = time.Now()
 	f.store.mu.Lock()
-	size = len(f.store.items["op/config"].Value)
+	size = len(f.store.items[protocol.ConfigurationKey].Value)
 	f.store.mu.Unlock()
 	return version, size, acked
 }
--- a/review/harness/leave.go
+++ b/review/harness/leave.go
@@ -61,7 +61,7 @@
 
 // depart lets the upstream of a machine leave after a calm time.
 func (f *fleet) depart(r *record, m *machine, trouble bool) departure {
-	// The fleet is calm for longer than contactMs, and at no particular phase of its calls.
+	// The fleet is calm for longer than contact, and at no particular phase of its calls.
 	time.Sleep(contact + time.Second + rand.N(4*time.Second))
 	d := departure{upstream: m.upstream, silent: time.Now()}
 	if trouble {
@@ -70,7 +70,7 @@
 		}
 	}
 	time.Sleep(removedAfter)
-	f.store.remove("servers/" + d.upstream.id)
+	f.store.remove(protocol.InstancePrefix + d.upstream.id)
 	d.removed = time.Now()
 	r.printf("the entry of %s is removed, acknowledged; it serves on for %v", d.upstream.id, servesOn)
 	time.Sleep(servesOn)
--- a/review/harness/restore.go
+++ b/review/harness/restore.go
@@ -55,7 +55,7 @@
 }
 
 // droppedRoute is the route that the latest version drops.
-var droppedRoute = route{name: "promo", prefix: "/promo/", kind: "non_idempotent", service: services[0], timeoutMs: 800, targetMs: 250, priority: 1}
+var droppedRoute = route{name: "promo", prefix: "/promo/", kind: protocol.NonIdempotent, service: services[0], timeoutMs: 800, targetMs: 250, priority: 1}
 
 // drill sends a version, lets the store come back from a copy without it, and returns the
 // number of requests that are late for the version.
@@ -63,7 +63,7 @@
 	lacking := f.store.copy()
 	time.Sleep(copyAge / 4)
 	version, _, acked := f.publish(baseRoutes(), 300)
-	newest := f.store.copy().items["op/config"]
+	newest := f.store.copy().items[protocol.ConfigurationKey]
 	r.printf("version %s acknowledged: it drops /promo/", version)
 	time.Sleep(copyAge * 3 / 4)
 	killed := f.shuffled()[:killedMachines]
--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -160,7 +160,7 @@
 	}
 	revision := s.revision
 	s.mu.Unlock()
-	writeJSON(w, map[string]any{"items": page, "hasMore": len(page) < len(keys), "atRev": revision})
+	writeJSON(w, map[string]any{"items": page, "hasMore": len(page) < len(keys), protocol.AtRevision: revision})
 }
 
 func (s *store) handleKey(w http.ResponseWriter, r *http.Request) {
@@ -172,13 +172,13 @@
 		http.NotFound(w, r)
 		return
 	}
-	writeJSON(w, map[string]any{"key": i.Key, "value": i.Value, "revision": i.Revision, "created": i.Created, "lease": i.Lease, "atRev": revision})
+	writeJSON(w, map[string]any{"key": i.Key, "value": i.Value, "revision": i.Revision, "created": i.Created, "lease": i.Lease, protocol.AtRevision: revision})
 }
 
 func (s *store) handleWatch(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	after, err := strconv.ParseUint(q.Get("after"), 10, 64)
-	wait, waitErr := strconv.Atoi(q.Get("waitTimeoutMs"))
+	wait, waitErr := strconv.Atoi(q.Get(protocol.Wait))
 	if err != nil || waitErr != nil {
 		http.Error(w, "malformed query", http.StatusBadRequest)
 		return
@@ -192,7 +192,7 @@
 			http.Error(w, "history dropped", http.StatusGone)
 			return
 		case len(events) > 0 || expired:
-			writeJSON(w, map[string]any{"events": events, "atRev": revision})
+			writeJSON(w, map[string]any{"events": events, protocol.AtRevision: revision})
 			return
 		}
 		select {
@@ -230,11 +230,11 @@
 	}
 	counted := &countingWriter{ResponseWriter: w}
 	switch r.URL.Path {
-	case "/heatherlift/kv-key":
+	case protocol.PathKey:
 		d.store.handleKey(counted, r)
-	case "/heatherlift/kv-range":
+	case protocol.PathRange:
 		d.store.handleRange(counted, r)
-	case "/heatherlift/kv-watch":
+	case protocol.PathWatch:
 		d.store.handleWatch(counted, r)
 	default:
 		http.NotFound(w, r)
@@ -257,7 +257,7 @@
 func (w *eraWriter) WriteHeader(status int) {
 	if !w.named {
 		w.named = true
-		w.Header().Set("Store-Era", strconv.FormatUint(w.store.currentEra(), 10))
+		w.Header().Set(protocol.Era, strconv.FormatUint(w.store.currentEra(), 10))
 	}
 	w.ResponseWriter.WriteHeader(status)
 }
--- a/review/harness/upstream.go
+++ b/review/harness/upstream.go
@@ -88,7 +88,7 @@
 		id: id, service: service, slots: make(chan struct{}, slots), queue: make(chan struct{}, slots*(1+queuePerSlot)), ledger: l, work: work,
 	}
 	u.body = func(r *http.Request) string {
-		return fmt.Sprintf("%s %s by %s %s", r.Header.Get(headerID), r.URL.Path, u.id, strings.Repeat(".", 400))
+		return fmt.Sprintf("%s %s by %s %s", r.Header.Get(protocol.RequestID), r.URL.Path, u.id, strings.Repeat(".", 400))
 	}
 	return u
 }
@@ -111,17 +111,17 @@
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h := w.Header()
 	h.Set("Keep-Alive", "timeout="+strconv.Itoa(int(upstreamIdle.Seconds())))
-	h.Set("Heatherlift-Instance-Id", u.id)
+	h.Set(protocol.InstanceID, u.id)
 	if r.Method == http.MethodGet && r.URL.Path == healthPath {
-		h.Set("Heatherlift-Server-Load", u.load())
+		h.Set(protocol.ServerLoad, u.load())
 		return
 	}
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	id := r.Header.Get(headerID)
-	h.Set(headerID, id)
-	if expect := r.Header.Get("Heatherlift-Expect-Instance"); expect != "" && expect != u.id {
+	id := r.Header.Get(protocol.RequestID)
+	h.Set(protocol.RequestID, id)
+	if expect := r.Header.Get(protocol.ExpectInstance); expect != "" && expect != u.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -137,7 +137,7 @@
 		return
 	}
 	deadline := time.Minute
-	if ms, err := strconv.ParseFloat(r.Header.Get(headerDeadline), 64); err == nil {
+	if ms, err := strconv.ParseFloat(r.Header.Get(protocol.Deadline), 64); err == nil {
 		deadline = time.Duration(ms * float64(time.Millisecond))
 	}
 	expiry := time.NewTimer(deadline)
@@ -151,11 +151,11 @@
 	case <-r.Context().Done():
 		return
 	}
-	entry := &run{Request: id, Instance: u.id, Service: u.service, Method: r.Method, Target: r.RequestURI, Caller: r.Header.Get("Heatherlift-Caller-Service")}
+	entry := &run{Request: id, Instance: u.id, Service: u.service, Method: r.Method, Target: r.RequestURI, Caller: r.Header.Get(protocol.CallerService)}
 	u.ledger.begin(entry)
 	work := time.NewTimer(u.work(r))
 	defer work.Stop()
-	h.Set("Heatherlift-Response-Stamp", "stamp-"+id)
+	h.Set(protocol.Stamp, "stamp-"+id)
 	select {
 	case <-work.C:
 	case <-expiry.C:
@@ -166,7 +166,7 @@
 		u.ledger.end(entry, "left")
 		return
 	}
-	h.Set("Heatherlift-Server-Load", u.load())
+	h.Set(protocol.ServerLoad, u.load())
 	body := u.body(r)
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	u.ledger.end(entry, "answered")
@@ -174,6 +174,6 @@
 }
 
 func (u *upstream) reject(w http.ResponseWriter, status int) {
-	w.Header().Set("Heatherlift-Not-Executed", "1")
+	w.Header().Set(protocol.NotExecuted, "1")
 	w.WriteHeader(status)
 }
--- a/review/harness/versions.go
+++ b/review/harness/versions.go
@@ -24,7 +24,7 @@
 func baseRoutes() []route {
 	return []route{
 		{name: "status", prefix: "/status/", kind: "idempotent", service: services[0], timeoutMs: 1200, targetMs: 200, priority: 2},
-		{name: "book", prefix: "/book/", kind: "non_idempotent", service: services[0], timeoutMs: 800, targetMs: 250, priority: 1},
+		{name: "book", prefix: "/book/", kind: protocol.NonIdempotent, service: services[0], timeoutMs: 800, targetMs: 250, priority: 1},
 		{name: "lookup", prefix: "/lookup/", kind: "idempotent", service: services[1], timeoutMs: 1200, targetMs: 400, priority: 2},
 	}
 }
