State hypotheses about removals after silent connections, and log removals that wait

The log showed when an instance was removed in the end, but not that its removal had been read before and waits. No logic changes.

--- a/internal/source/entries.go
+++ b/internal/source/entries.go
@@ -47,6 +47,9 @@
 		return
 	}
 	if mayHaveExpired && e.Instance.State != InstanceLeaving && now.Before(f.graceUntil) {
+		if !f.retained[id] {
+			v.addNote("removal not applied yet", id+": the entry may have expired during a store outage")
+		}
 		f.retained[id] = true
 		return
 	}
