Count the wait of a watch from the last answer of the store

The next watch begins batchDelay (0.5 s) after a change and then waited in full: with 2.2 s and the 0.7 s of the client the silence was noticed after 3.4 s, while the bounds apply again after 3 s.

The delay before a call now counts towards its wait. watchWait is 2.0 s, so that the silence is noticed 0.25 s before the bounds apply, and not 0.05 s; storeWatchWait of the test mirrors it. The configuration call of a large fleet keeps 2.2 s.

--- a/internal/node/evacuation_test.go
+++ b/internal/node/evacuation_test.go
@@ -22,10 +22,17 @@
 	evacuationPrompt = 500 * time.Millisecond
 	// evacuatedZone is the zone that the tests evacuate.
 	evacuatedZone = "z1"
-	// storeWatchWait is the longest wait of a watch, after which it is repeated.
-	storeWatchWait = 2200 * time.Millisecond
 )
 
+// storeWatchWait returns the longest wait of a watch in a fleet of n proxies, after which
+// it is repeated.
+func storeWatchWait(n int) time.Duration {
+	if n < 24 {
+		return 2000 * time.Millisecond
+	}
+	return 2200 * time.Millisecond
+}
+
 // evacuationFleet is a fleet in which callers send requests to each proxy all the time.
 type evacuationFleet struct {
 	*storeFleet
@@ -112,16 +119,16 @@
 	} {
 		for _, n := range c.sizes {
 			f := newEvacuationFleet(n)
-			calls := f.callsDuring(3 * storeWatchWait)
+			calls := f.callsDuring(3 * storeWatchWait(n))
 			if f.now.Sub(f.sent) > time.Second {
 				t.Fatalf("%s, %d proxies: nothing is sent to the zone before", c.name, n)
 			}
-			f.run(f.jitter(storeWatchWait)) // at any phase of the watches
+			f.run(f.jitter(storeWatchWait(n))) // at any phase of the watches
 			c.disturb(f)
 			f.evacuate(evacuatedZone, false)
 			ack := f.now
 			f.run(6 * time.Second)
-			after := f.callsDuring(3 * storeWatchWait)
+			after := f.callsDuring(3 * storeWatchWait(n))
 			t.Logf("%s, %d proxies: last request sent %v after the ack; %d calls of the store before, %d after", c.name, n, f.sent.Sub(ack), calls, after)
 			if f.sent.Sub(ack) >= c.limit || c.limit < evacuationBound && after > calls+calls/10 {
 				t.Errorf("%s, %d proxies: the last request or the calls are out of bounds", c.name, n)
--- a/internal/node/storefleet_test.go
+++ b/internal/node/storefleet_test.go
@@ -54,8 +54,12 @@
 	// silent holds the proxies whose messages are lost in both directions, and
 	// storeSilent those that only get no answers of the store.
 	silent, storeSilent map[int]bool
-	replies             map[uint64]func(source.RelayReply)
-	nextID              uint64
+	// connections counts the times at which all open connections to the store fell silent,
+	// and opened holds its value when a proxy last opened its connections.
+	connections uint64
+	opened      map[int]uint64
+	replies     map[uint64]func(source.RelayReply)
+	nextID      uint64
 	// calls holds the times of the calls that the store answered, without surveys.
 	calls   []time.Time
 	surveys int
@@ -87,7 +91,7 @@
 func newStoreFleet(seed uint64, n int) *storeFleet {
 	f := &storeFleet{
 		virtualTime: virtualTime{now: epoch}, rng: rand.New(rand.NewPCG(seed, 2)), era: 1, cutOff: make(map[int]bool), lastCall: make(map[int]time.Time),
-		silent: make(map[int]bool), storeSilent: make(map[int]bool),
+		silent: make(map[int]bool), storeSilent: make(map[int]bool), opened: make(map[int]uint64),
 		content: storeContent{entries: make(map[string]source.Entry), evacuated: make(map[string]source.Evacuation)}, replies: make(map[uint64]func(source.RelayReply)),
 	}
 	for i := range n {
@@ -197,11 +201,13 @@
 		return
 	}
 	f.lastCall[i] = f.now
-	f.after(fleetDelay, func() { f.answer(i, n, c, f.now.Add(c.Wait)) })
+	on := f.opened[i]
+	f.after(fleetDelay, func() { f.answer(i, n, c, f.now.Add(c.Wait), on) })
 }
 
-// answer answers a call to the store, a watch once there is a change.
-func (f *storeFleet) answer(i int, n *Node, c source.Call, deadline time.Time) {
+// answer answers a call to the store, a watch once there is a change. On is the value of
+// connections when the connection of the call was opened.
+func (f *storeFleet) answer(i int, n *Node, c source.Call, deadline time.Time, on uint64) {
 	deliver := func(e Event) {
 		if c.Survey {
 			f.surveys++
@@ -214,12 +220,27 @@
 		}
 		f.after(delay, func() { f.step(i, n, e) })
 	}
-	fail := func(compacted bool, cause string) {
+	failed := func(e StoreFailed) {
 		if c.Part == source.ConfigurationOnly {
-			deliver(VersionsFailed{Compacted: compacted, Cause: cause})
+			deliver(VersionsFailed(e))
 			return
 		}
-		deliver(StoreFailed{Compacted: compacted, Cause: cause})
+		deliver(e)
+	}
+	fail := func(compacted bool, cause string) { failed(StoreFailed{Compacted: compacted, Cause: cause}) }
+	again := func() { f.after(20*time.Millisecond, func() { f.answer(i, n, c, deadline, on) }) }
+	if on < f.connections { // silent; the calls of a proxy fail together
+		timeout := storeTimeout
+		if c.Wait > 0 {
+			timeout = storeMargin
+		}
+		if f.opened[i] == on && f.now.Before(deadline.Add(timeout)) {
+			again()
+			return
+		}
+		f.opened[i] = f.connections
+		failed(StoreFailed{Cause: "silent connection"})
+		return
 	}
 	if f.silent[i] || f.storeSilent[i] {
 		timeout := storeTimeout
@@ -266,7 +287,7 @@
 	case news:
 		deliver(StoreChanged{Changes: changes})
 	default:
-		f.after(20*time.Millisecond, func() { f.answer(i, n, c, deadline) })
+		again()
 	}
 }
 
--- a/internal/source/configurationwatch.go
+++ b/internal/source/configurationwatch.go
@@ -51,7 +51,7 @@
 	}
 	call.Part, call.Era, call.After = ConfigurationOnly, f.configurationWatch.position.Era, f.configurationWatch.position.Revision
 	if f.configurationWatch.failures == 0 {
-		call.Wait = f.watchWait()
+		call.Wait = f.configurationWait() - call.At.Sub(now) // the connection may be silent by then
 	}
 	return call, true
 }
--- a/internal/source/follow.go
+++ b/internal/source/follow.go
@@ -13,7 +13,10 @@
 	// store discards its history or the connection stalls. The wait and the
 	// further 0.7 s that the client allows for a response together stay below
 	// defaultResyncLimit. Both are shortened for a lower ResyncLimit.
-	watchWait = 2200 * time.Millisecond
+	watchWait = 2000 * time.Millisecond
+	// largeFleetConfigurationWait applies instead to the configuration call of a large
+	// fleet, whose reader notices by its other call that the store is out of touch.
+	largeFleetConfigurationWait = 2200 * time.Millisecond
 	// largeFleetWatchWait applies instead in a large fleet. Other proxies
 	// depend on a reader there and detect only at the end of a call that the
 	// reader, or its connection to the store, has failed. Within the 2.5 s in
@@ -251,6 +254,7 @@
 	next := f.nextCall(now)
 	if next.Reader == nil && (len(c.Instances) > 0 || len(c.Evacuations) > 0 || c.Configuration != nil) {
 		next.At = now.Add(batchDelay)
+		next.Wait = max(0, next.Wait-batchDelay) // the connection may be silent by then
 	}
 	if c.Configuration != nil {
 		next.List = f.recordVersion(now) && !f.isLargeFleet()
@@ -309,6 +313,11 @@
 // watchWait returns the wait of a watch.
 func (f *Follower) watchWait() time.Duration { return ScaleToResync(watchWait, f.cfg.ResyncLimit) }
 
+// configurationWait returns the wait of a configuration call.
+func (f *Follower) configurationWait() time.Duration {
+	return ScaleToResync(largeFleetConfigurationWait, f.cfg.ResyncLimit)
+}
+
 // Tick deletes retained entries after the end of the grace period.
 func (f *Follower) Tick(now time.Time) Update {
 	var v Update
