Tell an outage of the store from a failed call

Callers saw: an instance whose entry was removed just after the connections to the store had gone silent got requests until its backend server ended, 3.2 s after the acknowledgement in place of 2 s; bookings in work were cut.

Cause: Follower.noteRecovery took any failed call for an outage of the store, in which entries may expire, and let removals wait for 2 s from the next answer.

Removals now wait only if entries may have expired: the store was not seen by this proxy or, by their word, by another one for two report intervals, or it refused calls or did not respond on a new connection and was not seen since. Failures of open connections, answers that cannot be read and status 429 say nothing of the store. The time-outs are shortened for a report interval below 1.5 s, which the settings name. A reader in whose connection a call failed does not send its followers away before its next call has failed.

--- a/internal/host/build.go
+++ b/internal/host/build.go
@@ -36,6 +36,7 @@
 		c.Seeds = slices.DeleteFunc(slices.Clone(s.Platform.Seeds), func(a string) bool { return a == s.Listen.Peers })
 		c.Dist.Followed = true
 		c.ResyncLimit = adapter.ResyncLimit
+		c.ReportInterval = time.Duration(s.Platform.ReportInterval)
 		c.Routing.Retries = adapter.Retries
 		if s.Platform.LinkMbps > 0 {
 			c.Routing.SelfAddress = s.Listen.Forward
--- a/internal/host/store.go
+++ b/internal/host/store.go
@@ -111,5 +111,10 @@
 }
 
 func storeFailure(err error) node.StoreFailed {
-	return node.StoreFailed{Compacted: errors.Is(err, source.ErrCompacted), Cause: err.Error()}
+	return node.StoreFailed{
+		Compacted:    errors.Is(err, source.ErrCompacted),
+		Inconclusive: errors.Is(err, source.ErrInconclusive),
+		Unreadable:   errors.Is(err, source.ErrMalformed),
+		Cause:        err.Error(),
+	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -39,6 +39,8 @@
 	Seeds []string
 	// ResyncLimit is that of the source.FollowerConfig.
 	ResyncLimit time.Duration
+	// ReportInterval is that of the source.FollowerConfig.
+	ReportInterval time.Duration
 }
 
 // Event is an input of the reducer: a member.Event, dist.Event, routing.Event,
@@ -144,6 +146,7 @@
 			Seeds:            cfg.Seeds,
 			RandSeed:         cfg.Dist.Seed,
 			ResyncLimit:      cfg.ResyncLimit,
+			ReportInterval:   cfg.ReportInterval,
 		})
 	}
 	return n
@@ -177,7 +180,7 @@
 		n.requestVersions(now, &out)
 		n.answerRelayRequests(now, &out)
 	case VersionsFailed:
-		n.applyUpdate(now, n.follower.HandleConfigurationFailure(now, e.Compacted, e.Cause), &out)
+		n.applyUpdate(now, n.versionsFailed(now, e), &out)
 		n.requestVersions(now, &out)
 	case EvacuationsRelayed:
 		n.applyUpdate(now, n.follower.HandlePeerEvacuations(now, e.Peer, e.Reply, e.Err), &out)
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -20,15 +20,15 @@
 		// Compacted reports that the store has discarded the history after the
 		// requested revision.
 		Compacted bool
-		Cause     string
+		// Inconclusive reports that the failure tells nothing of the store, and
+		// Unreadable, which implies it, that the store answered with what cannot be read.
+		Inconclusive, Unreadable bool
+		Cause                    string
 	}
 	// VersionsChanged and VersionsFailed are the results of a call for the
 	// configuration only.
 	VersionsChanged struct{ Changes source.Changes }
-	VersionsFailed  struct {
-		Compacted bool
-		Cause     string
-	}
+	VersionsFailed  StoreFailed
 	// StoreRelayed is the reply of another proxy, a reader or a seed, to a call
 	// that was sent to it instead of to the store.
 	StoreRelayed struct {
@@ -59,7 +59,11 @@
 	case StoreChanged:
 		update, next = n.follower.HandleChanges(now, e.Changes)
 	case StoreFailed:
-		update, next = n.follower.HandleFailure(now, e.Compacted, e.Cause)
+		if e.Inconclusive {
+			update, next = n.follower.HandleInconclusiveFailure(now, e.Unreadable, e.Cause)
+		} else {
+			update, next = n.follower.HandleFailure(now, e.Compacted, e.Cause)
+		}
 	case ReaderDelayed:
 		update, next = n.follower.HandleReaderDelay(now, e.Reader)
 	case StoreRelayed:
@@ -72,6 +76,14 @@
 	n.applyUpdate(now, update, out)
 }
 
+// versionsFailed passes the failure of a call for the configuration only to the follower.
+func (n *Node) versionsFailed(now time.Time, e VersionsFailed) source.Update {
+	if e.Inconclusive {
+		return n.follower.HandleInconclusiveConfigurationFailure(now, e.Cause)
+	}
+	return n.follower.HandleConfigurationFailure(now, e.Compacted, e.Cause)
+}
+
 // requestVersions emits the next call for the operator's part of the store only, and the
 // next question about evacuations to another proxy, if they are due.
 func (n *Node) requestVersions(now time.Time, out *Effects) {
--- a/internal/settings/field.go
+++ b/internal/settings/field.go
@@ -40,6 +40,7 @@
 	{"platform.store", addressRule{optional: true}, "the store, if platform.kind is store"},
 	{"platform.bounds", assignmentsRule{}, "bounds that the platform sets, each as NAME=VALUE"},
 	{"platform.link_mbps", floatRule{1_000_000}, "bandwidth of the machine's link in Mbit/s, 0 if it is not known; proxies with slow links leave it to others to read the store for their zone"},
+	{"platform.report_interval", durationRule{0, time.Minute}, "time between two reports of a backend server to the store, whose entry expires after three without one; 0s if it is not known, 1.5s is assumed then"},
 	{"platform.seeds", addressesRule{}, "peer addresses of some proxies, from which a proxy starts while the store is out of reach"},
 	{"platform.source", addressRule{prefix: "http://", optional: true}, "configuration service of the platform"},
 	{"platform.instances", addressRule{prefix: "http://", optional: true}, "list of instances of the platform"},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -84,6 +84,9 @@
 	// LinkMbps is the bandwidth of the machine's network link in Mbit/s, or 0
 	// if it is unknown.
 	LinkMbps float64 `toml:"link_mbps"`
+	// ReportInterval is the time between two reports of a backend server to the store,
+	// 0 if it is unknown.
+	ReportInterval config.Duration `toml:"report_interval"`
 	// Seeds are peer addresses of proxies to bootstrap from while the store is
 	// unreachable.
 	Seeds []string `toml:"seeds"`
--- a/internal/source/evacuationrelay.go
+++ b/internal/source/evacuationrelay.go
@@ -83,6 +83,8 @@
 	misses int
 	// failed reports that the latest question was not answered.
 	failed bool
+	// askedAt is the time of the latest question.
+	askedAt time.Time
 }
 
 func newEvacuationPeers(seed uint64) evacuationPeers {
@@ -105,7 +107,7 @@
 	if peer == nil {
 		return Call{}, false
 	}
-	p.inFlight, p.nextAt = true, now.Add(evacuationAskInterval)
+	p.inFlight, p.askedAt, p.nextAt = true, now, now.Add(evacuationAskInterval)
 	return Call{At: now, Part: EvacuationsOnly, Era: f.position.Era, After: f.position.Revision, Reader: peer}, true
 }
 
@@ -169,6 +171,7 @@
 		p.peer, p.misses = id, 0
 	}
 	if !p.failed {
+		f.sightings.record(p.askedAt.Add(-r.age()))
 		// What a proxy knows holds also while it is without the store.
 		f.applyRelayedEvacuations(r)
 		f.updateEvacuations(now, &v)
--- a/internal/source/feed.go
+++ b/internal/source/feed.go
@@ -13,9 +13,14 @@
 // discarded.
 var ErrCompacted = errors.New("required history has been compacted")
 
+// ErrInconclusive marks the failure of a call that tells nothing of the store: it has
+// answered other than with a refusal, or the connection of the call failed, which may be all
+// that failed. It comes with ErrUnavailable or ErrMalformed.
+var ErrInconclusive = errors.New("failure of the call alone")
+
 // Feed reads a store that holds the operator's configuration and the list of
 // instances under a single revision counter. Its methods return ErrUnavailable,
-// ErrMalformed or ErrCompacted.
+// ErrMalformed or ErrCompacted, and may mark the first two with ErrInconclusive.
 type Feed interface {
 	// List reads the complete content of the store.
 	List(ctx context.Context) (Listing, error)
--- a/internal/source/follow.go
+++ b/internal/source/follow.go
@@ -10,9 +10,10 @@
 
 const (
 	// watchWait bounds the wait of a watch. A watch may get no response if the
-	// store discards its history or the connection stalls. The wait and the
-	// further 0.7 s that the client allows for a response together stay below
-	// defaultResyncLimit. Both are shortened for a lower ResyncLimit.
+	// store discards its history or the connection stalls. The wait, the
+	// further 0.7 s that the client allows for a response and the call on a new
+	// connection together stay below defaultResyncLimit, and below the shortest outage
+	// in which entries expire (ShortestLapse). They are shortened for a lower ResyncLimit.
 	watchWait = 2000 * time.Millisecond
 	// largeFleetConfigurationWait applies instead to the configuration call of a large
 	// fleet, whose reader notices by its other call that the store is out of touch.
@@ -35,10 +36,6 @@
 	// defaultResyncLimit, too.
 	retryMin = 50 * time.Millisecond
 	retryMax = time.Second
-	// reregistrationGrace is the platform's bound on the time after a store
-	// outage within which entries that expired during the outage are written
-	// again.
-	reregistrationGrace = 2 * time.Second
 )
 
 // Call describes the follower's next call to the store.
@@ -109,11 +106,19 @@
 	// unavailableSince the time of the first of them.
 	failures         int
 	unavailableSince time.Time
+	// retryIsLate reports that the call after the first failure has not been answered
+	// within maxRetryHold.
+	retryIsLate bool
 	// ownFailureAt is when a call of this proxy to the store last failed.
 	ownFailureAt time.Time
+	// sightings tells whether entries may have expired while calls failed.
+	sightings storeSightings
 	// graceUntil is the end of the period in which removed entries are retained
 	// after an outage.
 	graceUntil time.Time
+	// watchEnd is when the watch ends that must tell which of the retained entries were
+	// written again.
+	watchEnd time.Time
 	// lastVersionAt is when a watch last returned a version.
 	lastVersionAt time.Time
 	// configurationWatch is the state of the separate configuration call of a
@@ -168,6 +173,9 @@
 	// ResyncLimit is the time after a disturbance of the store, or of the connection to
 	// it, within which the state must be current again; 3 s if it is 0.
 	ResyncLimit time.Duration
+	// ReportInterval is the time between two reports of a backend server to the store;
+	// 1.5 s if it is 0. Its entry expires after three intervals without one.
+	ReportInterval time.Duration
 }
 
 // NewFollower returns a follower with no state.
@@ -196,7 +204,7 @@
 // HandleListing handles the result of a complete read and returns the next call.
 func (f *Follower) HandleListing(now time.Time, l Listing) (Update, Call) {
 	if cause, ok := f.checkEra(l.Era); !ok {
-		return f.HandleFailure(now, false, cause)
+		return f.HandleInconclusiveFailure(now, false, cause)
 	}
 	var v Update
 	f.noteStoreAnswer(now, &v)
@@ -209,6 +217,7 @@
 		f.noteKept(&v)
 	}
 	f.configurationWatch.advance(l.Position())
+	f.dropRetained(now, &v)
 	f.setInstances(&v)
 	f.noteMalformedKeys(l.MalformedKeys, &v)
 	f.evacuations.replace(l.Position(), evacuationsInEra(l.Evacuations, l.Era))
@@ -223,7 +232,7 @@
 // HandleChanges handles the result of a watch and returns the next call.
 func (f *Follower) HandleChanges(now time.Time, c Changes) (Update, Call) {
 	if cause, ok := f.checkEra(c.Era); !ok {
-		return f.HandleFailure(now, false, cause)
+		return f.HandleInconclusiveFailure(now, false, cause)
 	}
 	var v Update
 	f.noteStoreAnswer(now, &v)
@@ -245,7 +254,7 @@
 		}
 		f.putEntry(keepLeaving(e, last))
 	}
-	if len(c.Instances) > 0 {
+	if f.dropRetained(now, &v) || len(c.Instances) > 0 {
 		f.setInstances(&v)
 	}
 	f.applyEvacuationChanges(c, &v)
@@ -262,21 +271,44 @@
 	return v, next
 }
 
-// HandleFailure handles the failure of a call to the store and returns the next
-// call. If compacted is set, the store has discarded the history after the
+// HandleFailure handles the failure of a call to the store that is a sign of an outage: the
+// store was not reached, refused the call or did not respond on a new connection. It returns
+// the next call. If compacted is set, the store has discarded the history after the
 // known revision.
 func (f *Follower) HandleFailure(now time.Time, compacted bool, cause string) (Update, Call) {
-	var v Update
 	if compacted {
+		var v Update
 		v.addNote("store history discarded", fmt.Sprintf("after %v", f.position))
 		f.listed = false
 		return v, Call{At: now, List: true}
 	}
+	f.sightings.recordOutage(now)
+	return f.handleFailedCall(now, cause)
+}
+
+// HandleInconclusiveFailure handles the failure of a call to the store that tells nothing of
+// the store, such as a connection that went silent. It returns the next call. If unreadable
+// is set, the store has answered, and would answer a repeated watch alike.
+func (f *Follower) HandleInconclusiveFailure(now time.Time, unreadable bool, cause string) (Update, Call) {
+	v, next := f.handleFailedCall(now, cause)
+	if unreadable && next.Reader == nil {
+		next = Call{At: next.At, List: true}
+	}
+	return v, next
+}
+
+// handleFailedCall returns the next call after a failed one to the store.
+func (f *Follower) handleFailedCall(now time.Time, cause string) (Update, Call) {
+	var v Update
 	if f.failures == 0 {
 		f.unavailableSince = now
 		v.addNote("store lost", cause)
 	}
 	f.failures++
+	f.retryIsLate = false
+	if f.awaitsRetry() {
+		return v, f.retryCall(now)
+	}
 	f.ownFailureAt = now
 	if !f.listed {
 		if seed := f.nextSeed(); seed != nil {
@@ -286,6 +318,12 @@
 	return v, f.outageCall(now)
 }
 
+// awaitsRetry reports whether the one failed call told nothing of the store, so that the
+// next one finds out whether it is available.
+func (f *Follower) awaitsRetry() bool {
+	return f.failures == 1 && f.sightings.outageAt.IsZero()
+}
+
 // retryCall returns the next call to the store after a failure.
 func (f *Follower) retryCall(now time.Time) Call {
 	return f.retryCallAfter(now, f.backoff(max(0, f.failures-1)))
@@ -321,24 +359,37 @@
 // Tick deletes retained entries after the end of the grace period.
 func (f *Follower) Tick(now time.Time) Update {
 	var v Update
+	f.retryIsLate = f.failures > 0 && now.Sub(f.unavailableSince) > maxRetryHold
 	f.restored.expire(now)
 	if f.acceptDoubted(now) {
 		f.setInstances(&v)
 	}
 	f.endDoubtedEvacuations(now)
 	f.updateEvacuations(now, &v)
-	if f.failures > 0 || now.Before(f.graceUntil) {
-		return v
+	if f.failures == 0 && !f.watchIsLate(now) && f.dropRetained(now, &v) {
+		f.setInstances(&v)
 	}
-	f.restored.grace = false
-	if len(f.retained) == 0 {
-		return v
+	return v
+}
+
+// watchIsLate reports whether the watch that is to tell which of the retained entries were
+// written again should have ended: its connection may be silent.
+func (f *Follower) watchIsLate(now time.Time) bool {
+	return now.After(f.watchEnd) && now.Before(f.watchEnd.Add(maxWatchDelay))
+}
+
+// dropRetained deletes retained entries after the end of the grace period, and reports
+// whether there were any.
+func (f *Follower) dropRetained(now time.Time, v *Update) bool {
+	if now.Before(f.graceUntil) {
+		return false
 	}
+	f.restored.grace = false
+	dropped := len(f.retained) > 0
 	for _, id := range slices.Sorted(maps.Keys(f.retained)) {
-		f.deleteEntry(id, "not registered again after the store outage", &v)
+		f.deleteEntry(id, "not registered again after the store outage", v)
 	}
-	f.setInstances(&v)
-	return v
+	return dropped
 }
 
 // nextCall returns a watch of the store, or of the reader to call instead. Without a
@@ -352,6 +403,14 @@
 	if f.isLargeFleet() {
 		call.Part, call.Wait = InstancesOnly, largeFleetWatchWait
 		f.limitSilence(now, &call)
+	}
+	if len(f.retained) > 0 && call.Reader == nil {
+		// Which of the retained entries were written again must be known as the grace
+		// period ends.
+		call.Wait = min(call.Wait, max(0, f.graceUntil.Sub(now)+graceMargin))
+		f.watchEnd = now.Add(call.Wait)
+	}
+	if call.Part == InstancesOnly {
 		return call
 	}
 	// In a fleet that was large before, another call has read the operator's part, and
@@ -376,18 +435,26 @@
 // noteStoreAnswer records that a call of this proxy to the store succeeded.
 func (f *Follower) noteStoreAnswer(now time.Time, v *Update) {
 	f.noteRecovery(now, v)
+	f.sightings.reset(now)
 	f.ownFailureAt = time.Time{}
 	f.knownAt = now
 }
 
-// noteRecovery records the first successful call after failures.
+// noteRecovery records the first successful call after failures. Entries that were
+// removed meanwhile are retained for a time only if they may have expired.
 func (f *Follower) noteRecovery(now time.Time, v *Update) {
 	if f.failures == 0 {
 		return
 	}
-	v.addNote("store regained", fmt.Sprintf("after %v and %d failed calls", now.Sub(f.unavailableSince).Round(time.Millisecond), f.failures))
+	mayHaveExpired := f.sightings.entriesMayHaveExpired(now, f.shortestLapse())
+	consequence := "removals apply"
+	if mayHaveExpired {
+		f.graceUntil = now.Add(reregistrationGrace)
+		consequence = "removals may be entries that expired"
+	}
+	v.addNote("store regained", fmt.Sprintf("after %v and %d failed calls; %s", now.Sub(f.unavailableSince).Round(time.Millisecond), f.failures, consequence))
 	f.failures = 0
-	f.graceUntil = now.Add(reregistrationGrace)
+	f.sightings.outageAt, f.sightings.gap = time.Time{}, 0
 }
 
 func (f *Follower) acceptConfiguration(c *Configuration, v *Update) {
--- a/internal/source/outage.go
+++ b/internal/source/outage.go
@@ -86,7 +86,7 @@
 // storeUnavailable reports whether the store seems to be unavailable to all proxies, and not
 // only for one call or to one machine.
 func (f *Follower) storeUnavailable() bool {
-	return f.failures >= minOutageFailures || f.failures > 0 && len(f.staleAt) > 0
+	return f.failures >= minOutageFailures || f.failures > 0 && !f.awaitsRetry() && len(f.staleAt) > 0
 }
 
 // turnedAway reports whether the store did not answer this proxy recently, while others get
--- a/internal/source/readerdelay.go
+++ b/internal/source/readerdelay.go
@@ -39,7 +39,9 @@
 
 // recordAge records a reply of a reader that the store answered the given time ago.
 func (f *Follower) recordAge(now time.Time, age time.Duration) {
-	if at := now.Add(-age); at.After(f.knownAt) {
+	at := now.Add(-age)
+	f.sightings.record(at)
+	if at.After(f.knownAt) {
 		f.knownAt = at
 	}
 }
--- a/internal/source/relay.go
+++ b/internal/source/relay.go
@@ -38,6 +38,9 @@
 	// an outage all of them are out of touch with the store, and each proxy that is asked
 	// calls the store itself.
 	maxReplacedReaders = 3
+	// maxRetryHold is how long the requests of others wait for the next call after one that
+	// told nothing of the store. A reader whose reply is late by readerDelay is given up.
+	maxRetryHold = 100 * time.Millisecond
 	// readerRetryDelay is how long a reader is not asked again after a failure.
 	readerRetryDelay = 3 * time.Second
 )
@@ -99,6 +102,9 @@
 	Delta  json.RawMessage    `json:"delta,omitempty"`
 }
 
+// age returns the time since the store last answered the sender.
+func (r RelayReply) age() time.Duration { return time.Duration(max(r.AgeMs, 0)) * time.Millisecond }
+
 // selectReader returns the reader to call instead of the store, or nil if this
 // proxy calls the store itself, and whether the request must set Force.
 func (f *Follower) selectReader(now time.Time) (*Instance, bool) {
@@ -221,8 +227,8 @@
 	f.confirmed[id] = true
 	delete(f.readerFailedAt, id)
 	delete(f.staleAt, id)
+	f.recordAge(now, r.age())
 	f.noteRecovery(now, &v)
-	f.recordAge(now, time.Duration(r.AgeMs)*time.Millisecond)
 	entered := f.enterEra(now, r.Era, &v)
 	if f.position.Before(r.Position()) {
 		f.position = r.Position()
@@ -308,9 +314,10 @@
 // CanReplyNow reports whether a request is to be answered immediately: there is
 // a change to report, the request allows stale state, this proxy declines it, or
 // this proxy's state may be out of date. A requester without state waits for a reader
-// that is about to read the store.
+// that is about to read the store, and any one for a reader whose connection to the store
+// has failed and whose next call is under way.
 func (f *Follower) CanReplyNow(r RelayRequest) bool {
-	outOfDate := !f.inSync() && !(f.reading() && r.hasNoState())
+	outOfDate := !f.inSync() && !(f.reading() && r.hasNoState()) && !(f.awaitsRetry() && !f.retryIsLate)
 	return r.AllowStale || r.EvacuationsOnly || f.evacuationsDiffer(r) || f.shouldDecline(r) || outOfDate || f.behind(r) || f.listDiffers(r) || f.version > r.Version
 }
 
--- a/internal/source/resync.go
+++ b/internal/source/resync.go
@@ -20,3 +20,13 @@
 	}
 	return time.Duration(float64(wait) * float64(max(limit, minResyncLimit)) / float64(defaultResyncLimit))
 }
+
+// LimitToLapse returns the resync limit, shortened so that a proxy that follows the store
+// notices a failed connection before an entry can have expired in an outage that was as
+// long. A limit of 0 stands for none.
+func LimitToLapse(limit, reportInterval time.Duration) time.Duration {
+	if lapse := ShortestLapse(reportInterval); limit <= 0 || lapse < limit {
+		return lapse
+	}
+	return limit
+}
--- a/internal/source/seed.go
+++ b/internal/source/seed.go
@@ -33,6 +33,7 @@
 	}
 	var v Update
 	v.addNote("state loaded from seed", fmt.Sprintf("list at %v; the store is unreachable", r.Position()))
+	f.sightings.record(now.Add(-r.age()))
 	f.enterEra(now, r.Era, &v)
 	f.position, f.listed = r.Position(), true
 	f.replaceEntries(now, r.Instances, func(id string) { f.deleteEntry(id, "not in the list of the seed", &v) })
