Never wait for the output of the log

Callers saw: while the reader of the logs stood still, a proxy enforced no further version and did not react to SIGTERM; when the reader ended, the proxy ended by SIGPIPE.

Cause: lines on state changes were written by the goroutine that makes the change. SIGPIPE is ignored.

--- a/internal/cli/proxy.go
+++ b/internal/cli/proxy.go
@@ -16,6 +16,7 @@
 
 	"heatherlift.example/heatherlift/internal/admin"
 	"heatherlift.example/heatherlift/internal/host"
+	"heatherlift.example/heatherlift/internal/logqueue"
 	"heatherlift.example/heatherlift/internal/settings"
 	"heatherlift.example/heatherlift/platform"
 )
@@ -24,6 +25,9 @@
 // -settings flag.
 const settingsVariable = "HEATHERLIFT_SETTINGS"
 
+// logFlushTimeout bounds the time in which queued log lines are written at the end.
+const logFlushTimeout = 200 * time.Millisecond
+
 // adapterFor returns the adapter for the configured kind of platform, or nil if
 // the platform implements heatherlift's own interfaces.
 func adapterFor(s settings.Settings) (*host.PlatformAdapter, error) {
@@ -77,10 +81,15 @@
 	if err != nil {
 		return c.fail(err)
 	}
-	h, err := host.New(s, newLogger(c.stdout, s.Log), recorder, adapter)
+	// A log whose reader is gone must not end the process.
+	signal.Ignore(syscall.SIGPIPE)
+	queue := logqueue.New(c.stdout)
+	defer queue.Close(logFlushTimeout)
+	h, err := host.New(s, newLogger(queue, s.Log), recorder, adapter)
 	if err != nil {
 		return c.fail(err)
 	}
+	h.UseLogQueue(queue)
 	defer reloadOnHangup(h, c.settings)()
 	if err := h.Run(ctx, admin.Handler(h)); err != nil {
 		return c.fail(err)
--- a/internal/decisionlog/decisionlog.go
+++ b/internal/decisionlog/decisionlog.go
@@ -50,8 +50,23 @@
 	limits  [classCount]*rate.Limiter
 	queue   chan line
 	dropped [classCount]atomic.Uint64
+	output  Output
+	// lostLines is the last value of output.Dropped that was reported.
+	lostLines uint64
 }
 
+// Output is the queue behind the logger.
+type Output interface {
+	// HasRoom reports whether there is room for a line that may be dropped.
+	HasRoom() bool
+	// Dropped returns the number of lines of any kind that were lost.
+	Dropped() uint64
+}
+
+// SetOutput makes the log leave the room that output reserves to other lines, and report
+// the lines that output has lost. It must be called before Run.
+func (l *Log) SetOutput(output Output) { l.output = output }
+
 // New returns a log that writes to logger while Run is active.
 func New(logger *log.Logger) *Log {
 	l := &Log{logger: logger, queue: make(chan line, queueLength)}
@@ -83,7 +98,7 @@
 	for {
 		select {
 		case next := <-l.queue:
-			l.logger.Info(next.message, next.fields...)
+			l.write(next)
 		case <-ticker.C:
 			l.reportDropped()
 		case <-stop:
@@ -93,10 +108,17 @@
 	}
 }
 
+func (l *Log) write(next line) {
+	if l.output != nil && !l.output.HasRoom() {
+		l.dropped[Notable].Add(1)
+		return
+	}
+	l.logger.Info(next.message, next.fields...)
+}
+
 func (l *Log) flush() {
 	for len(l.queue) > 0 {
-		next := <-l.queue
-		l.logger.Info(next.message, next.fields...)
+		l.write(<-l.queue)
 	}
 	l.reportDropped()
 }
@@ -105,6 +127,15 @@
 // them was notable. Routine lines are sampled by design, so dropping only those
 // is not reported.
 func (l *Log) reportDropped() {
+	if l.output != nil && !l.output.HasRoom() {
+		return // until the output takes lines again
+	}
+	if l.output != nil {
+		if n := l.output.Dropped(); n > l.lostLines {
+			l.logger.Warn("log lines dropped", "lines", n-l.lostLines)
+			l.lostLines = n
+		}
+	}
 	if n := l.dropped[Notable].Swap(0); n > 0 {
 		l.logger.Warn("decision log lines dropped", "notable", n, "ordinary", l.dropped[Routine].Swap(0))
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -116,6 +116,13 @@
 	EvacuationLimit time.Duration
 }
 
+// UseLogQueue makes the lines on requests give way to others in the queue behind the
+// logger, and counts the lines that the queue has lost. It must be called before Run.
+func (h *Host) UseLogQueue(q decisionlog.Output) {
+	h.decisions.SetOutput(q)
+	h.metrics.countLostLines(q)
+}
+
 // New returns a host that is not running yet. The recorder may be nil. A nil
 // adapter selects heatherlift's own platform and header interfaces. New returns
 // identity.ErrCredentials if the TLS files are not usable.
--- a/internal/host/metrics.go
+++ b/internal/host/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
+	"heatherlift.example/heatherlift/internal/decisionlog"
 	"heatherlift.example/heatherlift/internal/forward"
 	"heatherlift.example/heatherlift/internal/node"
 	"heatherlift.example/heatherlift/internal/outcome"
@@ -109,6 +110,13 @@
 	return m
 }
 
+// countLostLines exports the number of log lines that were lost.
+func (m *metrics) countLostLines(q decisionlog.Output) {
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "heatherlift_log_lines_lost_total", Help: "Log lines that the output did not take.",
+	}, func() float64 { return float64(q.Dropped()) }))
+}
+
 // Bytes implements peer.Observer.
 func (m *metrics) Bytes(sent, received int) {
 	m.bytesSent.Add(float64(sent))
