Use the version of a reader whose instances are in doubt

Callers saw: a version late at proxies behind readers after an outage. Readers that retained entries answered "stale" for two seconds, and the followers left the version aside that came with the answer.

--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -127,7 +127,11 @@
 	}
 	if e.Err == "" && e.Reply.Stale {
 		if !e.AnyAge {
-			return n.follower.HandleStaleReader(now, e.Reader)
+			c, err := n.buildFromReply(e.Reply)
+			if err != nil {
+				n.journal.add(now, "version of a reader not used", e.Reader+": "+err.Error())
+			}
+			return n.follower.HandleStaleReader(now, e.Reader, c)
 		}
 		e.Err = source.CauseStale
 	}
--- a/internal/node/storeoutage_test.go
+++ b/internal/node/storeoutage_test.go
@@ -51,3 +51,30 @@
 	}
 	return true
 }
+
+// Guards against versions that wait for the end of the grace period of instances: readers
+// that retained entries answered only that they are out of date.
+func TestVersionDoesNotWaitForExpiredEntries(t *testing.T) {
+	for seed := range uint64(8) {
+		for _, n := range []int{28, 77} {
+			f := newStoreFleet(seed, n)
+			f.run(5*time.Second + f.jitter(2*time.Second))
+			f.down = true
+			f.run(6 * time.Second)
+			for i := range 3 {
+				f.remove(i) // expired
+			}
+			f.run(f.jitter(time.Second))
+			f.down = false
+			back := f.now
+			f.publish(6)
+			for f.now.Sub(back) < 10*time.Second && !f.allAt(6) {
+				f.run(20 * time.Millisecond)
+			}
+			t.Logf("seed %d, %d proxies: in force everywhere %v after the store was back", seed, n, f.now.Sub(back))
+			if f.now.Sub(back) > contactBound {
+				t.Errorf("seed %d, %d proxies: a version was in force everywhere %v after the store was back, want %v", seed, n, f.now.Sub(back), contactBound)
+			}
+		}
+	}
+}
--- a/internal/source/relay.go
+++ b/internal/source/relay.go
@@ -275,12 +275,15 @@
 const CauseStale = "reply is stale: the sender may not have the current content of the store"
 
 // HandleStaleReader records that the state of a reader may be out of date, and returns the
-// next call.
-func (f *Follower) HandleStaleReader(now time.Time, id string) (Update, Call) {
+// next call. A newer configuration of the reader, nil if it has none, is used nevertheless:
+// what may be out of date are its instances, while versions only rise.
+func (f *Follower) HandleStaleReader(now time.Time, id string, c *Configuration) (Update, Call) {
 	if f.listed {
 		f.staleAt[id] = now
 	}
-	return f.loseReader(now, id, CauseStale, true)
+	v, next := f.loseReader(now, id, CauseStale, true)
+	f.acceptConfiguration(c, &v)
+	return v, next
 }
 
 // HandleReaderFailure records that a reader did not reply. It returns the next call, to
