Ask for the newest version until one knows the time before a restoration

Callers saw: requests for a dropped route run by proxies that had started while the store came back from an older copy, beside others that knew better.

Cause: a starting proxy asked two others at random, which may have just started as well. The reply now names the first era that the sender has seen; a starting proxy asks on until that is an older one, 16 at most and for 1.4 s, as long as two silent proxies took before.

In TestConfigurationIsNotReadWhileOthersAreAsked the number of proxies that are asked was written out; it now checks after each of them that no configuration call is due.

--- a/internal/source/follow.go
+++ b/internal/source/follow.go
@@ -211,6 +211,7 @@
 	entered := f.enterEra(now, l.Era, &v)
 	afterOutage := now.Before(f.graceUntil)
 	f.position = l.Position()
+	f.restored.recordEra(l.Era)
 	f.replaceEntries(now, inEra(l.Instances, l.Era), func(id string) { f.handleRemoval(now, id, afterOutage, &v) })
 	f.listed = true
 	if entered {
--- a/internal/source/relay.go
+++ b/internal/source/relay.go
@@ -86,6 +86,8 @@
 	// Era and Revision are the position of the list.
 	Era      uint64 `json:"era,omitempty"`
 	Revision uint64 `json:"revision"`
+	// FirstEra is the first era that the sender has seen since it started.
+	FirstEra uint64 `json:"first_era,omitempty"`
 	// Instances is the complete list, nil if it need not replace the
 	// requester's.
 	Instances []Entry `json:"instances,omitempty"`
@@ -230,6 +232,7 @@
 	f.recordAge(now, r.age())
 	f.noteRecovery(now, &v)
 	entered := f.enterEra(now, r.Era, &v)
+	f.restored.recordEra(r.Era)
 	if f.position.Before(r.Position()) {
 		f.position = r.Position()
 	}
@@ -364,6 +367,7 @@
 		// A seed that included entries which may have expired would hide their
 		// removal from the requester for good.
 		reply.Stale = !f.listed || len(f.retained) > 0
+		reply.FirstEra = f.restored.firstEra
 	}
 	if r.AllowStale || f.listDiffers(r) {
 		reply.Instances = f.sortedEntries()
--- a/internal/source/restored.go
+++ b/internal/source/restored.go
@@ -15,9 +15,11 @@
 	// not used when the restored copy lists it. The platform removes the entry of
 	// an instance that does not report within three report intervals, 4.5 s.
 	doubtPeriod = 10 * time.Second
-	// maxConfirmers is the number of other proxies that a starting proxy asks for
-	// their version.
-	maxConfirmers = 2
+	// maxConfirmers and confirmLimit bound the other proxies that a starting proxy asks for
+	// their version until one has been running since before the restoration. If half of
+	// the fleet has just started, all of maxConfirmers have in one case of 65,536.
+	maxConfirmers = 16
+	confirmLimit  = 1400 * time.Millisecond
 	// maxRestorationJitter spreads the listings of the proxies after a
 	// restoration.
 	maxRestorationJitter = 300 * time.Millisecond
@@ -49,8 +51,11 @@
 	restorations, lateAnswers, missingEras uint64
 	// unconfirmed is the first configuration of this process while other proxies
 	// are asked for theirs, and confirmers are those that are still to be asked.
-	unconfirmed *Configuration
-	confirmers  []*Instance
+	unconfirmed  *Configuration
+	confirmers   []*Instance
+	confirmUntil time.Time
+	// firstEra is the first era that this process has seen, 0 if none was named.
+	firstEra uint64
 }
 
 func newRestoredState() restoredState {
@@ -217,6 +222,13 @@
 	return accepted
 }
 
+// recordEra records the era of an answer.
+func (r *restoredState) recordEra(era uint64) {
+	if r.firstEra == 0 {
+		r.firstEra = era
+	}
+}
+
 // confirmFirst holds back the first configuration of this process if the store may
 // be an older copy, and returns the call to another proxy that may know a newer one.
 // Only a store in its second or a later era can be a copy.
@@ -235,7 +247,7 @@
 	if len(others) == 0 {
 		return Call{}, false
 	}
-	f.restored.unconfirmed, f.restored.confirmers = c, others
+	f.restored.unconfirmed, f.restored.confirmers, f.restored.confirmUntil = c, others, now.Add(confirmLimit)
 	return f.nextConfirmer(now), true
 }
 
@@ -247,16 +259,22 @@
 }
 
 // confirm takes the version of another proxy, nil if it has none, and returns the next
-// call. The highest version becomes effective once all were asked.
-func (f *Follower) confirm(now time.Time, c *Configuration, v *Update) Call {
-	if c != nil && c.Version > f.restored.unconfirmed.Version {
-		v.addNote("newer version than that of the restored store", fmt.Sprintf("version %d instead of %d, from another proxy", c.Version, f.restored.unconfirmed.Version))
-		f.restored.unconfirmed = c
+// call. The highest version becomes effective once a proxy was asked that has been running
+// since before the restoration, or none is left to ask.
+func (f *Follower) confirm(now time.Time, c *Configuration, firstEra uint64, v *Update) Call {
+	r := &f.restored
+	if c != nil && c.Version > r.unconfirmed.Version {
+		v.addNote("newer version than that of the restored store", fmt.Sprintf("version %d instead of %d, from another proxy", c.Version, r.unconfirmed.Version))
+		r.unconfirmed = c
 	}
-	if len(f.restored.confirmers) > 0 {
+	knows := firstEra > 0 && firstEra < f.position.Era
+	if !knows && len(r.confirmers) > 0 && now.Before(r.confirmUntil) {
 		return f.nextConfirmer(now)
 	}
-	f.acceptConfiguration(f.restored.unconfirmed, v)
-	f.restored.unconfirmed = nil
+	if !knows {
+		v.addNote("version of a restored store not confirmed", fmt.Sprintf("version %d; no proxy that was asked has been running since before era %d", r.unconfirmed.Version, f.position.Era))
+	}
+	f.acceptConfiguration(r.unconfirmed, v)
+	r.unconfirmed = nil
 	return f.nextCall(now)
 }
--- a/internal/source/restored_test.go
+++ b/internal/source/restored_test.go
@@ -369,11 +369,47 @@
 		e.Instance.AvailabilityZone = "other"
 		list.Instances = append(list.Instances, e)
 	}
-	f.HandleListing(testStart, list)
+	_, call := f.HandleListing(testStart, list)
+	for range maxConfirmers {
+		is.True(call.AllowStale)
+		_, due := f.NextConfigurationCall(testStart)
+		is.True(!due)
+		_, call = f.HandleSeedFailure(testStart, call.Reader.ID, "starting")
+	}
+	is.True(!call.AllowStale)
 	_, due := f.NextConfigurationCall(testStart)
-	is.True(!due)
-	f.HandleSeedFailure(testStart, "a", "starting")
-	f.HandleSeedFailure(testStart, "b", "starting")
-	_, due = f.NextConfigurationCall(testStart)
 	is.True(due)
 }
+
+// Guards against a copy's version that a proxy enforces because those that it asked had just
+// started as well: it asks on, for a time, until one has seen an older era.
+func TestStartAsksUntilOneHasRunSinceBeforeTheRestoration(t *testing.T) {
+	is := is.New(t)
+	list := Listing{Era: 4, Revision: 9, Configuration: &Configuration{Version: 6}}
+	for i := range uint64(9) {
+		list.Instances = append(list.Instances, entry(string('a'+rune(i)), i+1, InstanceLive))
+	}
+	start := func() (*Follower, Call) {
+		f := NewFollower(FollowerConfig{RandSeed: 1})
+		_, call := f.HandleListing(testStart, list)
+		return f, call
+	}
+	started, _ := start()
+	f, call := start()
+	for range 5 {
+		is.True(call.AllowStale)
+		reply := started.Reply(RelayRequest{AllowStale: true})
+		is.Equal(reply.FirstEra, uint64(4))
+		_, call = f.HandleSeedReply(testStart, call.Reader.ID, reply, &Configuration{Version: 6})
+	}
+	is.True(call.AllowStale)
+	running := NewFollower(FollowerConfig{RandSeed: 1})
+	running.HandleListing(testStart, Listing{Era: 3, Revision: 20})
+	update, call := f.HandleSeedReply(testStart, call.Reader.ID, running.Reply(RelayRequest{AllowStale: true}), &Configuration{Version: 7})
+	is.Equal(update.Configuration.Version, uint64(7))
+	is.True(!call.AllowStale)
+
+	f, call = start()
+	update, _ = f.HandleSeedFailure(testStart.Add(confirmLimit), call.Reader.ID, "silent")
+	is.Equal(update.Configuration.Version, uint64(6)) // no longer than before
+}
--- a/internal/source/seed.go
+++ b/internal/source/seed.go
@@ -25,7 +25,7 @@
 		var v Update
 		f.adoptEvacuations(r)
 		f.updateEvacuations(now, &v)
-		next := f.confirm(now, c, &v)
+		next := f.confirm(now, c, r.FirstEra, &v)
 		return v, next
 	}
 	if r.Position().Before(f.position) {
@@ -35,6 +35,7 @@
 	v.addNote("state loaded from seed", fmt.Sprintf("list at %v; the store is unreachable", r.Position()))
 	f.sightings.record(now.Add(-r.age()))
 	f.enterEra(now, r.Era, &v)
+	f.restored.recordEra(r.Era)
 	f.position, f.listed = r.Position(), true
 	f.replaceEntries(now, r.Instances, func(id string) { f.deleteEntry(id, "not in the list of the seed", &v) })
 	f.configurationWatch.next = Call{Part: ConfigurationOnly, List: true}
@@ -51,7 +52,7 @@
 	var v Update
 	if f.restored.unconfirmed != nil {
 		v.addNote("version not confirmed", id+": "+cause)
-		next := f.confirm(now, nil, &v)
+		next := f.confirm(now, nil, 0, &v)
 		return v, next
 	}
 	v.addNote("seed failed", id+": "+cause)
