Accept connections again after a lack of descriptors

Callers saw: after a proxy had once had no descriptor for a connection it served no request any more, though it said that it was ready.

Cause: CallerServer.Serve and peer.Transport.Serve return at the first failed Accept. All listeners of a proxy now try again, after 5 ms and up to 0.5 s, until they are closed.

TestListenerOutlivesLackOfDescriptors fails without: no response to the first request.

--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -53,7 +53,9 @@
 			l.close()
 			return listeners{}, errors.Wrapf(ErrListen, "%v", err)
 		}
-		*t.dest = listener
+		*t.dest = &retryingListener{Listener: listener, onFailure: func(err error) {
+			h.log.Error("connection not accepted", "address", t.address, "cause", err)
+		}}
 	}
 	return l, nil
 }
