Forget the gaps in what is known of the store once a proxy is in touch

A follower in a large fleet has no answers of the store itself; a gap of long ago would have counted with its next failed call.

--- a/internal/source/follow.go
+++ b/internal/source/follow.go
@@ -16,7 +16,7 @@
 	// in which entries expire (ShortestLapse). They are shortened for a lower ResyncLimit.
 	watchWait = 2000 * time.Millisecond
 	// largeFleetConfigurationWait applies instead to the configuration call of a large
-	// fleet, whose reader notices by its other call that the store is out of touch.
+	// fleet, whose reader notices a silent connection by its other, shorter call.
 	largeFleetConfigurationWait = 2200 * time.Millisecond
 	// largeFleetWatchWait applies instead in a large fleet. Other proxies
 	// depend on a reader there and detect only at the end of a call that the
@@ -445,6 +445,7 @@
 // removed meanwhile are retained for a time only if they may have expired.
 func (f *Follower) noteRecovery(now time.Time, v *Update) {
 	if f.failures == 0 {
+		f.sightings.gap = 0
 		return
 	}
 	mayHaveExpired := f.sightings.entriesMayHaveExpired(now, f.shortestLapse())
--- a/internal/source/lapse.go
+++ b/internal/source/lapse.go
@@ -32,7 +32,8 @@
 type storeSightings struct {
 	// at is the latest time at which the store is known to have answered any proxy.
 	at time.Time
-	// gap is the longest time without a sighting since the store last answered this proxy.
+	// gap is the longest time without a sighting since this proxy was last in touch, by its
+	// own calls or a reader's.
 	gap time.Duration
 	// outageAt is the time of the first failed call since then that is a sign of an
 	// outage, zero if there was none.
