Wait for the error of a body whose sender has left

Cause: net/http cancels the context of a request as soon as reading its connection fails, and only then returns the error to who reads the body. The exchange ended by the context looked at upload.broken before it was set. It now waits for the end of reading, 0.1 s at most, if the context is cancelled.

TestBrokenBodyIsTheSendersFaultAlsoIfItHasLeft forces the order and fails without the wait.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -79,6 +79,9 @@
 		x.conn.endExchange() // a slow backend server would otherwise never get a connection in time
 		p.put(x.conn)
 	default:
+		if ctx.Err() != nil {
+			out.upload.awaitEnd()
+		}
 		if out.upload.senderAtFault(limit.expired(ctx)) {
 			err = errors.Mark(err, errBody)
 		}
--- a/internal/forward/outgoingrequest.go
+++ b/internal/forward/outgoingrequest.go
@@ -51,6 +51,9 @@
 // have overtaken.
 const earlyResponseWait = 5 * time.Millisecond
 
+// brokenBodyWait is how long a failed exchange waits for the end of reading the body.
+const brokenBodyWait = 100 * time.Millisecond
+
 // upload is a request body that is streamed to the next hop. It can be sent
 // only once. The handler must call waitUntilFinished before it returns, because a
 // request body must not be read after that.
@@ -123,6 +126,20 @@
 	}
 }
 
+// awaitEnd waits a moment for the end of reading the body, after its sender has left: the
+// error of the body that broke off is known only then.
+func (u *upload) awaitEnd() {
+	if !u.started() {
+		return
+	}
+	timer := time.NewTimer(brokenBodyWait)
+	defer timer.Stop()
+	select {
+	case <-u.sendDone:
+	case <-timer.C:
+	}
+}
+
 // awaitSent waits a moment for the sender to notice that the body has ended, since the
 // response may overtake it. The connections would otherwise be closed as if the response
 // had come before the end of the body.
--- a/internal/forward/upload_test.go
+++ b/internal/forward/upload_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
@@ -13,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"heatherlift.example/heatherlift/internal/admission"
@@ -337,3 +340,35 @@
 		is.Equal(slow.runs.count("/a"), 0)
 	}
 }
+
+// brokenBody is a body whose sender leaves: the server cancels the context of the request
+// before the error of the body is read.
+type brokenBody struct {
+	leave context.CancelFunc
+	sent  bool
+}
+
+func (b *brokenBody) Read(p []byte) (int, error) {
+	if !b.sent {
+		b.sent = true
+		return copy(p, "hello"), nil
+	}
+	b.leave()
+	time.Sleep(20 * time.Millisecond)
+	return 0, io.ErrUnexpectedEOF
+}
+
+// Guards against a body that breaks off and counts against the backend server, as the end of
+// its sender is seen before the error of the body.
+func TestBrokenBodyIsTheSendersFaultAlsoIfItHasLeft(t *testing.T) {
+	is := is.New(t)
+	address := rawServer(t, func(_ net.Conn, r *bufio.Reader) { _, _ = io.Copy(io.Discard, r) })
+	pool := NewPool(DialTCP, 0)
+	defer pool.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	in := httptest.NewRequest(http.MethodPost, "/a", &brokenBody{leave: cancel})
+	in.ContentLength = -1
+	out := &outgoingRequest{in: in, dialect: new(Dialect), upload: newUpload(httptest.NewRecorder(), in)}
+	_, err := pool.Do(ctx, time.Now().Add(testTimeout), address, out)
+	is.True(errors.Is(err, errBody))
+}
