--- a/internal/node/admission_test.go
+++ b/internal/node/admission_test.go
@@ -35,6 +35,7 @@
 }
 
 func TestKeyedRequestRunsOnce(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	n, now := newSingleNode()
 	is.Equal(n.Step(now, arrival(1, "r1", "k", 0, now)).Admission, []admission.Effect{admission.Run{ID: 1}})
@@ -53,6 +54,7 @@
 // A crash is known to the whole fleet at once, in a fleet with a membership by gossip as
 // well. One crash may be chance; after the second one all proxies refuse the request.
 func TestCrashingRequestIsQuarantinedFleetWide(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	w := newNetwork(1, 5, 3)
 	w.run(75 * time.Second) // a young process refuses the only run of a crashed backend server
@@ -82,6 +84,7 @@
 // A request that waits for a slot while its fingerprint is put in quarantine must not
 // run.
 func TestWaitingSuspectIsRefusedWhenASlotIsFree(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	n, now := newStoreNode("desk-1"), storeStart
 	n.Step(now, Tick{})
@@ -108,6 +111,7 @@
 // The proxy beside a crashed backend server may be lost before it has told others; the
 // entry proxy that sent the request knows of the crash as well.
 func TestEntryProxyCountsCrashesOfItsAttempts(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	n := newStoreNode("desk-1")
 	n.Step(storeStart, Tick{})
--- a/internal/node/callcount_test.go
+++ b/internal/node/callcount_test.go
@@ -16,6 +16,7 @@
 // Versions that come in quick succession cost a call of each reader for each of them. Each
 // reader had read every version twice: once in a watch, and then as the newest one.
 func TestVersionsInQuickSuccessionAreReadOnce(t *testing.T) {
+	t.Parallel()
 	const versions, gap = 40, 200 * time.Millisecond
 	for _, n := range []int{77, 295} {
 		f := newStoreFleet(5, n)
@@ -41,6 +42,7 @@
 // the next proxies there. Each of them had called the store itself, four times as often as
 // all together at rest.
 func TestOthersTakeThePlaceOfReadersThatTheStoreTurnsAway(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{77, 295} {
 		f := newStoreFleet(5, n)
 		f.run(5 * time.Second)
--- a/internal/node/coldstart_test.go
+++ b/internal/node/coldstart_test.go
@@ -21,6 +21,7 @@
 // Guards against requests of other proxies without a limit at a proxy that has no version
 // yet: after a loss of power 37 in a second reached a cold backend server of 30.5 allowed.
 func TestProxyWithoutVersionKeepsTheBoundOfAColdBackendServer(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{12, 24, 77} {
 		f := newCrashFleet(uint64(n), n, func(f *crashFleet) { f.warmUp = testWarmUp })
 		servers := f.ofService(0)
@@ -46,6 +47,7 @@
 // Guards against the same beside a release: a service under more load than it can serve, some
 // of whose machines are replaced, sends the new ones all that the others refuse.
 func TestProxyOfANewMachineKeepsTheBoundInAnOverloadedService(t *testing.T) {
+	t.Parallel()
 	const n = 24
 	f := newCrashFleet(n, n, func(f *crashFleet) { f.warmUp = testWarmUp })
 	servers := f.ofService(0)
--- a/internal/node/crashdrop_test.go
+++ b/internal/node/crashdrop_test.go
@@ -19,6 +19,7 @@
 // A backend server that dropped the crashing request and answered others before it ended
 // was taken for sound, so that the request was sent on and on.
 func TestCrashingRequestDroppedBeforeTheEndIsNotSentOn(t *testing.T) {
+	t.Parallel()
 	for _, age := range []time.Duration{0, 2 * time.Minute} {
 		for _, e := range droppingEndings {
 			for _, n := range []int{6, 12, 60} {
@@ -43,6 +44,7 @@
 // Runs that lose their response now and then, on backend servers that end now and then,
 // are innocent.
 func TestInnocentRequestsAreNotSuspectedBesideLostResponsesAndEnds(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(4) {
 		f := newCrashFleet(500+seed, 12)
 		f.statements.lossRate = []float64{0.05, 0.3}[seed%2]
@@ -68,6 +70,7 @@
 // of fault and beside all of them. An end contactTime after the drop shows only when the
 // bound applies again after a restart of the fleet.
 func TestCrashingRequestDroppedBeforeTheEndIsNotSentOnBesideFaults(t *testing.T) {
+	t.Parallel()
 	for _, scenario := range scenariosOf(crashFaults) {
 		t.Run(strings.Join(scenario, ", "), func(t *testing.T) {
 			t.Parallel()
--- a/internal/node/crashing_test.go
+++ b/internal/node/crashing_test.go
@@ -20,6 +20,7 @@
 // A request that ended three backend servers was sent on: each proxy knew only of the
 // crashes of its own backend server.
 func TestCrashingRequestIsNotSentOnInCalmFleet(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{6, 12, 75, 300} {
 		f := newCrashFleet(uint64(n), n)
 		f.start(20*time.Second, min(2, 150/n))
@@ -37,6 +38,7 @@
 // Faults may hide a crash from some proxies or make them forget it. The bound on further
 // sends holds beside each kind of fault and beside all of them.
 func TestCrashingRequestIsNotSentOnBesideFaults(t *testing.T) {
+	t.Parallel()
 	for _, scenario := range scenariosOf(crashFaults) {
 		t.Run(strings.Join(scenario, ", "), func(t *testing.T) {
 			t.Parallel()
@@ -58,6 +60,7 @@
 // A request that is refused is tried again from time to time, as its cause may be gone.
 // The trials must be rare, and at one proxy at a time.
 func TestTrialsOfCrashingRequestAreRare(t *testing.T) {
+	t.Parallel()
 	f := newCrashFleet(5, 12)
 	f.start(20*time.Minute, 0)
 	f.run(20 * time.Minute)
@@ -76,6 +79,7 @@
 
 // Innocent requests that are in flight during the crashes are not refused in the end.
 func TestInnocentRequestsAreServedBesideACrashingOne(t *testing.T) {
+	t.Parallel()
 	f := newCrashFleet(7, 12)
 	f.start(15*time.Second, 12)
 	f.run(20 * time.Second)
@@ -92,6 +96,7 @@
 // it ended the next two backend servers when all proxies were in touch again broke the
 // bound after three such restarts.
 func TestSlowCrashingRequestIsNotSentOnBesideRestartsOfTheFleet(t *testing.T) {
+	t.Parallel()
 	const pace, restarts = 4 * time.Second, 3
 	for seed := range uint64(4) {
 		f := newCrashFleet(300+seed, 12)
--- a/internal/node/evacuation_test.go
+++ b/internal/node/evacuation_test.go
@@ -88,6 +88,7 @@
 }
 
 func TestEvacuationReachesTheFleetInTime(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name    string
 		sizes   []int
@@ -145,6 +146,7 @@
 // The store is restored from copies without the evacuation, and proxies start meanwhile.
 // Nothing may be sent to the zone; that of another zone, which has ended, stays ended.
 func TestEvacuationHoldsBesideRestorationsAndRestarts(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{12, 77} {
 		f := newEvacuationFleet(n)
 		older := f.content.clone()
@@ -181,6 +183,7 @@
 }
 
 func TestEvacuationOfTheOnlyZoneIsVisible(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	n, now := newStoreNode("desk-1"), storeStart
 	n.Step(now, Tick{})
@@ -209,6 +212,7 @@
 // proxies learned late of the evacuation, beside a reader that did not respond, and then
 // admitted requests for half a second more.
 func TestEvacuatedZoneAdmitsNothingPastAShortLimit(t *testing.T) {
+	t.Parallel()
 	const limit = 2 * time.Second
 	const sendDelay = 250 * time.Millisecond // from the admission of a request until it is sent
 	for phase := time.Duration(0); phase < 800*time.Millisecond; phase += 100 * time.Millisecond {
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -13,6 +13,7 @@
 }
 
 func TestSummaryOfFleet(t *testing.T) {
+	t.Parallel()
 	alive := record("a", member.Alive, 7)
 	tests := []struct {
 		name       string
@@ -41,6 +42,7 @@
 }
 
 func TestFleetSummaryListsLaggingAndRefusing(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	refusing := record("b", member.Alive, 6)
 	refusing.Refused = 7
--- a/internal/node/holders_test.go
+++ b/internal/node/holders_test.go
@@ -35,6 +35,7 @@
 // held each address twice, and half of all sends got 421, which no retry budget of a young
 // process covers.
 func TestRequestsGoToTheProcessThatHoldsAnAddress(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{12, 75, 295} {
 		f := newStoreFleet(uint64(n), n)
 		f.replaceAll()
@@ -60,6 +61,7 @@
 }
 
 func TestRequestForAFormerProcessIsRefusedAtOnce(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	f := newStoreFleet(2, 12)
 	f.replaceAll()
@@ -83,6 +85,7 @@
 // A process that starts again under its old identifier is not refused as its own
 // predecessor.
 func TestProcessKeepsItsIdentifier(t *testing.T) {
+	t.Parallel()
 	f := newStoreFleet(2, 12)
 	f.put(0, source.InstanceLive)
 	f.run(2 * time.Second)
--- a/internal/node/journal_test.go
+++ b/internal/node/journal_test.go
@@ -10,6 +10,7 @@
 )
 
 func TestViolationsDoNotFloodTheJournal(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	var j journal
 	now := time.Unix(1_700_000_000, 0)
@@ -23,6 +24,7 @@
 }
 
 func TestExcessTransitionsAreAggregated(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	var j journal
 	j.addTransition(time.Unix(1_700_000_000, 0), member.Transition{More: 738})
--- a/internal/node/leave_test.go
+++ b/internal/node/leave_test.go
@@ -14,6 +14,7 @@
 // proxy runs requests from other proxies until AdmitUntil and then refuses them
 // as not run.
 func TestLeavingProxyServesPeersUntilAdmitUntil(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	n := newStoreNode("desk-1")
 	n.Step(storeStart, Tick{})
--- a/internal/node/leavenotice_test.go
+++ b/internal/node/leavenotice_test.go
@@ -28,6 +28,7 @@
 }
 
 func TestLeavingStateSeenByOneReaderReachesFleet(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	const marked = "desk-5"
 	w := newNetwork(4, 12, 3)
--- a/internal/node/limit_test.go
+++ b/internal/node/limit_test.go
@@ -11,6 +11,7 @@
 )
 
 func TestCreditRequestIsAnsweredAndRecorded(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	now := time.Unix(1_000, 0)
 	n := New(Config{Limit: limit.Config{ID: "a"}})
@@ -29,6 +30,7 @@
 }
 
 func TestOnlyLiveAndReadyProxiesOwnLimits(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	view := []member.Record{
 		{ID: "a", Ready: true, PeerAddress: "127.0.0.1:1"},
--- a/internal/node/limits_test.go
+++ b/internal/node/limits_test.go
@@ -89,6 +89,7 @@
 
 // A backend server that named a limit got as much as before, from all proxies together.
 func TestNamedLimitIsKeptInCalmFleet(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{6, 12, 24, 75} {
 		f := newCrashFleet(uint64(n), n)
 		load := f.offerAll(0, 20*n, 20*time.Second)
@@ -108,6 +109,7 @@
 
 // Limits are used while work waits, and what cannot be served is refused at once.
 func TestNamedLimitsOfAWholeServiceAreUsed(t *testing.T) {
+	t.Parallel()
 	for _, limit := range []float64{0.5, 2, testLimit, 25} {
 		const n, length = 12, 40 * time.Second
 		f := newCrashFleet(uint64(100*limit), n)
@@ -138,6 +140,7 @@
 // Callers that are refused together come back one after the other, when a token is free for
 // them: they are neither refused again nor left waiting while the limits have room.
 func TestCallersComeBackWhenTheLimitsHaveRoom(t *testing.T) {
+	t.Parallel()
 	const callers, limit = 200, testLimit
 	f := newCrashFleet(5, 12)
 	for _, p := range f.ofService(0) {
@@ -276,6 +279,7 @@
 // The bounds hold beside each kind of fault and beside all of them, while limits rise,
 // fall, end and return, and responses overtake each other.
 func TestStatementsAreHeededBesideFaults(t *testing.T) {
+	t.Parallel()
 	for _, scenario := range scenariosOf(statementFaults) {
 		t.Run(strings.Join(scenario, ", "), func(t *testing.T) {
 			t.Parallel()
@@ -299,6 +303,7 @@
 
 // The same seed plays the same run, beside all faults.
 func TestSimulatedFleetIsDeterministicPerSeed(t *testing.T) {
+	t.Parallel()
 	kinds := slices.Sorted(maps.Keys(statementFaults))
 	play := func(seed uint64) string {
 		f := newCrashFleet(seed, 6)
@@ -322,6 +327,7 @@
 
 // A proxy that has passed on that a backend server leaves sends it nothing more.
 func TestServerThatAnnouncesItsEndGetsNoNewRequests(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{6, 12, 75} {
 		f := newCrashFleet(uint64(700+n), n)
 		load := f.offerAll(0, 20*n, 20*time.Second)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -22,6 +22,7 @@
 const recoveryTime = 30 * time.Second
 
 func TestReplayGivesTheSameEffects(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	w := newNetwork(1, 4, 2)
 	w.recording = true
@@ -46,6 +47,7 @@
 }
 
 func TestChangeIsInForceEverywhereWithinTheTarget(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	w := newNetwork(2, 12, 3)
 	w.publish(snapshot(1, 10))
@@ -101,6 +103,7 @@
 // during and after them, and checks that versions never decrease and that all
 // proxies converge.
 func TestPairsOfFaults(t *testing.T) {
+	t.Parallel()
 	for i, a := range faults {
 		for _, b := range faults[i:] {
 			t.Run(a.name+" and "+b.name, func(t *testing.T) {
@@ -125,6 +128,7 @@
 }
 
 func TestVersionsNeverDecrease(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		w := newNetwork(rapid.Uint64().Draw(t, "seed"), 6, 3)
 		version := uint64(1)
@@ -161,6 +165,7 @@
 }
 
 func TestJournalEntriesAreEmittedOnce(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	w := newNetwork(5, 1, 1)
 	p := w.proxies["desk-0"]
--- a/internal/node/relay_test.go
+++ b/internal/node/relay_test.go
@@ -23,6 +23,7 @@
 // A reader encoded and compressed a version again for each proxy of its zone, so that in
 // a storm of versions the last one got it late.
 func TestVersionIsEncodedOnceForAllProxiesOfAZone(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	reader := newStoreNode("reader")
 	reader.Step(storeStart, Tick{})
@@ -37,6 +38,7 @@
 }
 
 func TestPackedReplyIsSmall(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	size := func(r source.RelayRequest) int {
 		text, err := json.Marshal(replyOfReader(t, r))
@@ -50,6 +52,7 @@
 
 // During an upgrade some proxies neither ask for packed deltas nor send them.
 func TestDeltasAreReadInBothForms(t *testing.T) {
+	t.Parallel()
 	for _, request := range []source.RelayRequest{{}, {AcceptsPacked: true}} {
 		is := is.New(t)
 		reply := replyOfReader(t, request)
--- a/internal/node/silentconnections_test.go
+++ b/internal/node/silentconnections_test.go
@@ -43,6 +43,7 @@
 // Guards against removals that are retained because a connection to the store fell silent:
 // an instance that was removed 0.2 to 2 s after the silence got requests up to 4.2 s later.
 func TestRemovalCountsInTimeAfterConnectionsFellSilent(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{12, 77} {
 		for _, after := range []time.Duration{0, 200 * time.Millisecond, time.Second, 2 * time.Second} {
 			t.Run(fmt.Sprintf("%d proxies, removed after %v", n, after), func(t *testing.T) {
@@ -67,6 +68,7 @@
 // Guards against versions that are late because a connection to the store fell silent just
 // after a change, while the next watch was still to begin.
 func TestVersionCountsInTimeAfterConnectionsFellSilent(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{12, 77} {
 		f := newStoreFleet(uint64(n), n)
 		for version := range uint64(6) {
@@ -89,6 +91,7 @@
 // until they are written again, and a removal in a silence of the connections that follows
 // counts in time.
 func TestExpiredEntriesAndRemovalsBesideASilenceAfterAnOutage(t *testing.T) {
+	t.Parallel()
 	const outage = 6 * time.Second
 	for _, how := range []string{"refuses", "does not respond"} {
 		for _, n := range []int{12, 77} {
@@ -137,6 +140,7 @@
 // Guards against removals that are retained where the store turned away one proxy, or its
 // zone, and served the others: these report that it answers them.
 func TestRemovalCountsAtAProxyThatTheStoreTurnedAway(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{12, 77} {
 		f := newStoreFleet(uint64(n), n)
 		for i := range n {
--- a/internal/node/silentreaders_test.go
+++ b/internal/node/silentreaders_test.go
@@ -98,6 +98,7 @@
 // Two readers of a zone that fell silent one after the other delayed a version by up to
 // 3.2 s: each cost 1.5 s, and the second one, without the store, vouched for an old version.
 func TestVersionIsInForceInTimeBesideTwoSilentReaders(t *testing.T) {
+	t.Parallel()
 	const step, span = 300 * time.Millisecond, 2 * time.Second
 	both := [2]time.Duration{noFault, noFault}
 	kinds := map[string]func(first, second time.Duration) silence{
--- a/internal/node/store_test.go
+++ b/internal/node/store_test.go
@@ -55,6 +55,7 @@
 // The proxy is ready as soon as it has a configuration version and the list of
 // instances, and not before.
 func TestInstancesComeFromStoreOnly(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	n := newStoreNode("desk-1")
 	out := n.Step(storeStart, Tick{})
@@ -85,6 +86,7 @@
 // they go on serving for some time. Their proxy must refuse requests that other
 // proxies still send.
 func TestBackendServerWithoutStoreEntryGetsNoRequests(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	n := newStoreNode("desk-1")
 	n.Step(storeStart, Tick{})
@@ -109,6 +111,7 @@
 // the process before it until that expires. Each list then counted as two restarts, and
 // a later identifier of the old process kept the new one from getting requests.
 func TestOldEntryAtTheLocalAddressDoesNotCount(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	n := newStoreNode("desk-1")
 	n.Step(storeStart, Tick{})
@@ -133,6 +136,7 @@
 }
 
 func TestOlderVersionOfTheStoreIsNotEnforced(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	n := newStoreNode("desk-1")
 	n.Step(storeStart, Tick{})
@@ -143,6 +147,7 @@
 
 // A reader replies with a delta from which the other proxy builds the same version.
 func TestReaderRelaysVersions(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	reader, other := newStoreNode("desk-1"), newStoreNode("desk-2")
 	for _, n := range []*Node{reader, other} {
@@ -174,6 +179,7 @@
 // A proxy that starts while the store is unreachable becomes ready with the list
 // and version of a seed.
 func TestStartFromASeed(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	seed, joining := newStoreNode("desk-1"), newStoreNode("desk-2")
 	seed.Step(storeStart, Tick{})
@@ -200,6 +206,7 @@
 // revision on reports only later versions, so the one already in the store would
 // never be read.
 func TestSeedWithoutVersionIsRejected(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	seed, joining := newStoreNode("desk-1"), newStoreNode("desk-2")
 	seed.Step(storeStart, Tick{})
@@ -218,6 +225,7 @@
 // A version with the same content as the one before must reach the proxies that follow
 // a reader; they would ask again at once without end otherwise.
 func TestVersionWithUnchangedContentReachesFollowers(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	reader, other := newStoreNode("desk-1"), newStoreNode("desk-2")
 	for _, n := range []*Node{reader, other} {
@@ -238,6 +246,7 @@
 // The journal must name the values of a version that were read strictly, once: the store
 // is listed again and again.
 func TestWarningsOfAVersionAreNotedOnce(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	n := newStoreNode("desk-1")
 	n.Step(storeStart, Tick{})
@@ -258,6 +267,7 @@
 // A version that cannot be taken is refused whole. A proxy that holds one goes on with
 // it; one that holds none is not ready and says why.
 func TestRefusedVersionIsNamedAndTheHeldOneStaysInForce(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	refused := &source.Configuration{Version: 8, Refused: config.Problems{{File: "test", Key: "routes.scan", Message: `unknown kind "odd"`}}}
 	without := newStoreNode("desk-1")
--- a/internal/node/storefleet_test.go
+++ b/internal/node/storefleet_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -303,9 +304,14 @@
 	return l
 }
 
-var configurations = make(map[uint64]*source.Configuration)
+var (
+	configurationsMu sync.Mutex
+	configurations   = make(map[uint64]*source.Configuration)
+)
 
 func testConfigurationOf(version uint64) *source.Configuration {
+	configurationsMu.Lock()
+	defer configurationsMu.Unlock()
 	if configurations[version] == nil {
 		copied := *crashConfiguration().Snapshot
 		copied.Version = version
@@ -385,6 +391,7 @@
 // A store that is restored from an older copy must make no proxy go back, and must not
 // be overrun by proxies that all read it again.
 func TestRestoredStoreIsFollowedAtAnyFleetSize(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{12, 75, 300} {
 		f := newStoreFleet(uint64(n), n)
 		older := f.content.clone()
@@ -427,6 +434,7 @@
 // Proxies that are cut off from the store across restorations, and two restorations in a
 // row.
 func TestRestorationsBesideCutsAndStarts(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(12) {
 		n := []int{12, 40}[seed%2]
 		f := newStoreFleet(50+seed, n)
@@ -471,6 +479,7 @@
 // Half of the fleet is restarted while the store comes back from a copy: a proxy that starts
 // must not enforce the copy's version, since the other half knows better.
 func TestRestartsBesideARestorationDoNotBringTheCopysVersion(t *testing.T) {
+	t.Parallel()
 	for n, drills := range map[int]uint64{12: 100, 40: 20} {
 		f := newStoreFleet(uint64(n), n)
 		for drill := range drills {
@@ -506,6 +515,7 @@
 // after those of the new one. The proxies are at the store's state within 3 s of the last
 // disturbance.
 func TestRestorationBesideCompactionAndLateAnswers(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(16) {
 		n := []int{12, 40}[seed%2]
 		f := newStoreFleet(200+seed, n)
@@ -546,6 +556,7 @@
 // After a restart, a proxy must not use an instance that has left, although the list
 // that it reads first may be seconds old.
 func TestRestartedProxyDoesNotUseAnInstanceThatHasLeft(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{12, 75} {
 		f := newStoreFleet(uint64(n), n)
 		old := f.content.clone()
@@ -575,6 +586,7 @@
 // Restarts of a large fleet, one after the other, must not cost a full read of the
 // store each.
 func TestRestartsInALargeFleetReadFromReaders(t *testing.T) {
+	t.Parallel()
 	f := newStoreFleet(3, 150)
 	f.run(3 * time.Second)
 	steady := len(f.calls)
@@ -601,6 +613,7 @@
 // After a loss of power all proxies of a large fleet are ready again within half a
 // second of virtual time, although only the readers read the store in full.
 func TestFleetThatLostPowerStartsFromItsReaders(t *testing.T) {
+	t.Parallel()
 	f := newStoreFleet(4, 300)
 	f.run(3 * time.Second)
 	before := len(f.calls)
--- a/internal/node/storeoutage_test.go
+++ b/internal/node/storeoutage_test.go
@@ -10,6 +10,7 @@
 // times a second, as often as the readers did. Proxies that follow readers need less, as
 // they learn from these that the store is back.
 func TestOutageOfTheStoreCostsFewCalls(t *testing.T) {
+	t.Parallel()
 	const noticed, outage = 2 * time.Second, 6 * time.Second // the first retries are quick
 	for _, n := range []int{77, 300} {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
@@ -55,6 +56,7 @@
 // Guards against versions that wait for the end of the grace period of instances: readers
 // that retained entries answered only that they are out of date.
 func TestVersionDoesNotWaitForExpiredEntries(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(8) {
 		for _, n := range []int{28, 77} {
 			f := newStoreFleet(seed, n)
--- a/internal/node/warmup_test.go
+++ b/internal/node/warmup_test.go
@@ -65,6 +65,7 @@
 // A zone that returns cold gets its share from the first second on, within the bound, and
 // callers notice no step: what it cannot serve goes to the others.
 func TestZoneThatReturnsColdGetsItsShareWithoutAStep(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{12, 77} {
 		f := newCrashFleet(uint64(n), n, func(f *crashFleet) { f.warmUp, f.zones = testWarmUp, 3 })
 		// A cold backend server may get 21 a second, a warm one serves 133.
@@ -103,6 +104,7 @@
 // After a power loss all backend servers are cold at once: they use their whole budget, and
 // what no one has room for is refused at once.
 func TestFleetThatIsColdAtOnceUsesItsWholeBudget(t *testing.T) {
+	t.Parallel()
 	f := newCrashFleet(4, 12, func(f *crashFleet) {
 		f.warmUp = testWarmUp
 		f.warmUp.WarmUp = config.Duration(10 * time.Second)
@@ -136,6 +138,7 @@
 // Guards against an entry that is applied again with every list, and so keeps a backend
 // server cold, and against effects without a named warm-up.
 func TestEntryOfAColdBackendServerCountsOnce(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	listing := storeListing(t, 7)
 	listing.Listing.Instances[0].Instance.WarmUpLeft = 2 * time.Second
