--- a/internal/decisionlog/decisionlog.go
+++ b/internal/decisionlog/decisionlog.go
@@ -63,13 +63,19 @@
 	Dropped() uint64
 }
 
+// unlimited is the Output of a log without a queue behind its logger.
+type unlimited struct{}
+
+func (unlimited) HasRoom() bool   { return true }
+func (unlimited) Dropped() uint64 { return 0 }
+
 // SetOutput makes the log leave the room that output reserves to other lines, and report
 // the lines that output has lost. It must be called before Run.
 func (l *Log) SetOutput(output Output) { l.output = output }
 
 // New returns a log that writes to logger while Run is active.
 func New(logger *log.Logger) *Log {
-	l := &Log{logger: logger, queue: make(chan line, queueLength)}
+	l := &Log{logger: logger, queue: make(chan line, queueLength), output: unlimited{}}
 	for class, perSecond := range [classCount]int{Routine: routineLinesPerSecond, Notable: notableLinesPerSecond} {
 		l.limits[class] = rate.NewLimiter(rate.Limit(perSecond), burstSeconds*perSecond)
 	}
@@ -109,7 +115,7 @@
 }
 
 func (l *Log) write(next line) {
-	if l.output != nil && !l.output.HasRoom() {
+	if !l.output.HasRoom() {
 		l.dropped[Notable].Add(1)
 		return
 	}
@@ -127,14 +133,12 @@
 // them was notable. Routine lines are sampled by design, so dropping only those
 // is not reported.
 func (l *Log) reportDropped() {
-	if l.output != nil && !l.output.HasRoom() {
+	if !l.output.HasRoom() {
 		return // until the output takes lines again
 	}
-	if l.output != nil {
-		if n := l.output.Dropped(); n > l.lostLines {
-			l.logger.Warn("log lines dropped", "lines", n-l.lostLines)
-			l.lostLines = n
-		}
+	if n := l.output.Dropped(); n > l.lostLines {
+		l.logger.Warn("log lines dropped", "lines", n-l.lostLines)
+		l.lostLines = n
 	}
 	if n := l.dropped[Notable].Swap(0); n > 0 {
 		l.logger.Warn("decision log lines dropped", "notable", n, "ordinary", l.dropped[Routine].Swap(0))
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -80,7 +80,7 @@
 		p.put(x.conn)
 	default:
 		if ctx.Err() != nil {
-			out.upload.awaitEnd()
+			out.upload.awaitEnd(brokenBodyWait)
 		}
 		if out.upload.senderAtFault(limit.expired(ctx)) {
 			err = errors.Mark(err, errBody)
@@ -124,9 +124,7 @@
 	if err != nil {
 		return err
 	}
-	if out.upload != nil {
-		out.upload.awaitSent()
-	}
+	out.upload.awaitEnd(earlyResponseWait)
 	return x.acceptResponse(resp)
 }
 
--- a/internal/forward/faultyserver_test.go
+++ b/internal/forward/faultyserver_test.go
@@ -21,7 +21,7 @@
 
 // Guards against refusals that a faulty backend server writes once more on a kept connection:
 // a request that it runs must neither be called not run nor run a second time. The refusal is
-// that of an earlier request, of the request itself, or of nobody.
+// that of an earlier request, or of nobody.
 func TestRefusalThatIsWrittenOnceMoreBelongsToNoOtherRequest(t *testing.T) {
 	own := signedResponse("r1", "Content-Length: 5\r\n\r\nhello")
 	for _, test := range []struct {
@@ -37,13 +37,13 @@
 			var connections, runs atomic.Int32
 			g := newSignedRig(t, func(c net.Conn, r *bufio.Reader) {
 				if connections.Add(1) > 1 {
-					if readSignedRequest(r) {
+					if readWholeRequest(r) {
 						runs.Add(1)
 						_, _ = io.WriteString(c, own)
 					}
 					return
 				}
-				if !respondOnce(c, r, signedResponse("r0", "Content-Length: 5\r\n\r\nfirst")) || !readSignedRequest(r) {
+				if !respondOnce(c, r, signedResponse("r0", "Content-Length: 5\r\n\r\nfirst")) || !readWholeRequest(r) {
 					return
 				}
 				runs.Add(1)
@@ -71,14 +71,14 @@
 	g := newSignedRig(t, func(c net.Conn, r *bufio.Reader) {
 		refusal := fmt.Sprintf(signedRefusal, "r1")
 		if connections.Add(1) == 1 {
-			if !respondOnce(c, r, refusal) || !readSignedRequest(r) {
+			if !respondOnce(c, r, refusal) || !readWholeRequest(r) {
 				return
 			}
 			runs.Add(1)
 			_, _ = io.WriteString(c, refusal)
 			return
 		}
-		if readSignedRequest(r) {
+		if readWholeRequest(r) {
 			runs.Add(1)
 			_, _ = io.WriteString(c, signedResponse("r1", "Content-Length: 5\r\n\r\nhello"))
 		}
@@ -92,16 +92,6 @@
 	is.Equal(connections.Load(), int32(2))
 }
 
-// readSignedRequest reads a request with its body.
-func readSignedRequest(r *bufio.Reader) bool {
-	req, err := http.ReadRequest(r)
-	if err != nil {
-		return false
-	}
-	_, err = io.Copy(io.Discard, req.Body)
-	return err == nil
-}
-
 // Guards against an answer whose head breaks off and that reaches the caller as a success
 // with an empty or short body, or as the answer to the next request.
 func TestHeadThatBreaksOffIsNoSuccess(t *testing.T) {
@@ -116,7 +106,7 @@
 			is := is.New(t)
 			cut := make(chan int, 1)
 			g := newSignedRig(t, func(c net.Conn, r *bufio.Reader) {
-				if readSignedRequest(r) {
+				if readWholeRequest(r) {
 					_, _ = io.WriteString(c, whole[:<-cut])
 				}
 			})
--- a/internal/forward/outgoingrequest.go
+++ b/internal/forward/outgoingrequest.go
@@ -48,10 +48,12 @@
 const uploadLingerTimeout = time.Second
 
 // earlyResponseWait is how long a response waits for the end of the body that it may
-// have overtaken.
+// have overtaken. The connections would otherwise be closed as if the response had come
+// before the end of the body.
 const earlyResponseWait = 5 * time.Millisecond
 
-// brokenBodyWait is how long a failed exchange waits for the end of reading the body.
+// brokenBodyWait is how long a failed exchange whose sender has left waits for the end of
+// reading the body: the error of a body that broke off is known only then.
 const brokenBodyWait = 100 * time.Millisecond
 
 // upload is a request body that is streamed to the next hop. It can be sent
@@ -126,25 +128,13 @@
 	}
 }
 
-// awaitEnd waits a moment for the end of reading the body, after its sender has left: the
-// error of the body that broke off is known only then.
-func (u *upload) awaitEnd() {
+// awaitEnd waits until reading of the body has ended, for at most the given time. It returns
+// at once if sending has not started.
+func (u *upload) awaitEnd(limit time.Duration) {
 	if !u.started() {
 		return
 	}
-	timer := time.NewTimer(brokenBodyWait)
-	defer timer.Stop()
-	select {
-	case <-u.sendDone:
-	case <-timer.C:
-	}
-}
-
-// awaitSent waits a moment for the sender to notice that the body has ended, since the
-// response may overtake it. The connections would otherwise be closed as if the response
-// had come before the end of the body.
-func (u *upload) awaitSent() {
-	timer := time.NewTimer(earlyResponseWait)
+	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
 	case <-u.sendDone:
--- a/internal/forward/rig_test.go
+++ b/internal/forward/rig_test.go
@@ -394,11 +394,19 @@
 }
 
 func respondOnce(c net.Conn, r *bufio.Reader, text string) bool {
+	if !readWholeRequest(r) {
+		return false
+	}
+	_, err := io.WriteString(c, text)
+	return err == nil
+}
+
+// readWholeRequest reads a request and its body, which may break off.
+func readWholeRequest(r *bufio.Reader) bool {
 	req, err := http.ReadRequest(r)
 	if err != nil {
 		return false
 	}
 	_, _ = io.Copy(io.Discard, req.Body)
-	_, err = io.WriteString(c, text)
-	return err == nil
+	return true
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -116,13 +116,6 @@
 	EvacuationLimit time.Duration
 }
 
-// UseLogQueue makes the lines on requests give way to others in the queue behind the
-// logger, and counts the lines that the queue has lost. It must be called before Run.
-func (h *Host) UseLogQueue(q decisionlog.Output) {
-	h.decisions.SetOutput(q)
-	h.metrics.countLostLines(q)
-}
-
 // New returns a host that is not running yet. The recorder may be nil. A nil
 // adapter selects heatherlift's own platform and header interfaces. New returns
 // identity.ErrCredentials if the TLS files are not usable.
@@ -165,6 +158,13 @@
 	return h, nil
 }
 
+// UseLogQueue makes the lines on requests give way to others in the queue behind the
+// logger, and counts the lines that the queue has lost. It must be called before Run.
+func (h *Host) UseLogQueue(q decisionlog.Output) {
+	h.decisions.SetOutput(q)
+	h.metrics.countLostLines(q)
+}
+
 // step feeds an event to the reducer and executes the resulting effects. It returns
 // false if the reducer panicked.
 func (h *Host) step(e node.Event) bool {
--- a/internal/source/configurationwatch.go
+++ b/internal/source/configurationwatch.go
@@ -85,20 +85,17 @@
 	return v
 }
 
-// HandleConfigurationFailure handles the failure of a configuration call. The
-// next call reads only the newest version, since the transfer of several full
-// versions may have caused a timeout.
-func (f *Follower) HandleConfigurationFailure(now time.Time, compacted bool, cause string) Update {
-	return f.configurationFailed(now, compacted, cause)
-}
-
 // HandleInconclusiveConfigurationFailure handles the failure of a configuration call that
 // tells nothing of the store. The first one is followed by the next call at once.
 func (f *Follower) HandleInconclusiveConfigurationFailure(now time.Time, cause string) Update {
-	return f.configurationFailed(now, f.configurationWatch.failures == 0, cause)
+	return f.HandleConfigurationFailure(now, f.configurationWatch.failures == 0, cause)
 }
 
-func (f *Follower) configurationFailed(now time.Time, atOnce bool, cause string) Update {
+// HandleConfigurationFailure handles the failure of a configuration call. The
+// next call reads only the newest version, since the transfer of several full
+// versions may have caused a timeout. If atOnce is set, as when the store has discarded
+// history, it is made without a delay.
+func (f *Follower) HandleConfigurationFailure(now time.Time, atOnce bool, cause string) Update {
 	var v Update
 	v.addNote("configuration read failed", cause)
 	failures := f.configurationWatch.failures + 1
--- a/internal/source/follow.go
+++ b/internal/source/follow.go
@@ -211,7 +211,6 @@
 	entered := f.enterEra(now, l.Era, &v)
 	afterOutage := now.Before(f.graceUntil)
 	f.position = l.Position()
-	f.restored.recordEra(l.Era)
 	f.replaceEntries(now, inEra(l.Instances, l.Era), func(id string) { f.handleRemoval(now, id, afterOutage, &v) })
 	f.listed = true
 	if entered {
@@ -401,7 +400,8 @@
 	if !f.listed && call.Reader == nil {
 		return Call{At: now, List: true}
 	}
-	if f.isLargeFleet() {
+	large := f.isLargeFleet()
+	if large {
 		call.Part, call.Wait = InstancesOnly, largeFleetWatchWait
 		f.limitSilence(now, &call)
 	}
@@ -411,7 +411,7 @@
 		call.Wait = min(call.Wait, max(0, f.graceUntil.Sub(now)+graceMargin))
 		f.watchEnd = now.Add(call.Wait)
 	}
-	if call.Part == InstancesOnly {
+	if large {
 		return call
 	}
 	// In a fleet that was large before, another call has read the operator's part, and
--- a/internal/source/relay.go
+++ b/internal/source/relay.go
@@ -232,7 +232,6 @@
 	f.recordAge(now, r.age())
 	f.noteRecovery(now, &v)
 	entered := f.enterEra(now, r.Era, &v)
-	f.restored.recordEra(r.Era)
 	if f.position.Before(r.Position()) {
 		f.position = r.Position()
 	}
--- a/internal/source/restored.go
+++ b/internal/source/restored.go
@@ -96,6 +96,9 @@
 // restored copy lacks are then retained until they must have been written again. The
 // first era that is seen is no restoration.
 func (f *Follower) enterEra(now time.Time, era uint64, v *Update) bool {
+	if f.restored.firstEra == 0 {
+		f.restored.firstEra = era
+	}
 	if era <= f.position.Era || f.position.Era == 0 {
 		return false
 	}
@@ -222,13 +225,6 @@
 	return accepted
 }
 
-// recordEra records the era of an answer.
-func (r *restoredState) recordEra(era uint64) {
-	if r.firstEra == 0 {
-		r.firstEra = era
-	}
-}
-
 // confirmFirst holds back the first configuration of this process if the store may
 // be an older copy, and returns the call to another proxy that may know a newer one.
 // Only a store in its second or a later era can be a copy.
--- a/internal/source/seed.go
+++ b/internal/source/seed.go
@@ -35,7 +35,6 @@
 	v.addNote("state loaded from seed", fmt.Sprintf("list at %v; the store is unreachable", r.Position()))
 	f.sightings.record(now.Add(-r.age()))
 	f.enterEra(now, r.Era, &v)
-	f.restored.recordEra(r.Era)
 	f.position, f.listed = r.Position(), true
 	f.replaceEntries(now, r.Instances, func(id string) { f.deleteEntry(id, "not in the list of the seed", &v) })
 	f.configurationWatch.next = Call{Part: ConfigurationOnly, List: true}
