Count lines without room by their class

When the output of the log has no room, a routine line was counted and reported as a notable one. TestLinesWithoutRoomAreCountedByClass fails before: "0 != 2".

--- a/internal/decisionlog/decisionlog.go
+++ b/internal/decisionlog/decisionlog.go
@@ -40,6 +40,7 @@
 )
 
 type line struct {
+	class   Class
 	message string
 	fields  []any
 }
@@ -91,7 +92,7 @@
 		return
 	}
 	select {
-	case l.queue <- line{message, fields()}:
+	case l.queue <- line{class, message, fields()}:
 	default:
 		l.dropped[class].Add(1)
 	}
@@ -116,7 +117,7 @@
 
 func (l *Log) write(next line) {
 	if !l.output.HasRoom() {
-		l.dropped[Notable].Add(1)
+		l.dropped[next.class].Add(1)
 		return
 	}
 	l.logger.Info(next.message, next.fields...)
--- a/internal/decisionlog/decisionlog_test.go
+++ b/internal/decisionlog/decisionlog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"strings"
 	"testing"
 	"time"
@@ -89,3 +90,22 @@
 			"instance", "i-7f3a91c2", "candidates", 5, "in_flight", 3, "load", 0.56, "load_age_ms", 12, "left_ms", 1199, "took_ms", 55)
 	}
 }
+
+// fullOutput has room only once it is set free.
+type fullOutput struct{ free bool }
+
+func (o *fullOutput) HasRoom() bool   { return o.free }
+func (o *fullOutput) Dropped() uint64 { return 0 }
+
+// Guards against routine lines that are counted as notable ones when the output has no room.
+func TestLinesWithoutRoomAreCountedByClass(t *testing.T) {
+	is := is.New(t)
+	l := New(log.New(io.Discard))
+	l.SetOutput(new(fullOutput))
+	l.Add(Routine, "served", fixedFields())
+	l.Add(Routine, "served", fixedFields())
+	l.Add(Notable, "refused", fixedFields())
+	startWriter(l)()
+	is.Equal(l.dropped[Routine].Load(), uint64(2))
+	is.Equal(l.dropped[Notable].Load(), uint64(1))
+}
