--- a/review/standins2/desks.go
+++ b/review/standins2/desks.go
@@ -55,15 +55,15 @@
 	answers  map[string]clientAnswer
 }
 
-// send sends requests at each machine until the end: three in four ask for the status of
-// an order, the others book.
+// send sends requests at each machine until the end: three rounds in four ask for the
+// status of an order, the others book.
 func (f *fleet) send(until time.Time) *traffic {
 	t := &traffic{requests: make(map[string]clientRequest), answers: make(map[string]clientAnswer)}
 	var wg sync.WaitGroup
-	for seq := 1; time.Now().Before(until); {
+	for seq := 0; time.Now().Before(until); {
 		for _, m := range f.machines {
 			q := clientRequest{id: fmt.Sprintf("c%06d", seq), method: http.MethodGet, path: fmt.Sprintf("/status/%d", seq), deadline: 1200 * time.Millisecond}
-			if seq%4 == 0 {
+			if seq/len(f.machines)%4 == 3 {
 				q.method, q.path, q.body, q.deadline = http.MethodPost, fmt.Sprintf("/book/%d", seq), []byte("20 kg of flake ice"), 1500*time.Millisecond
 			}
 			seq++
