--- a/review/standins2/main.go
+++ b/review/standins2/main.go
@@ -15,7 +15,7 @@
 	exitNotRun = 2
 )
 
-// errBroken is the rule that a case found broken.
+// brokenRule is the error of a case that found a rule broken.
 type brokenRule struct{ text string }
 
 func (b brokenRule) Error() string { return b.text }
