--- a/review/standins2/gone.go
+++ b/review/standins2/gone.go
@@ -32,14 +32,14 @@
 		return err
 	}
 	for _, u := range ups {
-		u.respond = func(u *upstream, c *upstreamConn, r *http.Request, x run) bool {
+		u.setRespond(func(u *upstream, c *upstreamConn, r *http.Request, x run) bool {
 			work := 80 * time.Millisecond
 			if r.Method == http.MethodGet {
 				work = 850 * time.Millisecond
 			}
 			time.Sleep(work)
 			return u.succeed(c, x)
-		}
+		})
 	}
 	var mu sync.Mutex
 	left := make(map[string]time.Time)
