--- a/review/standins2/sameid.go
+++ b/review/standins2/sameid.go
@@ -35,7 +35,7 @@
 		f.record.printf("%s starts again under its id", u.id)
 		time.Sleep(1500 * time.Millisecond)
 		u.stopReporting()
-		f.store.remove("servers/" + u.id)
+		f.store.remove(u.key())
 		ack := time.Now()
 		f.record.printf("%s leaves: the store removes its entry, and it goes on serving", u.id)
 		time.Sleep(2500 * time.Millisecond)
