Bound what callers hold, from the first byte of a header to the last of the answer

Callers saw: a crowd of legal requests ended what others could be served. Each part of a request had a bound of its own (header 16 KB, body held 64 KB, 32 requests sent ahead, 32 KB of an answer), and nothing added them up: 60 to 100 connections with headers of very many short fields held 706 MB, 1,200 bodies that stop short 116 MB, and 1,200 connections took all descriptors.

Now the caller server charges connections, requests, headers (by fields, before they are parsed), bodies (as they come while there is little room), answers that wait for earlier ones and verified answers to the account of package intake. What does not fit is refused with 503, client-limit, not run, with Retry-After and without being parsed. Requests sent ahead stay unread while their connection holds much. A new connection takes the place of an idle one; clients that are behind are closed for lack of room only. A client that does not take 32 KB within 30 s is disconnected. Receive buffers of callers' connections are 16 KB, 128 KB during an upload.

--- a/internal/cli/proxy.go
+++ b/internal/cli/proxy.go
@@ -74,7 +74,7 @@
 		return c.fail(err)
 	}
 	defer flush()
-	configureGC()
+	configureGC(s.Machine)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	adapter, err := adapterFor(s)
--- a/internal/forward/callerbody.go
+++ b/internal/forward/callerbody.go
@@ -20,6 +20,8 @@
 	// bytesLeft is the number of bytes that may still be read. Only the reading
 	// goroutine uses it.
 	bytesLeft int64
+	// begun is set when reading has begun. Only the reading goroutine uses it.
+	begun bool
 
 	mu sync.Mutex
 	// tooLarge is set when the body exceeded its limit.
@@ -49,6 +51,10 @@
 		return n, nil
 	}
 	b.sendContinue()
+	if !b.begun {
+		b.begun = true
+		b.x.conn.held.MessageBegun()
+	}
 	n, err := b.ReadCloser.Read(p)
 	if b.bytesLeft -= int64(n); b.bytesLeft < 0 {
 		b.mu.Lock()
@@ -101,7 +107,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !b.readEnded {
-		b.readEnded, b.eof = true, eof
+		if b.readEnded, b.eof = true, eof; eof {
+			b.x.conn.held.MessageEnded()
+		}
 		close(b.done)
 	}
 }
--- a/internal/forward/callerconn.go
+++ b/internal/forward/callerconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -15,6 +16,7 @@
 	"golang.org/x/net/http/httpguts"
 
 	"heatherlift.example/heatherlift/internal/config"
+	"heatherlift.example/heatherlift/internal/intake"
 )
 
 // callerConn is a connection from a caller.
@@ -37,8 +39,15 @@
 	// discardedInput is set when input was discarded that belongs to no request that
 	// was read. Only the reading goroutine uses it.
 	discardedInput bool
-	pipelineSlots  chan struct{}
-	handlers       sync.WaitGroup
+	// slotFreed wakes the reading goroutine when a request has ended.
+	slotFreed chan struct{}
+	handlers  sync.WaitGroup
+	// held counts what the connection holds.
+	held *intake.Conn
+	// lease is what the header that is being read holds, nil between headers. noRoom is set
+	// when there was no room for more of it. Only the reading goroutine uses them.
+	lease  *intake.Lease
+	noRoom bool
 
 	mu sync.Mutex
 	// inProgress holds the requests whose response is not completely written.
@@ -49,16 +58,51 @@
 	responseStarted bool
 	// closing is set when no further request is accepted.
 	closing bool
+	// evicted is set when the connection is closed as soon as it is idle.
+	evicted bool
 	// reading is set while a request is being read that is not in progress yet.
 	reading bool
 }
 
 func newCallerConn(s *CallerServer, c net.Conn) *callerConn {
-	conn := &callerConn{Conn: c, server: s, headerBytesLeft: unlimitedBytes, pipelineSlots: make(chan struct{}, maxPipelinedRequests), inProgress: make(map[*callerExchange]struct{})}
+	conn := &callerConn{Conn: c, server: s, headerBytesLeft: unlimitedBytes, slotFreed: make(chan struct{}, 1), inProgress: make(map[*callerExchange]struct{})}
 	conn.reader = bufio.NewReaderSize(conn, 4<<10)
 	return conn
 }
 
+// register counts the connection and reports whether there is room for it.
+func (c *callerConn) register() bool {
+	held, ok := c.server.Intake.Open(intake.Callers, c.RemoteAddr().String(), c.evict)
+	if !ok {
+		return false
+	}
+	c.held = held
+	intake.SetReceiveBuffer(c.Conn, c.server.ReceiveBuffer)
+	return true
+}
+
+// evict closes the connection for lack of room. One that is idle first takes a request that
+// lies in the socket.
+func (c *callerConn) evict(idle bool) {
+	if !idle {
+		_ = c.Conn.Close()
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.evicted = true
+	if len(c.inProgress) == 0 && !c.reading {
+		_ = c.Conn.SetReadDeadline(pastDeadline)
+	}
+}
+
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	err := c.Conn.Close()
+	c.held.Close()
+	return err
+}
+
 // Read implements net.Conn.
 func (c *callerConn) Read(b []byte) (int, error) {
 	if c.headerBytesLeft == 0 {
@@ -78,9 +122,19 @@
 	if n > 0 && c.headerScanner.scan(b[:n]) {
 		c.malformed = true
 	}
+	if n > 0 && c.lease != nil && !c.chargeHeader(b[:n]) {
+		return 0, errNoRoom
+	}
 	return n, err
 }
 
+// chargeHeader charges bytes of a header before they are parsed. It returns false if there
+// is no room for them.
+func (c *callerConn) chargeHeader(b []byte) bool {
+	c.noRoom = c.noRoom || !c.lease.Acquire(intake.HeaderCost(bytes.Count(b, []byte("\n")), len(b)))
+	return !c.noRoom
+}
+
 // extendRead allows one more read after a timeout. It returns false if the
 // connection accepts no further request.
 func (c *callerConn) extendRead() bool {
@@ -129,25 +183,31 @@
 // caller disconnects meanwhile: the end of the connection lies behind requests that are not
 // read, so that no read tells.
 func (c *callerConn) awaitPipelineSlot() bool {
-	select {
-	case c.pipelineSlots <- struct{}{}:
+	if c.mayReadAhead() {
 		return true
-	default:
 	}
 	ticker := time.NewTicker(hangUpCheckInterval)
 	defer ticker.Stop()
 	for {
 		select {
-		case c.pipelineSlots <- struct{}{}:
-			return true
+		case <-c.slotFreed:
 		case <-ticker.C:
 			if hungUp(c.Conn) {
 				return false
 			}
 		}
+		if c.mayReadAhead() {
+			return true
+		}
 	}
 }
 
+// mayReadAhead reports whether another request may be in progress.
+func (c *callerConn) mayReadAhead() bool {
+	n := c.requestsInProgress()
+	return n == 0 || n < maxPipelinedRequests && c.held.MayReadAhead()
+}
+
 // cancelOnDisconnect cancels the requests in progress if the caller disconnects
 // before the last response is written. Further input from the caller is
 // discarded.
@@ -178,26 +238,51 @@
 	defer c.endReading()
 	limits := c.server.limits()
 	_ = c.Conn.SetReadDeadline(time.Now().Add(c.headerTimeout(limits)))
+	c.held.MessageBegun()
+	lease := c.held.Lease()
 	c.readsLate = true
-	req, status := c.readRequest(limits)
+	req, status := c.readLeased(limits, &lease)
 	c.readsLate = false
+	c.held.MessageEnded()
 	_ = c.Conn.SetReadDeadline(time.Time{})
 	if status == 0 {
+		lease.Settle(0)
 		return nil, false
 	}
-	x := newCallerExchange(ctx, c, req, previous)
+	x := newCallerExchange(ctx, c, req, previous, &lease)
 	x.body.bytesLeft = limits.BodyBytes
 	if status != http.StatusOK {
 		x.rejectStatus = status
 		c.server.reportReject(x)
 	}
 	if !c.startRequest(x) {
+		lease.Settle(0)
 		x.reportCut(CutDiscarded)
 		return nil, false
 	}
 	return x, true
 }
 
+// readLeased is readRequest for a request whose memory is charged to the lease. The status
+// is 503 if there is no room for it: nothing of it is parsed then, or its header is given
+// up midway.
+func (c *callerConn) readLeased(limits config.CallerLimits, lease *intake.Lease) (*http.Request, int) {
+	c.lease, c.noRoom = lease, false
+	defer func() { c.lease = nil }()
+	if !lease.Acquire(intake.RequestCost) {
+		return nil, http.StatusServiceUnavailable
+	}
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	if !c.chargeHeader(buffered) {
+		return nil, http.StatusServiceUnavailable
+	}
+	req, status := c.readRequest(limits)
+	if c.noRoom {
+		return nil, http.StatusServiceUnavailable
+	}
+	return req, status
+}
+
 func (c *callerConn) endReading() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -221,7 +306,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = err == nil && !c.closing
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.server.closingIdle.Load() {
+	if errors.Is(err, os.ErrDeadlineExceeded) && (c.server.closingIdle.Load() || c.evicted) {
 		c.closing = true
 	}
 	return err == nil
@@ -230,7 +315,7 @@
 // startIdleTimeout bounds the wait for the next request. If idle connections are being
 // closed, only input that has already arrived is read.
 func (c *callerConn) startIdleTimeout() {
-	if c.server.closingIdle.Load() {
+	if c.server.closingIdle.Load() || c.evicted {
 		_ = c.Conn.SetReadDeadline(pastDeadline)
 		return
 	}
@@ -247,9 +332,10 @@
 	}
 	c.inProgress[x] = struct{}{}
 	c.lastRequest, c.responseStarted = x, false
-	if x.requiresClose() || c.server.draining.Load() {
+	if x.requiresClose() || c.server.draining.Load() || c.evicted {
 		c.closing = true
 	}
+	c.held.Begin()
 	return true
 }
 
@@ -261,7 +347,12 @@
 	if len(c.inProgress) == 0 && !c.reading && !c.closing {
 		c.startIdleTimeout()
 	}
-	<-c.pipelineSlots
+	x.lease.Settle(0)
+	if x.receivesMore {
+		intake.SetReceiveBuffer(c.Conn, c.server.ReceiveBuffer)
+	}
+	c.held.End()
+	wake(c.slotFreed)
 }
 
 // startResponse records that the response of x starts and reports whether the
@@ -345,11 +436,14 @@
 // closing a socket with unread data resets it and loses the last response. If
 // the caller has disconnected or timed out, the connection is closed at once.
 func (c *callerConn) linger() {
-	defer c.Conn.Close()
+	defer c.Close()
 	if !c.isClosing() {
 		return
 	}
 	c.closeWrite()
+	if !c.held.MayLinger() {
+		return
+	}
 	_ = c.Conn.SetReadDeadline(time.Now().Add(callerLingerTimeout))
 	n, _ := io.Copy(io.Discard, c.Conn)
 	if c.discardedInput || n > 0 {
@@ -367,6 +461,9 @@
 	req, err := http.ReadRequest(c.reader)
 	headerBytes := available - c.headerBytesLeft - c.reader.Buffered()
 	c.headerBytesLeft = unlimitedBytes
+	if err == nil {
+		c.lease.Settle(intake.RequestCost + intake.HeaderCost(countFields(req.Header), headerBytes))
+	}
 	var netErr net.Error
 	switch {
 	case c.headerTooLarge, err == nil && headerBytes > limits.HeaderBytes:
@@ -384,6 +481,14 @@
 	}
 }
 
+func countFields(h http.Header) int {
+	n := 0
+	for _, values := range h {
+		n += len(values)
+	}
+	return n
+}
+
 // validateRequest returns 200 if the request header is valid and the status of
 // the error response if it is not.
 func (c *callerConn) validateRequest(req *http.Request) int {
--- a/internal/forward/callerexchange.go
+++ b/internal/forward/callerexchange.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -11,6 +12,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"heatherlift.example/heatherlift/internal/intake"
 )
 
 // maxBufferedResponseBytes is the size up to which a response is buffered
@@ -32,6 +35,11 @@
 	precedingDone <-chan struct{}
 	done          chan struct{}
 	body          *callerBody
+	// lease is what the request holds, and bufferHeld the part of it that buffered does.
+	lease      *intake.Lease
+	bufferHeld int
+	// receivesMore is set while the receive buffer of the connection is that of an upload.
+	receivesMore bool
 	// rejectStatus is the status for a request that the server rejects itself,
 	// 0 if the request goes to the handler.
 	rejectStatus int
@@ -57,8 +65,8 @@
 
 // newCallerExchange returns the exchange for a request. A nil req stands for a
 // request that could not be parsed; the connection closes after its response.
-func newCallerExchange(ctx context.Context, c *callerConn, req *http.Request, precedingDone <-chan struct{}) *callerExchange {
-	x := &callerExchange{conn: c, startedAt: time.Now(), precedingDone: precedingDone, done: make(chan struct{}), header: make(http.Header), contentLength: -1}
+func newCallerExchange(ctx context.Context, c *callerConn, req *http.Request, precedingDone <-chan struct{}, lease *intake.Lease) *callerExchange {
+	x := &callerExchange{conn: c, lease: lease, startedAt: time.Now(), precedingDone: precedingDone, done: make(chan struct{}), header: make(http.Header), contentLength: -1}
 	if req == nil {
 		req = &http.Request{Method: http.MethodGet, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Body: http.NoBody, Close: true}
 	}
@@ -113,6 +121,11 @@
 			ok = false
 		}
 	}()
+	if x.rejectStatus == http.StatusServiceUnavailable {
+		maps.Copy(x.header, x.conn.server.noRoomHeader())
+		x.WriteHeader(x.rejectStatus)
+		return true
+	}
 	if x.rejectStatus != 0 {
 		x.header.Set("Content-Type", "text/plain; charset=utf-8")
 		x.WriteHeader(x.rejectStatus)
@@ -153,6 +166,10 @@
 	}
 	x.written += int64(len(p))
 	_, _ = x.buffered.Write(p)
+	if n := x.buffered.Cap(); n > x.bufferHeld {
+		x.lease.Take(int64(n - x.bufferHeld))
+		x.bufferHeld = n
+	}
 	if x.buffered.Len() <= maxBufferedResponseBytes {
 		return len(p), nil
 	}
@@ -193,6 +210,21 @@
 // always be read while the response is written.
 func (x *callerExchange) EnableFullDuplex() error { return nil }
 
+// uploadReceiveBytes is the receive buffer of a connection while a body is streamed from it.
+const uploadReceiveBytes = 128 << 10
+
+// receiveMore enlarges the receive buffer of the connection for a body that is streamed, if
+// there is room for it.
+func (x *callerExchange) receiveMore() {
+	if x.conn.server.ReceiveBuffer > 0 && x.lease.Roomy() && x.lease.Acquire(uploadReceiveBytes) {
+		x.receivesMore = true
+		intake.SetReceiveBuffer(x.conn.Conn, uploadReceiveBytes)
+	}
+}
+
+// requestLease returns what the request holds.
+func (x *callerExchange) requestLease() *intake.Lease { return x.lease }
+
 // AwaitTurn waits until all preceding responses are written.
 func (x *callerExchange) AwaitTurn() { x.acquireConn() }
 
@@ -300,7 +332,9 @@
 
 func (x *callerExchange) writeToConn(b []byte) {
 	if x.err == nil {
+		x.conn.held.WriteBegun()
 		_, x.err = x.conn.Conn.Write(b)
+		x.conn.held.WriteEnded()
 	}
 }
 
--- a/internal/forward/callerserver.go
+++ b/internal/forward/callerserver.go
@@ -1,8 +1,10 @@
 package forward
 
 import (
+	"bytes"
 	"cmp"
 	"context"
+	"fmt"
 	"math"
 	"net"
 	"net/http"
@@ -11,6 +13,8 @@
 	"time"
 
 	"heatherlift.example/heatherlift/internal/config"
+	"heatherlift.example/heatherlift/internal/intake"
+	"heatherlift.example/heatherlift/internal/outcome"
 )
 
 const (
@@ -52,6 +56,14 @@
 	// OnReject, if set, is called for each request that the server rejects itself,
 	// with the address of the caller and the status.
 	OnReject func(caller string, status int)
+	// Intake, if set, bounds what callers hold.
+	Intake *intake.Account
+	// ReceiveBuffer, if positive, bounds the bytes that the kernel holds of a connection
+	// for this process to read.
+	ReceiveBuffer int
+	// RetryAfter is the time after which callers that are refused for lack of room may
+	// return, 0 if they are not told.
+	RetryAfter func() string
 	// OnCut, if set, is called for each request, read completely or not, whose
 	// connection ends without a complete response.
 	OnCut func(Cut)
@@ -98,14 +110,49 @@
 			return err
 		}
 		conn := newCallerConn(s, c)
+		if !conn.register() {
+			s.turnAway(c)
+			continue
+		}
 		if !s.add(conn) {
-			_ = c.Close()
+			_ = conn.Close()
 			continue
 		}
 		go conn.serve()
 	}
 }
 
+// turnAwayTimeout limits writing the response to a connection for which there is no room.
+const turnAwayTimeout = 10 * time.Millisecond
+
+// turnAway closes a connection for which there is no room with a response to the request
+// that its caller sends. It is not read, and so not run.
+func (s *CallerServer) turnAway(c net.Conn) {
+	_ = c.SetWriteDeadline(time.Now().Add(turnAwayTimeout))
+	header := s.noRoomHeader()
+	header["Connection"] = []string{"close"}
+	var response bytes.Buffer
+	fmt.Fprintf(&response, "HTTP/1.1 %d %s\r\n", http.StatusServiceUnavailable, http.StatusText(http.StatusServiceUnavailable))
+	_ = header.Write(&response)
+	response.WriteString("\r\n")
+	_, _ = c.Write(response.Bytes())
+	_ = c.Close()
+}
+
+// noRoomHeader returns the header of the response to a request that is refused unread for
+// lack of room. It has no body, since the method of the request is not known.
+func (s *CallerServer) noRoomHeader() http.Header {
+	header := http.Header{
+		"Content-Length": {"0"},
+		OutcomeHeader:    {string(outcome.NotRun)},
+		ReasonHeader:     {string(outcome.ClientLimit)},
+	}
+	if s.RetryAfter != nil {
+		header["Retry-After"] = []string{s.RetryAfter()}
+	}
+	return header
+}
+
 func (s *CallerServer) add(c *callerConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/forward/errors.go
+++ b/internal/forward/errors.go
@@ -35,6 +35,8 @@
 	// errHeldUp marks a response that was held up until its deadline on the way from this
 	// proxy to its receiver.
 	errHeldUp = errors.New("response held up until its deadline")
+	// errNoRoom marks a request for which callers hold too much already.
+	errNoRoom = errors.New("no room for the request")
 	// errBody marks a request body that could not be read from its sender.
 	errBody = errors.New("could not read request body")
 )
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"heatherlift.example/heatherlift/internal/intake"
 )
 
 // maxInformationalResponses limits the 1xx responses before the final one.
@@ -42,6 +44,8 @@
 	// nil if that is not counted.
 	bodyRead bool
 	held     *heldMemory
+	// lease is charged for the body instead if held is nil. It may be nil, too.
+	lease *intake.Lease
 }
 
 // Do sends the request to the address and reads the response header. The whole
@@ -65,7 +69,7 @@
 		return nil, limit.markExpired(ctx, err)
 	}
 	c.beginExchange()
-	x := &Exchange{pool: p, conn: c, limit: limit, upload: out.upload, dialect: out.dialect, requestID: out.dialect.RequestID(out.in)}
+	x := &Exchange{pool: p, conn: c, limit: limit, upload: out.upload, lease: out.lease, dialect: out.dialect, requestID: out.dialect.RequestID(out.in)}
 	if out.use != nil {
 		x.held = &out.use.held
 	}
--- a/internal/forward/headerscanner.go
+++ b/internal/forward/headerscanner.go
@@ -8,6 +8,9 @@
 // maxScannedHeaderBytes limits the header bytes that are kept for inspection.
 const maxScannedHeaderBytes = 72 << 10
 
+// maxIdleHeaderBytes limits the memory that is kept between headers.
+const maxIdleHeaderBytes = 4 << 10
+
 // scanState tells what follows next in the byte stream of a connection.
 type scanState int
 
@@ -90,7 +93,9 @@
 // follows it.
 func (s *headerScanner) finishHeader() bool {
 	f, ok := parseFraming(s.header)
-	s.header = s.header[:0]
+	if s.header = s.header[:0]; cap(s.header) > maxIdleHeaderBytes {
+		s.header = nil
+	}
 	switch {
 	case !ok || f.chunked:
 		s.state, s.header = scanDisabled, nil
--- a/internal/forward/ingress.go
+++ b/internal/forward/ingress.go
@@ -28,6 +28,9 @@
 	service string
 	// OnCall, if set, is called for each call of the local backend server.
 	OnCall func()
+	// NoRoomRetryAfter, if set, returns the time after which a caller that is refused for
+	// lack of room may return.
+	NoRoomRetryAfter func() time.Duration
 	// AbortsAt, if set, returns when a shutdown in progress aborts requests in flight,
 	// zero if there is none.
 	AbortsAt func() time.Time
@@ -41,6 +44,18 @@
 	return e.AbortsAt()
 }
 
+// noRoomRetryAfter returns the time after which a caller that is refused for lack of room may
+// return, 0 if it is not told.
+func (e *Ingress) noRoomRetryAfter() time.Duration {
+	if e.NoRoomRetryAfter == nil {
+		return 0
+	}
+	return e.NoRoomRetryAfter()
+}
+
+// RetryAfter returns the Retry-After of a request that is refused for lack of room.
+func (e *Ingress) RetryAfter() string { return e.dialect.formatRetryAfter(e.noRoomRetryAfter()) }
+
 // NewIngress returns the handler for callers. The runID must be unique to this
 // start of the process, so that request identifiers are unique in the fleet.
 // Requests for selfAddress are handled by local, whose dialect is used. The
@@ -76,7 +91,7 @@
 		e.dialect.writeRefusal(w, refusal, false)
 		return
 	}
-	c := &callerRequest{Ingress: e, w: w, r: r, organisation: e.dialect.organisation(r), call: e.dialect.isCall(r), startedAt: time.Now(), outgoing: &outgoingRequest{in: r, dialect: e.dialect, fromCaller: true, callerService: e.service, expectContinue: true}}
+	c := &callerRequest{Ingress: e, w: w, r: r, organisation: e.dialect.organisation(r), call: e.dialect.isCall(r), startedAt: time.Now(), outgoing: &outgoingRequest{in: r, lease: leaseOf(w), dialect: e.dialect, fromCaller: true, callerService: e.service, expectContinue: true}}
 	if !c.readBody(budget) {
 		return
 	}
@@ -109,9 +124,12 @@
 	small := hasSmallBody(c.r)
 	switch {
 	case small:
-		body, err = readSmallBody(c.w, c.r, budget)
+		body, err = readSmallBody(c.w, c.r, budget, leaseOf(c.w))
 	case c.r.ContentLength < 0 && len(c.r.Trailer) == 0 && !c.notAfter().IsZero():
-		body, small, err = readUnsizedBody(c.w, c.r, budget)
+		body, small, err = readUnsizedBody(c.w, c.r, budget, leaseOf(c.w))
+	}
+	if err == nil && !small && !leaseOf(c.w).Acquire(copyBufferBytes) {
+		err = errNoRoom
 	}
 	if err == nil && !small {
 		c.outgoing.upload = newUpload(c.w, c.r)
@@ -120,8 +138,12 @@
 	if err != nil {
 		c.detail = err.Error()
 		refusal := notRun(outcome.MalformedRequest, http.StatusRequestTimeout)
-		if bodyTooLarge(c.r) {
+		switch {
+		case bodyTooLarge(c.r):
 			refusal = notRun(outcome.BodyTooLarge, http.StatusRequestEntityTooLarge)
+		case errors.Is(err, errNoRoom):
+			refusal = notRun(outcome.ClientLimit, http.StatusServiceUnavailable)
+			refusal.RetryAfter = c.noRoomRetryAfter()
 		}
 		c.logRefusal(refusal)
 		c.dialect.writeRefusal(c.w, refusal, true)
--- a/internal/forward/local.go
+++ b/internal/forward/local.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"heatherlift.example/heatherlift/internal/admission"
+	"heatherlift.example/heatherlift/internal/intake"
 	"heatherlift.example/heatherlift/internal/outcome"
 	"heatherlift.example/heatherlift/internal/routing"
 	"heatherlift.example/heatherlift/internal/transfer"
@@ -104,7 +105,7 @@
 		out.upload = newUpload(w, r)
 		defer out.upload.waitUntilFinished()
 	} else {
-		body, err := readSmallBody(w, r, budget)
+		body, err := readSmallBody(w, r, budget, &intake.Lease{})
 		if err != nil {
 			panic(http.ErrAbortHandler) // the peer disconnected before its request was complete
 		}
--- a/internal/forward/memory.go
+++ b/internal/forward/memory.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -11,8 +12,8 @@
 )
 
 const (
-	// maxHeldBytes bounds the memory of the responses that this process holds, a sixth of
-	// the 184 MB of a proxy.
+	// maxHeldBytes bounds the memory of the large responses that this process holds unless
+	// another bound is set, a sixth of the 184 MB of a proxy.
 	maxHeldBytes = 32 << 20
 	// maxHeldResponseBytes bounds what is held of one response.
 	maxHeldResponseBytes = 1 << 20
@@ -26,8 +27,11 @@
 	observe func(delta int64)
 }
 
-func newResponseMemory(observe func(delta int64)) *responseMemory {
-	return &responseMemory{large: semaphore.NewWeighted(maxHeldBytes), observe: observe}
+// newResponseMemory returns a count of responses whose large ones hold at most bound bytes,
+// maxHeldBytes if that is 0.
+func newResponseMemory(bound int64, observe func(delta int64)) *responseMemory {
+	bound = max(cmp.Or(bound, maxHeldBytes), maxHeldResponseBytes)
+	return &responseMemory{large: semaphore.NewWeighted(bound), observe: observe}
 }
 
 // heldMemory is memory that one response holds.
--- a/internal/forward/outgoingrequest.go
+++ b/internal/forward/outgoingrequest.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"heatherlift.example/heatherlift/internal/intake"
 )
 
 // field is a header field that is added at one hop.
@@ -41,6 +43,8 @@
 	// use is what the response takes of the link and of memory, nil if the bandwidth of
 	// the link is unknown.
 	use *linkUse
+	// lease is what the request holds.
+	lease *intake.Lease
 }
 
 // uploadLingerTimeout is how long the sender of a body gets to read a response
@@ -88,6 +92,9 @@
 func (u *upload) start() {
 	u.sendDone, u.startedAt = make(chan struct{}), time.Now()
 	_ = http.NewResponseController(u.w).EnableFullDuplex()
+	if x, ok := u.w.(interface{ receiveMore() }); ok {
+		x.receiveMore()
+	}
 }
 
 // read reads a part of the body.
--- a/internal/forward/requestvalidation.go
+++ b/internal/forward/requestvalidation.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"heatherlift.example/heatherlift/internal/intake"
 	"heatherlift.example/heatherlift/internal/outcome"
 )
 
@@ -70,17 +71,37 @@
 	return r.ContentLength >= 0 && r.ContentLength <= maxSmallBodyBytes
 }
 
+// firstBodyBytes is what is held at once of a body while there is little room.
+const firstBodyBytes = 4 << 10
+
 // readSmallBody reads the whole body of a request for which hasSmallBody holds.
 // The body has to arrive within the given time, or within smallBodyTimeout if that
-// is 0 or longer.
-func readSmallBody(w http.ResponseWriter, r *http.Request, within time.Duration) ([]byte, error) {
+// is 0 or longer. What is held of it is charged to the lease; the error is errNoRoom if
+// there is no room for it.
+func readSmallBody(w http.ResponseWriter, r *http.Request, within time.Duration, lease *intake.Lease) ([]byte, error) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
 	defer limitReading(w, within)()
-	body := make([]byte, r.ContentLength)
-	if _, err := io.ReadFull(r.Body, body); err != nil {
-		return nil, errors.Wrapf(errBody, "%v", err)
+	var body []byte
+	for read := 0; read < int(r.ContentLength); {
+		// A body is held as it arrives while there is little room, since its sender may
+		// stop short of its end.
+		size := int(r.ContentLength)
+		if !lease.Roomy() {
+			size = min(size, max(firstBodyBytes, 2*read))
+		}
+		if !lease.Acquire(int64(size - len(body))) {
+			return nil, errNoRoom
+		}
+		grown := make([]byte, size)
+		copy(grown, body)
+		body = grown
+		n, err := io.ReadFull(r.Body, body[read:])
+		if err != nil {
+			return nil, errors.Wrapf(errBody, "%v", err)
+		}
+		read += n
 	}
 	return body, nil
 }
@@ -88,7 +109,10 @@
 // readUnsizedBody reads the body of a request that does not state its length, in the same
 // time. If it is longer than maxSmallBodyBytes, it reports false, and the body is read again
 // from its beginning.
-func readUnsizedBody(w http.ResponseWriter, r *http.Request, within time.Duration) (body []byte, ended bool, err error) {
+func readUnsizedBody(w http.ResponseWriter, r *http.Request, within time.Duration, lease *intake.Lease) (body []byte, ended bool, err error) {
+	if !lease.Acquire(maxSmallBodyBytes) {
+		return nil, false, errNoRoom
+	}
 	defer limitReading(w, within)()
 	body, err = io.ReadAll(io.LimitReader(r.Body, maxSmallBodyBytes+1))
 	if err != nil {
@@ -103,6 +127,14 @@
 	return nil, false, nil
 }
 
+// leaseOf returns what the request of a response writer holds.
+func leaseOf(w http.ResponseWriter) *intake.Lease {
+	if x, ok := w.(interface{ requestLease() *intake.Lease }); ok {
+		return x.requestLease()
+	}
+	return &intake.Lease{}
+}
+
 // limitReading limits the time in which a body has to arrive until the returned function is
 // called.
 func limitReading(w http.ResponseWriter, within time.Duration) (end func()) {
--- a/internal/forward/responselink.go
+++ b/internal/forward/responselink.go
@@ -15,6 +15,9 @@
 
 // ResponseObserver receives what happens to responses on a shared link.
 type ResponseObserver struct {
+	// HeldBound is the most that large responses may hold in memory, in bytes, 0 for
+	// maxHeldBytes.
+	HeldBound int64
 	// Held is called with each change of the bytes of responses in memory.
 	Held func(delta int64)
 	// Paced is called with the length of each piece.
@@ -46,7 +49,7 @@
 	}
 	l := &responseLink{
 		observe: observe,
-		memory:  newResponseMemory(observe.Held),
+		memory:  newResponseMemory(observe.HeldBound, observe.Held),
 		pacer:   pacer,
 		gate:    transfer.NewResponseGate(linkMbps),
 		granted: make(map[uint64]chan<- struct{}),
--- a/internal/forward/rig_test.go
+++ b/internal/forward/rig_test.go
@@ -16,11 +16,16 @@
 
 	"heatherlift.example/heatherlift/internal/admission"
 	"heatherlift.example/heatherlift/internal/config"
+	"heatherlift.example/heatherlift/internal/intake"
 	"heatherlift.example/heatherlift/internal/outcome"
 	"heatherlift.example/heatherlift/internal/routing"
 )
 
-const testTimeout = 10 * time.Second
+const (
+	testTimeout = 10 * time.Second
+	// noRoomRetryAfter is the time after which callers that found no room may return.
+	noRoomRetryAfter = time.Second
+)
 
 func TestMain(m *testing.M) {
 	goleak.VerifyTestMain(m)
@@ -244,6 +249,8 @@
 	// held and paced are the bytes of responses in memory and those sent in pieces.
 	held, paced atomic.Int64
 	onReject    func(caller string, status int)
+	// account, if set, bounds what callers hold. It is set before the start.
+	account *intake.Account
 }
 
 // newRig starts both proxies in front of a backend server with the handler.
@@ -280,6 +287,9 @@
 		g.server.LimitsInForce = g.limitsInForce
 	}
 	g.server.OnReject = g.onReject
+	g.server.Intake = g.account
+	g.ingress.NoRoomRetryAfter = func() time.Duration { return noRoomRetryAfter }
+	g.server.RetryAfter = g.ingress.RetryAfter
 	g.callersAddr = serveCallers(t, g.server)
 }
 
--- a/internal/forward/verify.go
+++ b/internal/forward/verify.go
@@ -118,7 +118,11 @@
 			return nil, err
 		}
 	}
-	return readUpTo(resp.Body, maxVerifiedBodyBytes+1)
+	body, err := readUpTo(resp.Body, maxVerifiedBodyBytes+1)
+	if x.held == nil && x.lease != nil {
+		x.lease.Take(int64(len(body)))
+	}
+	return body, err
 }
 
 // readUnknownLength is readVerified for a body of unknown length, of which the first
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -19,6 +19,7 @@
 	"heatherlift.example/heatherlift/internal/dist"
 	"heatherlift.example/heatherlift/internal/forward"
 	"heatherlift.example/heatherlift/internal/identity"
+	"heatherlift.example/heatherlift/internal/intake"
 	"heatherlift.example/heatherlift/internal/member"
 	"heatherlift.example/heatherlift/internal/node"
 	"heatherlift.example/heatherlift/internal/peer"
@@ -67,7 +68,9 @@
 	// the backend server.
 	peerPool    *forward.Pool
 	backendPool *forward.Pool
-	runID       string
+	// intake counts what clients hold.
+	intake *intake.Account
+	runID  string
 	// warmUpFailure is the failure of the last health check for the warm-up, empty if
 	// it succeeded.
 	warmUpFailure   atomic.Pointer[string]
@@ -142,6 +145,7 @@
 	}
 	h.peerPool = forward.NewPool(h.dialPeer, 0)
 	h.metrics = newMetrics(h)
+	h.intake = h.newIntake()
 	h.transport = peer.NewTransport(h, h.metrics, h.peerTLS())
 	h.source = source.NewClient(s.Platform.Source, h.metrics.countSourceCall)
 	h.instancesClient = source.NewClient(s.Platform.Instances, h.metrics.countSourceCall)
--- a/internal/host/metrics.go
+++ b/internal/host/metrics.go
@@ -9,6 +9,7 @@
 
 	"heatherlift.example/heatherlift/internal/decisionlog"
 	"heatherlift.example/heatherlift/internal/forward"
+	"heatherlift.example/heatherlift/internal/intake"
 	"heatherlift.example/heatherlift/internal/node"
 	"heatherlift.example/heatherlift/internal/outcome"
 )
@@ -42,7 +43,9 @@
 	responsePlans   *prometheus.CounterVec
 	calls           prometheus.Counter
 	requestsCut     *prometheus.CounterVec
-	log             *log.Logger
+	// clientsTurnedAway counts connections and requests that were refused for lack of room.
+	clientsTurnedAway *prometheus.CounterVec
+	log               *log.Logger
 }
 
 func newMetrics(h *Host) *metrics {
@@ -92,7 +95,10 @@
 		}),
 		requestsCut: newCutCounter(),
 		log:         h.log,
+
+		clientsTurnedAway: newTurnedAwayCounter(),
 	}
+	m.registry.MustRegister(m.clientsTurnedAway, newIntakeMetrics(h))
 	m.registry.MustRegister(newAdmissionMetrics(h))
 	m.registry.MustRegister(peerBytes, m.attemptDuration, m.estimateError, m.messagesRefused, m.sourceCalls, m.refusals, m.panics, m.uploadOffers, m.calls, m.requestsCut)
 	m.registry.MustRegister(m.responsesHeld, m.responsesPaced, m.responsePlans)
@@ -149,10 +155,15 @@
 	m.uploadOffers.WithLabelValues(decisionLabel(admitted)).Inc()
 }
 
-// responseObserver returns the observer of responses on the link of the machine.
-func (m *metrics) responseObserver() forward.ResponseObserver {
+// responseObserver returns the observer of responses on the link of the machine, which adds
+// what they hold to the account and bounds it.
+func (m *metrics) responseObserver(account *intake.Account, bound int64) forward.ResponseObserver {
 	return forward.ResponseObserver{
-		Held:    func(delta int64) { m.responsesHeld.Add(float64(delta)) },
+		HeldBound: bound,
+		Held: func(delta int64) {
+			m.responsesHeld.Add(float64(delta))
+			account.AddShared(delta)
+		},
 		Paced:   func(bytes int) { m.responsesPaced.Add(float64(bytes)) },
 		Decided: func(admitted bool) { m.responsePlans.WithLabelValues(decisionLabel(admitted)).Inc() },
 	}
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -88,6 +88,7 @@
 	}
 	h.group.Go(func() error { _ = h.transport.Serve(l.peers); return nil })
 	h.group.Go(func() error { h.tick(); return nil })
+	h.group.Go(func() error { h.closeBlocked(); return nil })
 	h.group.Go(func() error { h.decisions.Run(h.ctx.Done()); return nil })
 	if h.feed == nil {
 		h.group.Go(func() error { h.pollInstances(); return nil })
@@ -112,6 +113,7 @@
 		h.feed.Close()
 	}
 	h.instancesClient.Close()
+	h.logIntakePeaks()
 	h.log.Info("proxy stopped", "id", h.settings.ID)
 	return err
 }
--- a/internal/host/shutdown.go
+++ b/internal/host/shutdown.go
@@ -29,7 +29,7 @@
 	backend := h.settings.BackendServer
 	local := forward.NewLocalForwarder(h, h.backendPool, backend.Address, backend.ShedNotRun, h.dialect)
 	local.LimitUploads(h.settings.Platform.LinkMbps, h.metrics.countUploadOffer)
-	local.PaceResponses(h.settings.Platform.LinkMbps, h.metrics.responseObserver())
+	local.PaceResponses(h.settings.Platform.LinkMbps, h.metrics.responseObserver(h.intake, responseMemoryBound(h.settings.Machine)))
 	if h.reportsCosts() {
 		local.ReportCosts()
 	}
@@ -39,6 +39,10 @@
 	callers := forward.NewCallerServer(forward.LogPanics(entry, h.log), readHeaderTimeout, idleTimeout)
 	callers.LimitsInForce = h.callerLimits.Load
 	callers.OnReject = h.logReject
+	callers.Intake = h.intake
+	callers.ReceiveBuffer = h.receiveBuffer()
+	callers.RetryAfter = entry.RetryAfter
+	entry.NoRoomRetryAfter = h.noRoomRetryAfter
 	callers.OnCut = h.recordCut
 	peers := newServer(forward.LogPanics(local, h.log))
 	peers.MaxHeaderBytes = maxPeerHeaderBytes
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -82,6 +82,9 @@
 	UpgradeUnsupported Reason = "upgrade-unsupported"
 	// BodyTooLarge means that the body exceeds the limit of the version in force.
 	BodyTooLarge Reason = "body-too-large"
+	// ClientLimit means that callers, or those at the address of this one, hold as much of
+	// a proxy as they may.
+	ClientLimit Reason = "client-limit"
 )
 
 // Refusal is the final response to a request that no backend server answered.
--- a/internal/settings/field.go
+++ b/internal/settings/field.go
@@ -57,6 +57,14 @@
 	{"peers.authorities", textRule{optional: true}, "certificates that sign those of proxies, a file in PEM"},
 	{"peers.name", textRule{}, "DNS name in the certificate of every proxy"},
 	{"peers.reload_interval", durationRule{100 * time.Millisecond, time.Hour}, "time between two readings of the files"},
+	{"machine.memory_mb", intRule{32, 1 << 20}, "memory that the process may use, in MiB; the bound of what clients hold and the soft limit of the heap follow from it"},
+	{"machine.descriptors", intRule{0, 1 << 20}, "descriptors that the process may open, 0 for its limit at the start; parts are kept for the backend server, other proxies, the store and operators"},
+	{"clients.memory_mb", intRule{0, 1 << 20}, "memory that clients may make the process hold, in MiB, 0 for 30 % of machine.memory_mb"},
+	{"clients.share", shareRule{}, "part of that memory and of the connections that the clients at one address may hold"},
+	{"clients.connections", intRule{0, 1 << 20}, "connections of callers, 0 for the part of the descriptors that is not kept"},
+	{"clients.slow_after", durationRule{100 * time.Millisecond, time.Minute}, "time that a client may take for a message, or be blocked, before its connection may be closed if there is no room for others"},
+	{"clients.read_timeout", durationRule{time.Second, time.Hour}, "time after which a client that has not accepted a piece of a response, of up to 32 KB, is disconnected"},
+	{"clients.receive_buffer_kb", intRule{0, 1 << 16}, "bytes of a caller's connection that the kernel holds unread, in KiB, 0 for the kernel's own bound"},
 	{"shutdown.notice", durationRule{0, time.Minute}, "time in which other proxies and callers learn of a shutdown"},
 	{"shutdown.limit", durationRule{time.Second, time.Hour}, "time after which requests in flight are cut"},
 	{"log.level", enumRule{"debug", "info", "warn", "error"}, "lowest level that is logged"},
@@ -84,9 +92,29 @@
 		}
 	}
 	problems = append(problems, validatePlatform(s.Platform, file)...)
+	problems = append(problems, validateClients(s, file)...)
 	return append(problems, validatePeers(s.Peers, file)...)
 }
 
+// minDescriptors is the least number of descriptors with which a proxy can work.
+const minDescriptors = 64
+
+// validateClients checks that the bounds of clients fit the machine.
+func validateClients(s Settings, file string) config.Problems {
+	var problems config.Problems
+	if most := s.Machine.MemoryMB / 3; s.Clients.MemoryMB > most {
+		problems = append(problems, config.Problem{File: file, Key: "clients.memory_mb", Message: fmt.Sprintf("%d: want at most a third of machine.memory_mb, %d", s.Clients.MemoryMB, most)})
+	}
+	d := s.Machine.Descriptors
+	if d != 0 && d < minDescriptors {
+		problems = append(problems, config.Problem{File: file, Key: "machine.descriptors", Message: fmt.Sprintf("%d: want 0 or at least %d", d, minDescriptors)})
+	}
+	if d != 0 && s.Clients.Connections > d/2 {
+		problems = append(problems, config.Problem{File: file, Key: "clients.connections", Message: fmt.Sprintf("%d: want at most half of machine.descriptors, %d", s.Clients.Connections, d/2)})
+	}
+	return problems
+}
+
 // validatePlatform checks that the endpoints that platform.kind requires are
 // set.
 func validatePlatform(p Platform, file string) config.Problems {
--- a/internal/settings/rule.go
+++ b/internal/settings/rule.go
@@ -140,6 +140,18 @@
 	return ""
 }
 
+// shareRule allows the numbers above 0 up to 1; NaN is rejected.
+type shareRule struct{}
+
+func (shareRule) allowed() string { return "above 0, at most 1" }
+
+func (r shareRule) check(v any) string {
+	if n := v.(float64); !(n > 0 && n <= 1) {
+		return fmt.Sprintf("%g: want %s", n, r.allowed())
+	}
+	return ""
+}
+
 // durationRule allows the durations from low to high.
 type durationRule struct{ low, high time.Duration }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -31,6 +31,8 @@
 	Distribution  Distribution  `toml:"distribution"`
 	Requests      Requests      `toml:"requests"`
 	Peers         Peers         `toml:"peers"`
+	Machine       Machine       `toml:"machine"`
+	Clients       Clients       `toml:"clients"`
 	Shutdown      Shutdown      `toml:"shutdown"`
 	Log           Log           `toml:"log"`
 }
@@ -138,6 +140,38 @@
 	ReloadInterval config.Duration `toml:"reload_interval"`
 }
 
+// Machine is what the process may use of its machine.
+type Machine struct {
+	// MemoryMB is the memory, in units of 2^20 bytes.
+	MemoryMB int `toml:"memory_mb"`
+	// Descriptors is the number of open descriptors, or 0 for the limit that the process
+	// has at its start.
+	Descriptors int `toml:"descriptors"`
+}
+
+// Clients bounds what clients may make the process hold. Clients are the callers, those of
+// the admin addresses, and other proxies with the requests that they forward.
+type Clients struct {
+	// MemoryMB is the memory that all of them may hold, in units of 2^20 bytes, or 0 for
+	// 30 % of Machine.MemoryMB.
+	MemoryMB int `toml:"memory_mb"`
+	// Share is the part of the memory and of the connections that the clients at one
+	// address may hold.
+	Share float64 `toml:"share"`
+	// Connections is the number of connections of callers, or 0 for a part of the
+	// descriptors.
+	Connections int `toml:"connections"`
+	// SlowAfter is the time after which a client that sends or reads slowly may be
+	// disconnected if there is no room for others.
+	SlowAfter config.Duration `toml:"slow_after"`
+	// ReadTimeout is the time after which a client that has not accepted a piece of a
+	// response is disconnected in any case.
+	ReadTimeout config.Duration `toml:"read_timeout"`
+	// ReceiveBufferKB bounds what the kernel holds of a caller's connection, in units of
+	// 2^10 bytes, or 0 for no bound of its own.
+	ReceiveBufferKB int `toml:"receive_buffer_kb"`
+}
+
 // Shutdown configures the phases of a graceful shutdown.
 type Shutdown struct {
 	// Notice is the time for other proxies and callers to learn of the
@@ -195,6 +229,8 @@
 		},
 		Requests: Requests{MaxAttempts: 3, Placement: PlacementScore},
 		Peers:    Peers{Name: "heatherlift-proxy", ReloadInterval: config.Duration(10 * time.Second)},
+		Machine:  Machine{MemoryMB: 184},
+		Clients:  Clients{Share: 0.75, SlowAfter: config.Duration(2 * time.Second), ReadTimeout: config.Duration(30 * time.Second), ReceiveBufferKB: 16},
 		Shutdown: Shutdown{Notice: config.Duration(3 * time.Second), Limit: config.Duration(30 * time.Second)},
 		Log:      Log{Level: "info", Format: "logfmt"},
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -161,3 +161,23 @@
 	is.Equal(len(problems), 1)
 	is.Equal(problems[0].Key, "platform.link_mbps")
 }
+
+func TestBoundsOfClientsFitTheMachine(t *testing.T) {
+	is := is.New(t)
+	for key, change := range map[string]func(*Settings){
+		"machine.memory_mb":   func(s *Settings) { s.Machine.MemoryMB = 8 },
+		"machine.descriptors": func(s *Settings) { s.Machine.Descriptors = 10 },
+		"clients.memory_mb":   func(s *Settings) { s.Clients.MemoryMB = 100 },
+		"clients.share":       func(s *Settings) { s.Clients.Share = 0 },
+		"clients.connections": func(s *Settings) { s.Machine.Descriptors, s.Clients.Connections = 1000, 900 },
+	} {
+		s := Default()
+		is.Equal(len(validateClients(s, "f")), 0)
+		change(&s)
+		var keys []string
+		for _, p := range validate(s, "f") {
+			keys = append(keys, p.Key)
+		}
+		is.True(slices.Contains(keys, key))
+	}
+}
