Refuse a request without a route before its body has arrived

A body at a path without a route was read, and held up to 64 KB, though it is of no use to anybody: 1,200 bodies that stop short there held 116 MB and all descriptors, and each caller waited for its refusal until its body had come.

The entry now asks for the route when the header is read. A request that the version in force gives no route is refused with 404 at once, and its connection is closed unless the body is in the buffer already, since the rest must not be taken for a request. Without a version nothing changes: the request may have a route soon.

forward.TestBodyWithoutARouteIsNotAwaited fails before: no response within 10 s.

--- a/internal/forward/core.go
+++ b/internal/forward/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"heatherlift.example/heatherlift/internal/admission"
+	"heatherlift.example/heatherlift/internal/outcome"
 	"heatherlift.example/heatherlift/internal/routing"
 )
 
@@ -20,3 +21,19 @@
 	// NextID returns an identifier that is unique within the process.
 	NextID() uint64
 }
+
+// RouteChecker is implemented by a Core that tells whether a request has a route before its
+// body is read.
+type RouteChecker interface {
+	// Unroutable returns the refusal of a request that the version in force gives no
+	// route, or false if there is a route or no version.
+	Unroutable(organisation, method, path string) (outcome.Refusal, bool)
+}
+
+// unroutable returns the refusal of a request that has no route.
+func unroutable(c Core, organisation, method, path string) (outcome.Refusal, bool) {
+	if checker, ok := c.(RouteChecker); ok {
+		return checker.Unroutable(organisation, method, path)
+	}
+	return outcome.Refusal{}, false
+}
--- a/internal/forward/ingress.go
+++ b/internal/forward/ingress.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -92,7 +93,7 @@
 		return
 	}
 	c := &callerRequest{Ingress: e, w: w, r: r, organisation: e.dialect.organisation(r), call: e.dialect.isCall(r), startedAt: time.Now(), outgoing: &outgoingRequest{in: r, lease: leaseOf(w), dialect: e.dialect, fromCaller: true, callerService: e.service, expectContinue: true}}
-	if !c.readBody(budget) {
+	if c.refuseUnroutable() || !c.readBody(budget) {
 		return
 	}
 	defer c.outgoing.upload.waitUntilFinished()
@@ -114,6 +115,30 @@
 	})
 }
 
+// refuseUnroutable refuses a request with a body that has no route, before the body is read.
+// It reports whether it did.
+func (c *callerRequest) refuseUnroutable() bool {
+	if c.r.ContentLength == 0 {
+		return false
+	}
+	refusal, ok := unroutable(c.core, c.organisation, c.r.Method, c.dialect.path(c.r))
+	if !ok {
+		return false
+	}
+	discardArrived(c.w, c.r)
+	c.logRefusal(refusal)
+	c.dialect.writeRefusal(c.w, refusal, false)
+	return true
+}
+
+// discardArrived reads and discards a body that has arrived completely, so that its
+// connection can stay open.
+func discardArrived(w http.ResponseWriter, r *http.Request) {
+	if x, ok := w.(*callerExchange); ok && r.ContentLength > 0 && int64(x.conn.reader.Buffered()) >= r.ContentLength {
+		_, _ = io.Copy(io.Discard, r.Body)
+	}
+}
+
 // readBody reads a small body into memory and sets up the streaming of a large
 // one. During a shutdown a body of unknown length counts as small if it is: its end may come
 // when there is no time left to run the request. It reports false if a small body did not
--- a/internal/forward/intake_test.go
+++ b/internal/forward/intake_test.go
@@ -138,6 +138,25 @@
 	is.Equal(body, "ok")
 }
 
+func TestBodyWithoutARouteIsNotAwaited(t *testing.T) {
+	is := is.New(t)
+	g := newRig(t, respondOK)
+	g.core.unroutable = true
+	for _, framing := range []string{"Content-Length: 60000\r\n\r\n" + strings.Repeat("b", 100), "Content-Length: 10000000\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n5\r\nbbbbb\r\n"} {
+		c := dialRaw(t, g.callersAddr)
+		resp, _, err := c.exchange(t, "POST /a HTTP/1.1\r\nHost: a\r\n"+OrganisationHeader+": o\r\n"+framing)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusNotFound)
+		is.True(resp.Close) // the rest of the body must not be taken for a request
+	}
+	c := dialRaw(t, g.callersAddr)
+	resp, _, err := c.exchange(t, "POST /a HTTP/1.1\r\nHost: a\r\n"+OrganisationHeader+": o\r\nContent-Length: 5\r\n\r\nbbbbb")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusNotFound)
+	is.True(!resp.Close) // the whole body has arrived
+	is.Equal(g.runs.count("/a"), 0)
+}
+
 // What a request holds is returned however it ends.
 func TestNothingIsHeldAfterARequest(t *testing.T) {
 	hang := make(chan struct{})
--- a/internal/forward/rig_test.go
+++ b/internal/forward/rig_test.go
@@ -54,6 +54,8 @@
 	reported      []routing.Reported
 	abandoned     int
 	endedRuns     []admission.Ended
+	// unroutable makes all requests have no route.
+	unroutable bool
 	// recentVersion is named to other proxies, and heard holds what they named.
 	recentVersion uint64
 	heard         []uint64
@@ -113,6 +115,11 @@
 	}
 }
 
+// Unroutable implements RouteChecker.
+func (f *fakeCore) Unroutable(string, string, string) (outcome.Refusal, bool) {
+	return notRun(outcome.NoRoute, http.StatusNotFound), f.unroutable
+}
+
 func (f *fakeCore) sendNext(id uint64, last outcome.Refusal) {
 	n := f.attempts[id]
 	if n >= len(f.targets) {
--- a/internal/host/forwardcore.go
+++ b/internal/host/forwardcore.go
@@ -116,3 +116,12 @@
 	h.view(func(n *node.Node) { report, ok = n.CostReport(now, e) })
 	return report, ok
 }
+
+// Unroutable implements forward.RouteChecker.
+func (h *Host) Unroutable(organisation, method, path string) (refusal outcome.Refusal, unroutable bool) {
+	h.view(func(n *node.Node) { refusal, unroutable = n.Unroutable(organisation, method, path) })
+	if unroutable {
+		h.metrics.countRefusal(refusal)
+	}
+	return refusal, unroutable
+}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -7,6 +7,7 @@
 	"heatherlift.example/heatherlift/internal/config"
 	"heatherlift.example/heatherlift/internal/dedupe"
 	"heatherlift.example/heatherlift/internal/member"
+	"heatherlift.example/heatherlift/internal/outcome"
 	"heatherlift.example/heatherlift/internal/quarantine"
 	"heatherlift.example/heatherlift/internal/routing"
 	"heatherlift.example/heatherlift/internal/source"
@@ -149,3 +150,9 @@
 func (n *Node) Explain(now time.Time, org, method, path string) routing.Explanation {
 	return n.router.Explain(now, org, method, path)
 }
+
+// Unroutable returns the refusal of a request that the version in force gives no route, or
+// false if there is a route or no version.
+func (n *Node) Unroutable(org, method, path string) (outcome.Refusal, bool) {
+	return n.router.Unroutable(org, method, path)
+}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -228,13 +228,9 @@
 
 // route routes a request under the version in force.
 func (r *Router) route(now time.Time, e Arrived) {
-	match, known, ok := r.table.Lookup(e.Organisation, e.Method, e.Path)
-	switch {
-	case !known:
-		r.refuse(e.ID, notRunRefusal(outcome.NoOrganisation, http.StatusNotFound, 0))
-		return
-	case !ok:
-		r.refuse(e.ID, notRunRefusal(outcome.NoRoute, http.StatusNotFound, 0))
+	match, refusal, ok := r.lookup(e.Organisation, e.Method, e.Path)
+	if !ok {
+		r.refuse(e.ID, refusal)
 		return
 	}
 	org := r.organisation(e.Organisation)
@@ -262,6 +258,28 @@
 	r.attempt(now, c, sendUncharged, notRunRefusal(outcome.NoBackendServer, http.StatusServiceUnavailable, time.Second))
 }
 
+// lookup returns the route of a request, or the refusal of one that has none.
+func (r *Router) lookup(organisation, method, path string) (*RouteMatch, outcome.Refusal, bool) {
+	match, known, ok := r.table.Lookup(organisation, method, path)
+	switch {
+	case !known:
+		return nil, notRunRefusal(outcome.NoOrganisation, http.StatusNotFound, 0), false
+	case !ok:
+		return nil, notRunRefusal(outcome.NoRoute, http.StatusNotFound, 0), false
+	}
+	return match, outcome.Refusal{}, true
+}
+
+// Unroutable returns the refusal of a request that the version in force gives no route, or
+// false if there is a route or no version.
+func (r *Router) Unroutable(organisation, method, path string) (outcome.Refusal, bool) {
+	if r.table == nil {
+		return outcome.Refusal{}, false
+	}
+	_, refusal, ok := r.lookup(organisation, method, path)
+	return refusal, !ok
+}
+
 // checkLimits reports whether a request is within the limits of its
 // organisation, and refuses it otherwise.
 func (r *Router) checkLimits(now time.Time, id uint64, org *organisationState, m *RouteMatch) bool {
