Bound what clients hold at the doors of operators and of the platform

The addresses for readiness and metrics had a time for a header and for idleness, and no other bound: a body that stops short kept its connection for ever, headers could have 80 KB, any number of connections was taken, and each request for a report held a multiple of its length. 1,200 clients took all descriptors there, so that callers were not served (no answer within 8 s), and 100 that send headers of short fields ahead held over 92 MB.

Both doors now have connections of their own in the account of clients, so that a crowd at one leaves the other and the callers' door open. Reports (metrics, status, dump, page) are made one at a time, held as bytes and then written. Readiness no longer builds the status of the whole fleet.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -18,6 +18,7 @@
 type Proxy interface {
 	Head() node.Head
 	Status() node.Status
+	Readiness() node.Readiness
 	Dump() node.Dump
 	Explain(org, method, path string) routing.Explanation
 	Gatherer() prometheus.Gatherer
@@ -34,23 +35,26 @@
 // Handler returns the HTTP handler of the admin interface.
 func Handler(p Proxy) http.Handler {
 	r := chi.NewRouter()
-	r.Get("/", func(w http.ResponseWriter, _ *http.Request) { writePage(w, p.Status()) })
 	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	r.Get("/readyz", func(w http.ResponseWriter, _ *http.Request) { writeReadiness(w, p.Status()) })
-	r.Get(HeadPath, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.Head()) })
-	r.Get(StatusPath, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.Status()) })
-	r.Get(DumpPath, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.Dump()) })
-	r.Get(ExplainPath, func(w http.ResponseWriter, r *http.Request) {
-		q := r.URL.Query()
-		writeJSON(w, p.Explain(q.Get("organisation"), q.Get("method"), q.Get("path")))
+	r.Get("/readyz", func(w http.ResponseWriter, _ *http.Request) { writeReadiness(w, p.Readiness()) })
+	r.Group(func(r chi.Router) {
+		r.Use(newReports().serve)
+		r.Get("/", func(w http.ResponseWriter, _ *http.Request) { writePage(w, p.Status()) })
+		r.Get(HeadPath, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.Head()) })
+		r.Get(StatusPath, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.Status()) })
+		r.Get(DumpPath, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.Dump()) })
+		r.Get(ExplainPath, func(w http.ResponseWriter, r *http.Request) {
+			q := r.URL.Query()
+			writeJSON(w, p.Explain(q.Get("organisation"), q.Get("method"), q.Get("path")))
+		})
+		r.Handle("/metrics", promhttp.HandlerFor(p.Gatherer(), promhttp.HandlerOpts{}))
 	})
-	r.Handle("/metrics", promhttp.HandlerFor(p.Gatherer(), promhttp.HandlerOpts{}))
 	return r
 }
 
 // writeReadiness responds with 200 if the proxy is ready, and otherwise with 503
 // and the reason.
-func writeReadiness(w http.ResponseWriter, s node.Status) {
+func writeReadiness(w http.ResponseWriter, s node.Readiness) {
 	switch {
 	case s.Ready:
 		w.WriteHeader(http.StatusOK)
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -22,7 +22,10 @@
 
 func (f fakeProxy) Head() node.Head     { return node.Head{ID: f.status.ID} }
 func (f fakeProxy) Status() node.Status { return f.status }
-func (f fakeProxy) Dump() node.Dump     { return node.Dump{Status: f.status} }
+func (f fakeProxy) Readiness() node.Readiness {
+	return node.Readiness{Ready: f.status.Ready, Leaving: f.status.Leaving, Waiting: f.status.Waiting}
+}
+func (f fakeProxy) Dump() node.Dump { return node.Dump{Status: f.status} }
 func (f fakeProxy) Explain(org, method, path string) routing.Explanation {
 	return routing.Explanation{Version: uint64(len(org + method + path))}
 }
--- a/internal/host/adminproxy.go
+++ b/internal/host/adminproxy.go
@@ -21,6 +21,12 @@
 	return s
 }
 
+// Readiness implements admin.Proxy.
+func (h *Host) Readiness() (r node.Readiness) {
+	h.view(func(n *node.Node) { r = n.Readiness() })
+	return r
+}
+
 // Dump implements admin.Proxy.
 func (h *Host) Dump() (d node.Dump) {
 	h.view(func(n *node.Node) { d = n.Dump() })
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"heatherlift.example/heatherlift/internal/config"
+	"heatherlift.example/heatherlift/internal/intake"
 	"heatherlift.example/heatherlift/internal/node"
 )
 
@@ -20,6 +21,10 @@
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 80 << 10
+	// maxAdminHeaderBytes and adminReadTimeout bound the requests of operators and of the
+	// platform.
+	maxAdminHeaderBytes = 8 << 10
+	adminReadTimeout    = 5 * time.Second
 	// maxPeerHeaderBytes leaves room for the headers that proxies add to the
 	// largest one that a caller may send.
 	maxPeerHeaderBytes = config.MaxCallerHeaderBytes + 16<<10
@@ -79,11 +84,13 @@
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.group = &errgroup.Group{}
 	servers := h.newServers(l)
-	adminServer := newServer(admin)
+	adminServer := h.newAdminServer(admin)
+	l.admin = &intake.Listener{Listener: l.admin, Account: h.intake, Door: intake.Admin, ReceiveBuffer: h.receiveBuffer()}
 	h.group.Go(func() error { return serve(servers.callerServer.Serve, servers.callerListener) })
 	h.group.Go(func() error { return serve(servers.forwardServer.Serve, h.peerListener(l.forward)) })
 	h.group.Go(func() error { return serve(adminServer.Serve, l.admin) })
 	if l.metrics != nil {
+		l.metrics = &intake.Listener{Listener: l.metrics, Account: h.intake, Door: intake.Metrics, ReceiveBuffer: h.receiveBuffer()}
 		h.group.Go(func() error { return serve(adminServer.Serve, l.metrics) })
 	}
 	h.group.Go(func() error { _ = h.transport.Serve(l.peers); return nil })
@@ -127,6 +134,17 @@
 	}
 }
 
+// newAdminServer returns the server of operators, which are no callers: their requests have
+// no body and a short header.
+func (h *Host) newAdminServer(handler http.Handler) *http.Server {
+	s := newServer(handler)
+	s.MaxHeaderBytes = maxAdminHeaderBytes
+	s.ReadTimeout = adminReadTimeout
+	s.WriteTimeout = time.Duration(h.settings.Clients.ReadTimeout)
+	intake.Watch(s)
+	return s
+}
+
 // serve runs serveOn on the listener. It returns nil if the server or its
 // listener was closed.
 func serve(serveOn func(net.Listener) error, l net.Listener) error {
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -105,6 +105,17 @@
 	return n.dist.Ready() && !n.leaving
 }
 
+// Readiness tells whether a proxy accepts requests, and why it does not.
+type Readiness struct {
+	Ready, Leaving bool
+	Waiting        string
+}
+
+// Readiness returns whether the proxy accepts requests.
+func (n *Node) Readiness() Readiness {
+	return Readiness{Ready: n.Ready(), Leaving: n.leaving, Waiting: n.dist.WaitReason()}
+}
+
 // Dump is the full state of the proxy, for debugging.
 type Dump struct {
 	Status   Status           `json:"status"`
