Count what callers hold at the proxy that their requests are passed on to

Requests of crowds at several proxies that go to one backend server meet at the proxy beside it, which had no bound at all: with four crowds of 150 clients that send ahead, 1,020 of 1,025 descriptors were taken there though each entry kept its own bounds, and 312 MB were held before these had any.

That proxy now charges each request of another proxy, with its header and body, to an account of its own, by the same costs, and refuses what does not fit before it is queued: 503, not run, so that the entry may try another instance. Connections of other proxies are never closed while idle, as a request may be on its way: above two thirds of their share of the descriptors they are closed after the next response, above all of it their requests are refused.

--- a/internal/forward/local.go
+++ b/internal/forward/local.go
@@ -92,20 +92,34 @@
 		return
 	}
 	l.recentVersionField().addTo(w.Header())
+	lease, ok := l.leaseRequest(w, r)
+	defer lease.Settle(0)
+	if !ok {
+		l.refuseNoRoom(w, r, arrived)
+		return
+	}
 	arrived.Deadline = now.Add(budget)
 	arrived.Organisation = r.Header.Get(OrganisationHeader)
 	arrived.Key = r.Header.Get(IdempotencyHeader)
-	out := &outgoingRequest{in: r, dialect: l.dialect, retry: r.Header.Get(RetryHeader) != ""}
+	out := &outgoingRequest{in: r, lease: &lease, dialect: l.dialect, retry: r.Header.Get(RetryHeader) != ""}
 	if refusal, ok := l.awaitUpload(r, arrived); !ok {
 		l.loadField(l.costReport(arrived, 0)).addTo(w.Header())
 		l.dialect.writeRefusal(w, refusal, true)
 		return
 	}
 	if !hasSmallBody(r) {
+		if !lease.Acquire(copyBufferBytes) {
+			l.refuseNoRoom(w, r, arrived)
+			return
+		}
 		out.upload = newUpload(w, r)
 		defer out.upload.waitUntilFinished()
 	} else {
-		body, err := readSmallBody(w, r, budget, &intake.Lease{})
+		body, err := readSmallBody(w, r, budget, &lease)
+		if errors.Is(err, errNoRoom) {
+			l.refuseNoRoom(w, r, arrived)
+			return
+		}
 		if err != nil {
 			panic(http.ErrAbortHandler) // the peer disconnected before its request was complete
 		}
@@ -130,6 +144,36 @@
 	result.relay(w, r, delivery{extra: l.loadField(result.costReport()), use: use})
 }
 
+// leaseRequest charges the request of another proxy to what clients hold, since it is held for
+// one of them. It reports false if there is no room for it. While there are many connections
+// of other proxies, they are closed one after the other.
+func (l *LocalForwarder) leaseRequest(w http.ResponseWriter, r *http.Request) (lease intake.Lease, ok bool) {
+	conn := intake.ConnOf(r)
+	crowding := conn.Crowding()
+	if crowding == intake.Crowded {
+		w.Header()["Connection"] = []string{"close"}
+	}
+	lease = conn.Lease()
+	bytes := 0
+	for name, values := range r.Header {
+		for _, v := range values {
+			bytes += len(name) + len(v)
+		}
+	}
+	return lease, crowding != intake.Overcrowded && lease.Acquire(intake.RequestCost+intake.HeaderCost(countFields(r.Header), bytes))
+}
+
+// refuseNoRoom refuses a request of another proxy for lack of room. The connection is closed,
+// since its body may be unread.
+func (l *LocalForwarder) refuseNoRoom(w http.ResponseWriter, r *http.Request, arrived admission.Arrived) {
+	refusal := notRun(outcome.Overload, http.StatusServiceUnavailable)
+	logDecision(l.core, true, "no room", func() []any {
+		return []any{"request", l.dialect.RequestID(r), "instance", arrived.Instance, "reason", refusal.Reason, "proxy", r.RemoteAddr}
+	})
+	l.loadField(l.costReport(arrived, 0)).addTo(w.Header())
+	l.dialect.writeRefusal(w, refusal, true)
+}
+
 // forwardRequest waits for a slot, forwards the request to the backend server
 // and reads the response header.
 func (l *LocalForwarder) forwardRequest(ctx context.Context, out *outgoingRequest, arrived admission.Arrived) backendResult {
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -85,6 +85,7 @@
 	h.group = &errgroup.Group{}
 	servers := h.newServers(l)
 	adminServer := h.newAdminServer(admin)
+	l.forward = &intake.Listener{Listener: l.forward, Account: h.intake, Door: intake.Proxies}
 	l.admin = &intake.Listener{Listener: l.admin, Account: h.intake, Door: intake.Admin, ReceiveBuffer: h.receiveBuffer()}
 	h.group.Go(func() error { return serve(servers.callerServer.Serve, servers.callerListener) })
 	h.group.Go(func() error { return serve(servers.forwardServer.Serve, h.peerListener(l.forward)) })
--- a/internal/host/shutdown.go
+++ b/internal/host/shutdown.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"heatherlift.example/heatherlift/internal/forward"
+	"heatherlift.example/heatherlift/internal/intake"
 	"heatherlift.example/heatherlift/internal/node"
 )
 
@@ -46,6 +47,7 @@
 	callers.OnCut = h.recordCut
 	peers := newServer(forward.LogPanics(local, h.log))
 	peers.MaxHeaderBytes = maxPeerHeaderBytes
+	intake.Watch(peers)
 	return &servers{callerServer: callers, forwardServer: peers, callerListener: l.callers}
 }
 
