Bound the connections to other proxies that carry requests

Each request that is passed on takes a connection to another proxy, and nothing bounded them together: a crowd's requests could take the descriptors that the backend server, the store and the messages of proxies need.

At the bound the connection that has been idle longest gives way; if there is none, the request is refused with overload, not run, which says nothing about the instance. The log line at a stop tells the most that there were.

forward.TestPoolWithoutConnectionsRefusesRequests shows both.

--- a/internal/forward/errors.go
+++ b/internal/forward/errors.go
@@ -37,6 +37,8 @@
 	errHeldUp = errors.New("response held up until its deadline")
 	// errNoRoom marks a request for which callers hold too much already.
 	errNoRoom = errors.New("no room for the request")
+	// errNoConnection marks an ErrNotSent for which this proxy has no connection left.
+	errNoConnection = errors.New("no connection left")
 	// errBody marks a request body that could not be read from its sender.
 	errBody = errors.New("could not read request body")
 )
--- a/internal/forward/intake_test.go
+++ b/internal/forward/intake_test.go
@@ -211,3 +211,24 @@
 		})
 	}
 }
+
+func TestPoolWithoutConnectionsRefusesRequests(t *testing.T) {
+	is := is.New(t)
+	address := keepAliveResponder(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	other := keepAliveResponder(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	pool := NewPool(DialTCP, 0)
+	defer pool.Close()
+	pool.LimitTotal(1)
+	c, err := pool.acquire(t.Context(), time.Now().Add(testTimeout), address, false)
+	is.NoErr(err)
+	_, err = pool.acquire(t.Context(), time.Now().Add(testTimeout), other, false)
+	refusal := refusalForError(err)
+	is.Equal(refusal.Outcome, outcome.NotRun)
+	is.Equal(refusal.Reason, outcome.Overload) // says nothing about the instance
+	is.Equal(refusal.Status, http.StatusServiceUnavailable)
+	pool.put(c)
+	c, err = pool.acquire(t.Context(), time.Now().Add(testTimeout), other, false)
+	is.NoErr(err) // the idle connection gave way
+	pool.discard(c)
+	is.Equal(pool.PeakConnections(), 1)
+}
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -61,12 +62,15 @@
 // resends a request by itself. It is safe for concurrent use.
 type Pool struct {
 	dial Dial
-	// maxPerHost limits the connections to one address, 0 means no limit.
-	maxPerHost int
+	// maxPerHost limits the connections to one address, maxTotal all of them; 0 means no
+	// limit.
+	maxPerHost, maxTotal int
 
-	mu     sync.Mutex
-	hosts  map[string]*hostPool
-	closed bool
+	mu    sync.Mutex
+	hosts map[string]*hostPool
+	// openCount is the number of connections to all addresses, peakCount its highest value.
+	openCount, peakCount int
+	closed               bool
 	// sweepTimer runs sweepIdle. It is nil while there is no idle connection.
 	sweepTimer *time.Timer
 }
@@ -132,7 +136,6 @@
 	h := p.hosts[address]
 	if h == nil {
 		h = &hostPool{}
-		p.hosts[address] = h
 	}
 	if n := len(h.idle); n > 0 {
 		c := h.idle[n-1]
@@ -143,10 +146,46 @@
 	if p.maxPerHost > 0 && h.openCount >= p.maxPerHost {
 		return nil, errors.Wrap(ErrNotSent, "connection limit of the address reached")
 	}
+	if p.maxTotal > 0 && p.openCount >= p.maxTotal && !p.closeOldestIdle() {
+		return nil, errors.Mark(errors.Wrap(ErrNotSent, "connection limit reached"), errNoConnection)
+	}
 	h.openCount++
+	p.openCount++
+	p.peakCount = max(p.peakCount, p.openCount)
+	p.hosts[address] = h
 	return nil, nil
 }
 
+// closeOldestIdle closes the idle connection that was used least recently. It reports whether
+// there is one.
+func (p *Pool) closeOldestIdle() bool {
+	var oldest string
+	for address, h := range p.hosts {
+		if len(h.idle) > 0 && (oldest == "" || h.idle[0].idleSince.Before(p.hosts[oldest].idle[0].idleSince)) {
+			oldest = address
+		}
+	}
+	if oldest == "" {
+		return false
+	}
+	h := p.hosts[oldest]
+	_ = h.idle[0].Close()
+	h.idle = slices.Delete(h.idle, 0, 1)
+	p.releaseLocked(oldest)
+	return true
+}
+
+// PeakConnections returns the highest number of connections to all addresses so far.
+func (p *Pool) PeakConnections() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.peakCount
+}
+
+// LimitTotal bounds the connections to all addresses; 0 means no limit. It must be called
+// before the first request.
+func (p *Pool) LimitTotal(n int) { p.maxTotal = n }
+
 func (p *Pool) dialNew(ctx context.Context, deadline time.Time, address string) (*connection, error) {
 	full := time.Now().Add(dialTimeout)
 	dialDeadline := full
@@ -209,6 +248,7 @@
 func (p *Pool) releaseLocked(address string) {
 	h := p.hosts[address]
 	h.openCount--
+	p.openCount--
 	if h.openCount == 0 {
 		delete(p.hosts, address)
 	}
@@ -240,6 +280,7 @@
 		h.idle = append(h.idle[:0], h.idle[n:]...)
 		clear(h.idle[len(h.idle):][:n])
 		h.openCount -= n
+		p.openCount -= n
 		if h.openCount == 0 {
 			delete(p.hosts, address)
 		}
--- a/internal/forward/refusal.go
+++ b/internal/forward/refusal.go
@@ -15,6 +15,9 @@
 	if errors.Is(err, ErrNotSent) {
 		r.Outcome, r.Reason, r.Status = outcome.NotRun, outcome.ConnectFailed, http.StatusServiceUnavailable
 	}
+	if errors.Is(err, errNoConnection) { // not a failure of the instance
+		r.Reason = outcome.Overload
+	}
 	if errors.Is(err, errTooLate) {
 		r.Reason = outcome.BackendServerLimited
 	}
--- a/internal/host/intake.go
+++ b/internal/host/intake.go
@@ -100,6 +100,7 @@
 		total = processDescriptors()
 	}
 	plan := planDescriptors(total, h.settings.BackendServer.Connections, h.settings.Clients.Connections)
+	h.peerPool.LimitTotal(plan.outgoing)
 	limits := intakeLimits(h.settings, plan)
 	account := intake.New(limits)
 	account.OnEvent = h.clientTurnedAway
@@ -121,7 +122,8 @@
 func (h *Host) logIntakePeaks() {
 	u := h.intake.Usage()
 	h.log.Info("most that clients held", "memory_bytes", u.PeakMemory, "callers", u.PeakConnections[intake.Callers],
-		"admin", u.PeakConnections[intake.Admin], "metrics", u.PeakConnections[intake.Metrics], "proxies_in", u.PeakConnections[intake.Proxies])
+		"admin", u.PeakConnections[intake.Admin], "metrics", u.PeakConnections[intake.Metrics], "proxies_in", u.PeakConnections[intake.Proxies],
+		"proxies_out", h.peerPool.PeakConnections())
 }
 
 // noRoomRetryAfter returns the time after which a caller that is refused for lack of room may
