Leave room in the queues to others when one client sends requests ahead

While requests are refused for overload, and for a second after it, the clients at one address may have three quarters as many requests in progress at a proxy as the slots and the queue of a backend server hold (clients.requests); others are refused unread. Without an overload there is no such bound. Besides, after eight refusals in a row the requests that a caller has sent ahead are read 50 to 500 ms apart, until one is answered.

--- a/internal/forward/callerconn.go
+++ b/internal/forward/callerconn.go
@@ -60,6 +60,8 @@
 	closing bool
 	// evicted is set when the connection is closed as soon as it is idle.
 	evicted bool
+	// pause delays requests that were sent ahead.
+	pause refusalPause
 	// reading is set while a request is being read that is not in progress yet.
 	reading bool
 }
@@ -202,12 +204,23 @@
 	}
 }
 
-// mayReadAhead reports whether another request may be in progress.
+// mayReadAhead reports whether another request may be read.
 func (c *callerConn) mayReadAhead() bool {
+	if c.reader.Buffered() > 0 && c.isPaused() {
+		return false
+	}
 	n := c.requestsInProgress()
 	return n == 0 || n < maxPipelinedRequests && c.held.MayReadAhead()
 }
 
+// isPaused reports whether requests that the caller has sent ahead wait, which ends when the
+// connection closes.
+func (c *callerConn) isPaused() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.closing && c.pause.active(time.Now())
+}
+
 // cancelOnDisconnect cancels the requests in progress if the caller disconnects
 // before the last response is written. Further input from the caller is
 // discarded.
@@ -269,7 +282,7 @@
 func (c *callerConn) readLeased(limits config.CallerLimits, lease *intake.Lease) (*http.Request, int) {
 	c.lease, c.noRoom = lease, false
 	defer func() { c.lease = nil }()
-	if !lease.Acquire(intake.RequestCost) {
+	if !c.held.MayBegin() || !lease.Acquire(intake.RequestCost) {
 		return nil, http.StatusServiceUnavailable
 	}
 	buffered, _ := c.reader.Peek(c.reader.Buffered())
@@ -343,6 +356,7 @@
 func (c *callerConn) finishRequest(x *callerExchange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.pause.observe(time.Now(), x.refused())
 	delete(c.inProgress, x)
 	if len(c.inProgress) == 0 && !c.reading && !c.closing {
 		c.startIdleTimeout()
--- a/internal/forward/callerexchange.go
+++ b/internal/forward/callerexchange.go
@@ -135,6 +135,12 @@
 	return true
 }
 
+// refused reports whether the response is a refusal of this proxy that asks the caller to
+// come back later.
+func (x *callerExchange) refused() bool {
+	return !x.relaying.Load() && (x.status == http.StatusServiceUnavailable || x.status == http.StatusTooManyRequests)
+}
+
 // beginRelay records that a response is being forwarded to the caller.
 func (x *callerExchange) beginRelay() { x.relaying.Store(true) }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -229,6 +229,9 @@
 		h.routeEffects.deliver(e.ID, e)
 	case routing.Refuse:
 		h.metrics.countRefusal(e.Refusal)
+		if isOverload(e.Refusal.Reason) {
+			h.intake.Overloaded(time.Now())
+		}
 		h.routeEffects.deliver(e.ID, e)
 	}
 }
--- a/internal/host/intake.go
+++ b/internal/host/intake.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"heatherlift.example/heatherlift/internal/intake"
+	"heatherlift.example/heatherlift/internal/outcome"
 	"heatherlift.example/heatherlift/internal/settings"
 )
 
@@ -76,6 +77,11 @@
 		ConnectionMemory: memory / connectionShare,
 		ClientShare:      s.Clients.Share,
 		SlowAfter:        time.Duration(s.Clients.SlowAfter),
+		ClientRequests:   s.Clients.Requests,
+	}
+	if l.ClientRequests == 0 {
+		queue := min(s.BackendServer.Slots, s.BackendServer.Connections) + s.BackendServer.QueueLength
+		l.ClientRequests = max(1, int(float64(queue)*s.Clients.Share))
 	}
 	l.Connections[intake.Callers] = plan.callers
 	l.Connections[intake.Admin] = plan.admin
@@ -93,6 +99,11 @@
 	return int64(m.MemoryMB) << 20 * responseMemory / responseMemoryOf
 }
 
+// isOverload reports whether a refusal means that backend servers have no room.
+func isOverload(r outcome.Reason) bool {
+	return r == outcome.Overload || r == outcome.InstanceBusy || r == outcome.BackendServerShed
+}
+
 // newIntake returns the account of what clients hold.
 func (h *Host) newIntake() *intake.Account {
 	total := h.settings.Machine.Descriptors
--- a/internal/intake/account.go
+++ b/internal/intake/account.go
@@ -34,10 +34,13 @@
 	// NoMemory means that a request was refused since clients, or those at its address,
 	// hold as much memory as they may.
 	NoMemory Cause = "memory"
+	// ManyRequests means that a request was refused since those at its address have as many
+	// in progress as they may while there is an overload.
+	ManyRequests Cause = "requests"
 )
 
 // Causes lists all causes.
-var Causes = []Cause{NoConnection, IdleClosed, SlowClosed, NoMemory}
+var Causes = []Cause{NoConnection, IdleClosed, SlowClosed, NoMemory, ManyRequests}
 
 // Event reports that a client was turned away.
 type Event struct {
@@ -74,12 +77,16 @@
 	// leaving is the number of connections of each door that are about to close.
 	leaving      [doorCount]int
 	lastRelieved time.Time
+	// overloadedUntil is the time until which requests count as refused for overload.
+	overloadedUntil time.Time
 }
 
 // client is what the clients at one address hold.
 type client struct {
 	memory      int64
 	connections [doorCount]int
+	// requests is the number of requests in progress.
+	requests int
 	// open is the number of open connections, those about to close included.
 	open int
 }
@@ -205,6 +212,7 @@
 	a.addMemory(c, -c.memory)
 	a.usage.Connections[c.door]--
 	owner := a.clients[c.ip]
+	owner.requests -= c.requests
 	if c.condemned {
 		a.leaving[c.door]--
 	} else {
@@ -294,6 +302,27 @@
 	return victims
 }
 
+// overloadMemory is how long a refusal for overload bounds the requests of a client.
+const overloadMemory = time.Second
+
+// Overloaded reports that a request was refused since backend servers have no room for it.
+func (a *Account) Overloaded(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.overloadedUntil = now.Add(overloadMemory)
+}
+
+// mayBegin reports whether the client of a connection may have another request in progress.
+func (a *Account) mayBegin(c *Conn, now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.limits.ClientRequests <= 0 || !now.Before(a.overloadedUntil) {
+		return true
+	}
+	owner := a.clients[c.ip]
+	return owner == nil || owner.requests < a.limits.ClientRequests
+}
+
 // CloseBlocked closes the connections whose clients have not accepted the bytes that are being
 // written to them for longer than the given time.
 func (a *Account) CloseBlocked(now time.Time, after time.Duration) {
--- a/internal/intake/account_test.go
+++ b/internal/intake/account_test.go
@@ -184,6 +184,32 @@
 	is.True(!reading.ended)
 }
 
+func TestRequestsOfOneClientAreBoundedInAnOverload(t *testing.T) {
+	is := is.New(t)
+	l := testLimits()
+	l.ClientRequests = 2
+	a := New(l)
+	crowd, _ := open(a, "10.0.0.1:1")
+	other, _ := open(a, "10.0.0.2:1")
+	crowd.Begin()
+	crowd.Begin()
+	is.True(crowd.MayBegin()) // no overload
+	a.Overloaded(time.Now())
+	is.True(!crowd.MayBegin())
+	is.True(other.MayBegin())
+	crowd.End()
+	is.True(crowd.MayBegin())
+	crowd.Begin()
+	crowd.Close()
+	crowd.End()
+	again, _ := open(a, "10.0.0.1:2")
+	is.True(again.MayBegin()) // those of a closed connection do not count
+	a.Overloaded(time.Now().Add(-2 * overloadMemory))
+	again.Begin()
+	again.Begin()
+	is.True(again.MayBegin()) // the overload is over
+}
+
 // Whatever the order of events, the account is the sum of what is held, stays within its
 // bounds but for what is taken regardless of them, and is zero at the end.
 func TestAccountIsTheSumOfWhatIsHeld(t *testing.T) {
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -47,11 +47,25 @@
 	}
 	c.account.mu.Lock()
 	defer c.account.mu.Unlock()
+	if _, open := c.account.conns[c]; !open {
+		return // what the connection counted was returned when it closed
+	}
+	c.account.clients[c.ip].requests += n
 	if c.requests += n; c.requests == 0 {
 		c.idleSince = time.Now()
 	}
 }
 
+// MayBegin reports whether another request may be in progress: while requests are refused for
+// overload, the clients at one address must leave room in the queues to others.
+func (c *Conn) MayBegin() bool {
+	if c == nil || c.account.mayBegin(c, time.Now()) {
+		return true
+	}
+	c.account.report(Event{Cause: ManyRequests, Door: c.door, Client: c.ip})
+	return false
+}
+
 // MessageBegun reports that the client has begun to send a message, MessageEnded that all
 // of it has arrived.
 func (c *Conn) MessageBegun() {
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -39,6 +39,9 @@
 	// ClientShare is the part of the connections of a door that clients at one address
 	// may hold, between 0 and 1.
 	ClientShare float64
+	// ClientRequests is the number of requests that clients at one address may have in
+	// progress while requests are refused for overload, 0 for no bound.
+	ClientRequests int
 	// SlowAfter is how long a client may take for a message, or be blocked, before its
 	// connection may be closed for lack of memory or descriptors.
 	SlowAfter time.Duration
--- a/internal/settings/field.go
+++ b/internal/settings/field.go
@@ -62,6 +62,7 @@
 	{"clients.memory_mb", intRule{0, 1 << 20}, "memory that clients may make the process hold, in MiB, 0 for 30 % of machine.memory_mb"},
 	{"clients.share", shareRule{}, "part of that memory and of the connections that the clients at one address may hold"},
 	{"clients.connections", intRule{0, 1 << 20}, "connections of callers, 0 for the part of the descriptors that is not kept"},
+	{"clients.requests", intRule{0, 1 << 20}, "requests that the clients at one address may have in progress while requests are refused for overload, 0 for clients.share of the slots and the queue of the backend server"},
 	{"clients.slow_after", durationRule{100 * time.Millisecond, time.Minute}, "time that a client may take for a message, or be blocked, before its connection may be closed if there is no room for others"},
 	{"clients.read_timeout", durationRule{time.Second, time.Hour}, "time after which a client that has not accepted a piece of a response, of up to 32 KB, is disconnected"},
 	{"clients.receive_buffer_kb", intRule{0, 1 << 16}, "bytes of a caller's connection that the kernel holds unread, in KiB, 0 for the kernel's own bound"},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -161,6 +161,10 @@
 	// Connections is the number of connections of callers, or 0 for a part of the
 	// descriptors.
 	Connections int `toml:"connections"`
+	// Requests is the number of requests that the clients at one address may have in
+	// progress while requests are refused for overload, or 0 for Share of the slots and the
+	// queue of the backend server.
+	Requests int `toml:"requests"`
 	// SlowAfter is the time after which a client that sends or reads slowly may be
 	// disconnected if there is no room for others.
 	SlowAfter config.Duration `toml:"slow_after"`
