Answer the platform's question about readiness whatever callers hold

A short request at the doors of operators was charged like any other: while clients at several addresses held all that they may, its connection was closed unanswered, and two such questions take the machine out.

Requests of up to 1 KB and reports of up to 128 KB are served there without room: the connections of these doors bound what they hold together (14 and 16 MB at most at 121 connections).

--- a/internal/admin/report.go
+++ b/internal/admin/report.go
@@ -7,6 +7,10 @@
 	"heatherlift.example/heatherlift/internal/intake"
 )
 
+// shortReportBytes is the size up to which a report is written though clients hold as much as
+// they may: the connections of its door bound what such reports hold together.
+const shortReportBytes = 128 << 10
+
 // reports makes one report at a time: a report holds a multiple of its length while it is
 // made, and any number of clients may ask for it.
 type reports struct {
@@ -25,7 +29,9 @@
 		}
 		lease := intake.ConnOf(r).Lease()
 		defer lease.Settle(0)
-		if !lease.Acquire(int64(report.body.Cap())) {
+		if size := int64(report.body.Cap()); size <= shortReportBytes {
+			lease.Take(size)
+		} else if !lease.Acquire(size) {
 			clear(w.Header())
 			http.Error(w, "too many reports", http.StatusServiceUnavailable)
 			return
--- a/internal/intake/account.go
+++ b/internal/intake/account.go
@@ -125,7 +125,7 @@
 	}
 	a.mu.Unlock()
 	if victim != nil {
-		victim.closeFor(victim.closedFor)
+		victim.close()
 	}
 	if !ok {
 		a.report(Event{Cause: NoConnection, Door: door, Client: ip})
@@ -161,7 +161,11 @@
 	if victim == nil {
 		return nil, false
 	}
-	a.condemn(victim)
+	cause := SlowClosed
+	if victim.isIdle() {
+		cause = IdleClosed
+	}
+	a.condemn(victim, cause)
 	return victim, true
 }
 
@@ -192,12 +196,8 @@
 
 // condemn marks a connection that is about to be closed. It no longer counts as one that
 // its client holds.
-func (a *Account) condemn(c *Conn) {
-	c.condemned = true
-	c.closedFor = SlowClosed
-	if c.isIdle() {
-		c.closedFor = IdleClosed
-	}
+func (a *Account) condemn(c *Conn, cause Cause) {
+	c.condemned, c.closedFor = true, cause
 	a.leaving[c.door]++
 	a.clients[c.ip].connections[c.door]--
 }
@@ -258,7 +258,7 @@
 	held := c.memory
 	a.mu.Unlock()
 	for _, v := range victims {
-		v.closeFor(SlowClosed)
+		v.close()
 	}
 	a.report(Event{Cause: NoMemory, Door: c.door, Client: c.ip, Held: held})
 	return false
@@ -296,8 +296,7 @@
 	}
 	victims := chooseSlow(a.conns, a.clients, only, now, a.limits.SlowAfter, a.limits.Memory/reliefShare)
 	for _, v := range victims {
-		a.condemn(v)
-		v.closedFor = SlowClosed
+		a.condemn(v, SlowClosed)
 	}
 	return victims
 }
@@ -330,13 +329,13 @@
 	var blocked []*Conn
 	for c := range a.conns {
 		if since := c.blockedSince.Load(); since != 0 && now.Sub(time.Unix(0, since)) > after && !c.condemned {
-			a.condemn(c)
+			a.condemn(c, SlowClosed)
 			blocked = append(blocked, c)
 		}
 	}
 	a.mu.Unlock()
 	for _, c := range blocked {
-		c.closeFor(SlowClosed)
+		c.close()
 	}
 }
 
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -120,13 +120,13 @@
 	return !since.IsZero() && now.Sub(since) > after
 }
 
-// closeFor closes the connection for lack of room.
-func (c *Conn) closeFor(cause Cause) {
+// close closes a condemned connection.
+func (c *Conn) close() {
 	c.account.mu.Lock()
-	held := c.memory
+	e := Event{Cause: c.closedFor, Door: c.door, Client: c.ip, Held: c.memory}
 	c.account.mu.Unlock()
-	c.account.report(Event{Cause: cause, Door: c.door, Client: c.ip, Held: held})
-	c.end(cause == IdleClosed)
+	c.account.report(e)
+	c.end(e.Cause == IdleClosed)
 }
 
 // MayReadAhead reports whether a further request may be read from the connection while
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -10,8 +10,15 @@
 	"github.com/cockroachdb/errors"
 )
 
-// maxServedRequestBytes bounds what a client of a served listener may send for one request.
-const maxServedRequestBytes = 16 << 10
+const (
+	// maxServedRequestBytes bounds what a client of a served listener may send for one
+	// request.
+	maxServedRequestBytes = 16 << 10
+	// shortRequestBytes is the size up to which a request is served though there is no
+	// room: the platform must learn that the process is ready whatever callers hold. The
+	// connections of these doors bound what such requests hold together.
+	shortRequestBytes = 1 << 10
+)
 
 // errRequestTooLarge ends a connection whose client sends more than that.
 var errRequestTooLarge = errors.New("request too large")
@@ -78,15 +85,23 @@
 		c.active = true
 		c.held.MessageBegun()
 	}
-	if c.received += n; c.received > maxServedRequestBytes {
-		return 0, errRequestTooLarge
-	}
-	if !c.lease.Acquire(HeaderCost(bytes.Count(b[:n], []byte("\n")), n)) {
+	if c.received += n; !c.charge(b[:n]) {
 		return 0, errRequestTooLarge
 	}
 	return n, err
 }
 
+// charge charges bytes of a request. It returns false if the request is too large, or if there
+// is no room for it and it is not a short one.
+func (c *servedConn) charge(b []byte) bool {
+	cost := HeaderCost(bytes.Count(b, []byte("\n")), len(b))
+	if c.received <= shortRequestBytes {
+		c.lease.Take(cost)
+		return true
+	}
+	return c.received <= maxServedRequestBytes && c.lease.Acquire(cost)
+}
+
 // Write implements net.Conn.
 func (c *servedConn) Write(b []byte) (int, error) {
 	c.held.WriteBegun()
