--- a/internal/forward/callerserver.go
+++ b/internal/forward/callerserver.go
@@ -54,15 +54,16 @@
 	// force, nil if there is none. They replace the defaults of the server.
 	LimitsInForce func() *config.CallerLimits
 	// OnReject, if set, is called for each request that the server rejects itself,
-	// with the address of the caller and the status.
+	// with the address of the caller and the status. The account reports those that are
+	// refused for lack of room.
 	OnReject func(caller string, status int)
 	// Intake, if set, bounds what callers hold.
 	Intake *intake.Account
 	// ReceiveBuffer, if positive, bounds the bytes that the kernel holds of a connection
 	// for this process to read.
 	ReceiveBuffer int
-	// RetryAfter is the time after which callers that are refused for lack of room may
-	// return, 0 if they are not told.
+	// RetryAfter, if set, returns the Retry-After header of a request that is refused for
+	// lack of room.
 	RetryAfter func() string
 	// OnCut, if set, is called for each request, read completely or not, whose
 	// connection ends without a complete response.
@@ -172,7 +173,7 @@
 }
 
 func (s *CallerServer) reportReject(x *callerExchange) {
-	if s.OnReject != nil {
+	if s.OnReject != nil && x.rejectStatus != http.StatusServiceUnavailable {
 		s.OnReject(x.req.RemoteAddr, x.rejectStatus)
 	}
 }
