--- a/internal/forward/callerexchange.go
+++ b/internal/forward/callerexchange.go
@@ -217,7 +217,7 @@
 func (x *callerExchange) EnableFullDuplex() error { return nil }
 
 // uploadReceiveBytes is the receive buffer of a connection while a body is streamed from it.
-const uploadReceiveBytes = 128 << 10
+const uploadReceiveBytes = 256 << 10
 
 // receiveMore enlarges the receive buffer of the connection for a body that is streamed, if
 // there is room for it.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -234,7 +234,7 @@
 		Requests: Requests{MaxAttempts: 3, Placement: PlacementScore},
 		Peers:    Peers{Name: "heatherlift-proxy", ReloadInterval: config.Duration(10 * time.Second)},
 		Machine:  Machine{MemoryMB: 184},
-		Clients:  Clients{Share: 0.75, SlowAfter: config.Duration(2 * time.Second), ReadTimeout: config.Duration(30 * time.Second), ReceiveBufferKB: 16},
+		Clients:  Clients{Share: 0.75, SlowAfter: config.Duration(2 * time.Second), ReadTimeout: config.Duration(30 * time.Second), ReceiveBufferKB: 64},
 		Shutdown: Shutdown{Notice: config.Duration(3 * time.Second), Limit: config.Duration(30 * time.Second)},
 		Log:      Log{Level: "info", Format: "logfmt"},
 	}
