Do not hold what callers sent in queued log lines

A line on a request held parts of its header, such as its path, and with them the whole text that they are cut from: 1,024 lines may be queued while the reader of the logs stands still, 64 MB with paths of 64 KB. Found by reading.

Values are copied, and those above 512 bytes cut off. decisionlog.TestLongValuesAreNotHeldInTheQueue fails before.

--- a/internal/decisionlog/decisionlog.go
+++ b/internal/decisionlog/decisionlog.go
@@ -5,6 +5,7 @@
 package decisionlog
 
 import (
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +35,8 @@
 	burstSeconds = 3
 	// queueLength is the number of lines that may be queued for the output.
 	queueLength = 1024
+	// maxFieldBytes is the size up to which a value is logged.
+	maxFieldBytes = 512
 	// reportInterval is the interval at which the number of dropped lines is
 	// logged.
 	reportInterval = time.Second
@@ -92,12 +95,26 @@
 		return
 	}
 	select {
-	case l.queue <- line{class, message, fields()}:
+	case l.queue <- line{class, message, shorten(fields())}:
 	default:
 		l.dropped[class].Add(1)
 	}
 }
 
+// shorten cuts long values off, and copies the others. They are parts of what a caller sent,
+// all of which a queued line would hold with them.
+func shorten(fields []any) []any {
+	for i, f := range fields {
+		switch text, ok := f.(string); {
+		case ok && len(text) > maxFieldBytes:
+			fields[i] = text[:maxFieldBytes] + "..."
+		case ok:
+			fields[i] = strings.Clone(text)
+		}
+	}
+	return fields
+}
+
 // Run writes queued lines until stop is closed, then flushes the queue.
 func (l *Log) Run(stop <-chan struct{}) {
 	ticker := time.NewTicker(reportInterval)
--- a/internal/decisionlog/decisionlog_test.go
+++ b/internal/decisionlog/decisionlog_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 	"time"
+	"unsafe"
 
 	"github.com/charmbracelet/log"
 	"github.com/matryer/is"
@@ -45,6 +46,18 @@
 	is.Equal(strings.Count(text, "request=r1"), 2) // notable lines have a separate limit
 }
 
+func TestLongValuesAreNotHeldInTheQueue(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	l := New(log.New(&out))
+	long := strings.Repeat("x", 64<<10)
+	l.Add(Notable, "refused", fixedFields("path", long, "request", long[:4]))
+	queued := <-l.queue
+	is.Equal(queued.fields[1], long[:maxFieldBytes]+"...")
+	is.Equal(queued.fields[3], "xxxx")
+	is.True(unsafe.StringData(queued.fields[3].(string)) != unsafe.StringData(long))
+}
+
 // blockedWriter blocks every write until release is closed.
 type blockedWriter struct{ release chan struct{} }
 
