--- a/internal/forward/callerconn.go
+++ b/internal/forward/callerconn.go
@@ -476,7 +476,8 @@
 	headerBytes := available - c.headerBytesLeft - c.reader.Buffered()
 	c.headerBytesLeft = unlimitedBytes
 	if err == nil {
-		c.lease.Settle(intake.RequestCost + intake.HeaderCost(countFields(req.Header), headerBytes))
+		fields, _ := headerSize(req.Header)
+		c.lease.Settle(intake.RequestCost + intake.HeaderCost(fields, headerBytes))
 	}
 	var netErr net.Error
 	switch {
@@ -495,12 +496,15 @@
 	}
 }
 
-func countFields(h http.Header) int {
-	n := 0
-	for _, values := range h {
-		n += len(values)
+// headerSize returns the number of fields of a header, and the bytes of their names and values.
+func headerSize(h http.Header) (fields, bytes int) {
+	for name, values := range h {
+		fields += len(values)
+		for _, v := range values {
+			bytes += len(name) + len(v)
+		}
 	}
-	return n
+	return fields, bytes
 }
 
 // validateRequest returns 200 if the request header is valid and the status of
--- a/internal/forward/local.go
+++ b/internal/forward/local.go
@@ -154,13 +154,8 @@
 		w.Header()["Connection"] = []string{"close"}
 	}
 	lease = conn.Lease()
-	bytes := 0
-	for name, values := range r.Header {
-		for _, v := range values {
-			bytes += len(name) + len(v)
-		}
-	}
-	return lease, crowding != intake.Overcrowded && lease.Acquire(intake.RequestCost+intake.HeaderCost(countFields(r.Header), bytes))
+	cost := intake.RequestCost + intake.HeaderCost(headerSize(r.Header))
+	return lease, crowding != intake.Overcrowded && lease.Acquire(cost)
 }
 
 // refuseNoRoom refuses a request of another proxy for lack of room. The connection is closed,
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -145,7 +145,7 @@
 	}
 	h.peerPool = forward.NewPool(h.dialPeer, 0)
 	h.metrics = newMetrics(h)
-	h.intake = h.newIntake()
+	h.limitClients()
 	h.transport = peer.NewTransport(h, h.metrics, h.peerTLS())
 	h.source = source.NewClient(s.Platform.Source, h.metrics.countSourceCall)
 	h.instancesClient = source.NewClient(s.Platform.Instances, h.metrics.countSourceCall)
--- a/internal/host/intake.go
+++ b/internal/host/intake.go
@@ -104,8 +104,9 @@
 	return r == outcome.Overload || r == outcome.InstanceBusy || r == outcome.BackendServerShed
 }
 
-// newIntake returns the account of what clients hold.
-func (h *Host) newIntake() *intake.Account {
+// limitClients sets the bounds of what clients hold, at the doors and at the pool of
+// connections to other proxies.
+func (h *Host) limitClients() {
 	total := h.settings.Machine.Descriptors
 	if total == 0 {
 		total = processDescriptors()
@@ -113,12 +114,11 @@
 	plan := planDescriptors(total, h.settings.BackendServer.Connections, h.settings.Clients.Connections)
 	h.peerPool.LimitTotal(plan.outgoing)
 	limits := intakeLimits(h.settings, plan)
-	account := intake.New(limits)
-	account.OnEvent = h.clientTurnedAway
+	h.intake = intake.New(limits)
+	h.intake.OnEvent = h.clientTurnedAway
 	h.log.Info("limits of clients", "memory_bytes", limits.Memory, "client_memory_bytes", limits.ClientMemory,
 		"descriptors", plan.total, "callers", plan.callers, "admin", plan.admin, "metrics", plan.metrics,
 		"proxies_in", plan.proxies, "proxies_out", plan.outgoing)
-	return account
 }
 
 // clientTurnedAway counts and logs a client that was turned away.
--- a/internal/intake/account.go
+++ b/internal/intake/account.go
@@ -228,11 +228,12 @@
 	c.memory += n
 	a.usage.Memory += n
 	a.usage.PeakMemory = max(a.usage.PeakMemory, a.usage.Memory)
-	if owner := a.clients[c.ip]; owner != nil {
-		owner.memory += n
-	}
+	a.clients[c.ip].memory += n
 }
 
+// roomy reports whether clients hold less than half of what they may.
+func (a *Account) roomy() bool { return a.usage.Memory < a.limits.Memory/2 }
+
 // AddShared adds n bytes, which may be negative, that no single connection holds.
 func (a *Account) AddShared(n int64) {
 	if a == nil {
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -138,7 +138,7 @@
 	a := c.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return c.memory < a.limits.ConnectionMemory && a.usage.Memory < a.limits.Memory/2
+	return c.memory < a.limits.ConnectionMemory && a.roomy()
 }
 
 // Roomy reports whether clients hold less than half of what they may.
@@ -148,7 +148,7 @@
 	}
 	c.account.mu.Lock()
 	defer c.account.mu.Unlock()
-	return c.account.usage.Memory < c.account.limits.Memory/2
+	return c.account.roomy()
 }
 
 // Crowding is how many connections a door has, compared with what it may have.
