Bound what the kernel receives for connections that are not accepted

Nothing bounded what the kernel receives for connections that wait to be accepted: 64 KB of each of the 1,200 clients when the process does not run for a moment, and 120 KB of each of 4,096 if they go on sending. The buffer of an accepted connection was twice the setting as well, as Linux doubles what is set: 120 KB in place of 64 KB.

TestKernelHoldsNoMoreThanTheBound fails with 120 KB, before and after a connection is accepted.

The listening sockets of callers, readiness and metrics have a buffer of 8 KB, which is raised when a connection is accepted, and what is set is half of the bound.

The window of a caller's connection is 64 KB at most now. The listeners for other proxies are left as they are.

--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -42,18 +42,20 @@
 	targets := []struct {
 		address string
 		dest    *net.Listener
+		// receiveBuffer is the bound of what the kernel holds of a connection, 0 for none.
+		receiveBuffer int
 	}{
-		{h.settings.Listen.Callers, &l.callers},
-		{h.settings.Listen.Forward, &l.forward},
-		{h.settings.Listen.Peers, &l.peers},
-		{h.settings.Listen.Admin, &l.admin},
-		{h.settings.Listen.Metrics, &l.metrics},
+		{h.settings.Listen.Callers, &l.callers, h.receiveBuffer()},
+		{h.settings.Listen.Forward, &l.forward, 0},
+		{h.settings.Listen.Peers, &l.peers, 0},
+		{h.settings.Listen.Admin, &l.admin, h.receiveBuffer()},
+		{h.settings.Listen.Metrics, &l.metrics, h.receiveBuffer()},
 	}
 	for _, t := range targets {
 		if t.address == "" {
 			continue
 		}
-		listener, err := net.Listen("tcp", t.address)
+		listener, err := intake.Listen(t.address, t.receiveBuffer)
 		if err != nil {
 			l.close()
 			return listeners{}, errors.Wrapf(ErrListen, "%v", err)
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 )
@@ -52,11 +53,35 @@
 	}
 }
 
+// UnacceptedBytes bounds the bytes that the kernel holds of a connection that is not accepted yet.
+const UnacceptedBytes = 8 << 10
+
+// kernelFactor is the factor by which Linux exceeds a receive buffer that is set (socket(7)).
+const kernelFactor = 2
+
+// Listen listens at a TCP address. If receiveBuffer is positive, the kernel holds at most
+// UnacceptedBytes of a connection until it is accepted and SetReceiveBuffer is called for it. As
+// the kernel fixes the scale of the window when the connection is opened, its receive window does
+// not exceed 64 KB later either.
+func Listen(address string, receiveBuffer int) (net.Listener, error) {
+	var config net.ListenConfig
+	if receiveBuffer > 0 {
+		config.Control = func(_, _ string, c syscall.RawConn) error {
+			var err error
+			controlErr := c.Control(func(fd uintptr) {
+				err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, min(receiveBuffer, UnacceptedBytes)/kernelFactor)
+			})
+			return errors.CombineErrors(controlErr, err)
+		}
+	}
+	return config.Listen(context.Background(), "tcp", address)
+}
+
 // SetReceiveBuffer bounds the bytes that the kernel holds of a connection for this process to
 // read, if n is positive. It has no effect on connections other than TCP.
 func SetReceiveBuffer(c net.Conn, n int) {
 	if tcp, ok := c.(*net.TCPConn); ok && n > 0 {
-		_ = tcp.SetReadBuffer(n)
+		_ = tcp.SetReadBuffer(n / kernelFactor)
 	}
 }
 
--- a/internal/intake/listener_test.go
+++ b/internal/intake/listener_test.go
@@ -6,10 +6,12 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
 )
 
 // serveDoor serves a door of operators and returns its address.
@@ -109,3 +111,66 @@
 	}
 	waitUntilEmpty(t, a)
 }
+
+// unreadBytes returns the bytes that the kernel holds for the reader of a connection.
+func unreadBytes(t *testing.T, c syscall.Conn) int {
+	t.Helper()
+	raw, err := c.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var n int
+	if controlErr := raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCINQ) }); controlErr != nil || err != nil {
+		t.Fatal(controlErr, err)
+	}
+	return n
+}
+
+// TestKernelHoldsNoMoreThanTheBound lets a client send without end to a connection that is not
+// read, before and after it is accepted.
+func TestKernelHoldsNoMoreThanTheBound(t *testing.T) {
+	const bound = 64 << 10
+	for _, tt := range []struct {
+		name     string
+		accepted bool
+		most     int
+	}{
+		{"not accepted", false, UnacceptedBytes},
+		{"accepted", true, bound},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			l, err := Listen("127.0.0.1:0", bound)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			c, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			accept := func() *net.TCPConn {
+				accepted, err := l.Accept()
+				if err != nil {
+					t.Fatal(err)
+				}
+				return accepted.(*net.TCPConn)
+			}
+			var s *net.TCPConn
+			if tt.accepted {
+				s = accept()
+				SetReceiveBuffer(s, bound)
+			}
+			_ = c.SetDeadline(time.Now().Add(500 * time.Millisecond))
+			for piece := make([]byte, 4<<10); err == nil; _, err = c.Write(piece) {
+			}
+			if s == nil {
+				s = accept()
+			}
+			defer s.Close()
+			if n := unreadBytes(t, s); n > tt.most || n < tt.most/4 {
+				t.Errorf("%d bytes are held, expected up to %d", n, tt.most)
+			}
+		})
+	}
+}
--- a/internal/settings/field.go
+++ b/internal/settings/field.go
@@ -65,7 +65,7 @@
 	{"clients.requests", intRule{0, 1 << 20}, "requests that the clients at one address may have in progress while requests are refused for overload, 0 for clients.share of the slots and the queue of the backend server"},
 	{"clients.slow_after", durationRule{100 * time.Millisecond, time.Minute}, "time that a client may take for a message, or be blocked, before its connection may be closed if there is no room for others"},
 	{"clients.read_timeout", durationRule{time.Second, time.Hour}, "time after which a client that has not accepted a piece of a response, of up to 32 KB, is disconnected"},
-	{"clients.receive_buffer_kb", intRule{0, 1 << 16}, "bytes of a caller's connection that the kernel holds unread, in KiB, 0 for the kernel's own bound"},
+	{"clients.receive_buffer_kb", intRule{0, 1 << 16}, "bytes of a caller's connection that the kernel holds unread, in KiB, at most 8 of them before it is accepted; 0 for the kernel's own bound"},
 	{"shutdown.notice", durationRule{0, time.Minute}, "time in which other proxies and callers learn of a shutdown"},
 	{"shutdown.limit", durationRule{time.Second, time.Hour}, "time after which requests in flight are cut"},
 	{"log.level", enumRule{"debug", "info", "warn", "error"}, "lowest level that is logged"},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -172,7 +172,8 @@
 	// response is disconnected in any case.
 	ReadTimeout config.Duration `toml:"read_timeout"`
 	// ReceiveBufferKB bounds what the kernel holds of a caller's connection, in units of
-	// 2^10 bytes, or 0 for no bound of its own.
+	// 2^10 bytes, or 0 for no bound of its own. Before the connection is accepted, it holds
+	// at most intake.UnacceptedBytes.
 	ReceiveBufferKB int `toml:"receive_buffer_kb"`
 }
 
