Order the processes of an instance by their start times

Entries of a copy, and entries of a leaving instance, were compared by whether their start times are alike. Any other start time, an older one or none at all, counted as that of a later process.

Only a later start time is one of a later process. An entry of a copy that is not later than one that was removed, or older than the known one, is doubted until it is written again, for 10 s; a leaving instance stays leaving, in a store without eras too. After a removal in the same era an older start time counts, as the clock of the machine may have been set back. A doubt ends with a listing that holds a later entry; it had stayed, and after 10 s the old entry replaced the new one.

--- a/internal/source/entries.go
+++ b/internal/source/entries.go
@@ -16,9 +16,9 @@
 	present := make(map[string]bool, len(entries))
 	f.restored.dropAbsent(entries)
 	for _, e := range entries {
-		if e.Instance != nil && !f.restored.doubts(now, e) {
+		if e.Instance != nil && !f.doubts(now, e) {
 			present[e.ID] = true
-			kept := keepLeaving(e, f.known[e.ID])
+			kept := keepLeaving(e, f.known[e.ID], false)
 			if kept.Instance != e.Instance {
 				f.restored.keptLeaving++
 			}
--- a/internal/source/follow.go
+++ b/internal/source/follow.go
@@ -253,13 +253,13 @@
 		if e.Position().Before(f.known[e.ID].Position()) {
 			continue
 		}
-		last := f.lastEntry(e.ID)
+		last, removed := f.lastEntry(e.ID)
 		f.restored.forget(e.ID)
 		if e.Instance == nil {
 			f.handleRemoval(now, e.ID, now.Before(f.graceUntil), &v)
 			continue
 		}
-		f.putEntry(keepLeaving(e, last))
+		f.putEntry(keepLeaving(e, last, removed))
 	}
 	if f.dropRetained(now, &v) || len(c.Instances) > 0 {
 		f.setInstances(&v)
--- a/internal/source/restored.go
+++ b/internal/source/restored.go
@@ -31,7 +31,8 @@
 	at    time.Time
 }
 
-// doubtedEntry is an entry of a restored copy that was removed before.
+// doubtedEntry is an entry of a restored copy that was removed before, or is older than the one
+// known from before the restoration.
 type doubtedEntry struct {
 	entry Entry
 	until time.Time
@@ -134,28 +135,41 @@
 	return out
 }
 
-// keepLeaving returns the entry, as leaving if the same process of the backend server
-// was leaving before: it does not take work again, but what it wrote before that may be
-// written again after a restoration. A store without eras is never restored.
-func keepLeaving(e, known Entry) Entry {
-	if e.Era == 0 || e.Instance.State == InstanceLeaving || known.Instance == nil || known.Instance.State != InstanceLeaving || known.Instance.Incarnation != e.Instance.Incarnation {
+// keepLeaving returns the entry, as leaving if the instance was leaving before and this is not
+// the entry of a process that started later: a process that leaves does not take work again, but
+// what it wrote before that may be written again after a restoration, or by another writer. The
+// entry known before was removed in between if removed is set.
+func keepLeaving(e, known Entry, removed bool) Entry {
+	if e.Instance.State == InstanceLeaving || known.Instance == nil || known.Instance.State != InstanceLeaving || startedLater(e, known, removed) {
 		return e
 	}
-	if e.Instance.Incarnation == 0 && known.Era == e.Era && known.Revision < e.Revision {
-		return e // it may have started again
-	}
 	leaving := *e.Instance
 	leaving.State = InstanceLeaving
 	e.Instance = &leaving
 	return e
 }
 
-// lastEntry returns the known or recently removed entry of an instance.
-func (f *Follower) lastEntry(id string) Entry {
+// startedLater reports whether an entry is that of a process that started later than the one of
+// the entry known before. A missing start time is not a later one.
+func startedLater(e, known Entry, removed bool) bool {
+	before, now := known.Instance.Incarnation, e.Instance.Incarnation
+	switch {
+	case now > before:
+		return true
+	case before == 0: // nothing tells the processes apart but the order of their entries
+		return known.Era == e.Era && known.Revision < e.Revision
+	default: // the clock of its machine may have been set back
+		return now > 0 && now < before && removed && known.Era == e.Era
+	}
+}
+
+// lastEntry returns the known or recently removed entry of an instance, and whether it was
+// removed.
+func (f *Follower) lastEntry(id string) (e Entry, removed bool) {
 	if e, ok := f.known[id]; ok {
-		return e
+		return e, false
 	}
-	return f.restored.removed[id].entry
+	return f.restored.removed[id].entry, true
 }
 
 // recordRemoval remembers a removed entry.
@@ -171,11 +185,18 @@
 	delete(r.doubted, id)
 }
 
-// doubts reports whether an entry of a restored copy was removed before the
-// restoration. It is used after doubtPeriod if it is not removed again by then.
-func (r *restoredState) doubts(now time.Time, e Entry) bool {
-	gone, ok := r.removed[e.ID]
-	if !ok || gone.entry.Era >= e.Era || gone.entry.Instance.Incarnation != e.Instance.Incarnation {
+// doubts reports whether an entry of a restored copy is not later than one that was removed
+// before the restoration, or older than the one that is known from before it. It is used after
+// doubtPeriod if it is not removed again by then.
+func (f *Follower) doubts(now time.Time, e Entry) bool {
+	r := &f.restored
+	if d, ok := r.doubted[e.ID]; ok && d.entry.Position().Before(e.Position()) { // written again since
+		r.forget(e.ID)
+		return false
+	}
+	last, removed := f.lastEntry(e.ID)
+	if last.Instance == nil || last.Era >= e.Era || e.Instance.Incarnation > last.Instance.Incarnation ||
+		!removed && e.Instance.Incarnation == last.Instance.Incarnation {
 		return false
 	}
 	if _, ok := r.doubted[e.ID]; !ok {
@@ -215,9 +236,9 @@
 		if now.Before(d.until) {
 			continue
 		}
-		gone := f.restored.removed[id].entry
+		last, _ := f.lastEntry(id)
 		f.restored.forget(id)
-		if gone.Instance.State != InstanceLeaving {
+		if last.Instance == nil || last.Instance.State != InstanceLeaving && last.Position().Before(d.entry.Position()) {
 			f.putEntry(d.entry)
 			accepted = true
 		}
