See callers leave behind a body that is not read

Such a body is read when a slot is free. Until then nobody reads the connection, and its end lies behind the body, at the proxy of the caller and at the one beside the backend server.

While a body is unread the socket is asked every 100 ms whether the other side has closed it, as it is already with 32 requests in progress. Nothing is read ahead and nothing more is held.

--- a/internal/forward/callerconn.go
+++ b/internal/forward/callerconn.go
@@ -172,7 +172,7 @@
 		}
 		previous = x.done
 		c.handlers.Go(x.serve)
-		if !x.waitForBody() {
+		if !x.waitForBody(cancel) {
 			break
 		}
 	}
--- a/internal/forward/callerexchange.go
+++ b/internal/forward/callerexchange.go
@@ -86,13 +86,27 @@
 
 // waitForBody waits until reading the request body has ended or the request has
 // been handled, and reports whether the body was read completely, so that the
-// next request can be read.
-func (x *callerExchange) waitForBody() bool {
-	select {
-	case <-x.body.done:
-	case <-x.done:
+// next request can be read. It calls cancel if the caller disconnects meanwhile: a body that
+// is not being read hides the end of the connection.
+func (x *callerExchange) waitForBody(cancel func()) bool {
+	if x.body.complete() {
+		return true
+	}
+	ticker := time.NewTicker(hangUpCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-x.body.done:
+			return x.body.complete()
+		case <-x.done:
+			return x.body.complete()
+		case <-ticker.C:
+			if hungUp(x.conn.Conn) {
+				cancel()
+				ticker.Stop()
+			}
+		}
 	}
-	return x.body.complete()
 }
 
 // serve calls the handler and writes the response.
--- a/internal/forward/callerserver.go
+++ b/internal/forward/callerserver.go
@@ -23,8 +23,8 @@
 	maxRequestHeaderBytes = 64 << 10
 	// maxPipelinedRequests limits the requests in progress on one connection.
 	maxPipelinedRequests = 32
-	// hangUpCheckInterval is the interval at which a connection with that many is checked
-	// for a disconnect of the caller.
+	// hangUpCheckInterval is the interval at which a connection with that many, or with an
+	// unread body, is checked for a disconnect of the caller.
 	hangUpCheckInterval = 100 * time.Millisecond
 	// callerLingerTimeout is how long a closing connection still reads. Closing
 	// it while the caller is sending would reset it, and the caller would lose
--- a/internal/forward/hangup.go
+++ b/internal/forward/hangup.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -21,3 +22,21 @@
 	})
 	return err == nil && ended
 }
+
+// awaitHangUp calls onHangUp when the other side of a connection has closed it. It returns after
+// that, or when ended is closed.
+func awaitHangUp(c net.Conn, ended <-chan struct{}, onHangUp func()) {
+	ticker := time.NewTicker(hangUpCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ended:
+			return
+		case <-ticker.C:
+			if hungUp(c) {
+				onHangUp()
+				return
+			}
+		}
+	}
+}
--- a/internal/forward/local.go
+++ b/internal/forward/local.go
@@ -103,6 +103,13 @@
 	arrived.Key = r.Header.Get(IdempotencyHeader)
 	out := &outgoingRequest{in: r, lease: &lease, dialect: l.dialect, retry: r.Header.Get(RetryHeader) != ""}
 	out.mayEnd = func() bool { return stopLeavesTime(l.core, arrived.Route, arrived.Deadline) }
+	if conn := intake.NetConnOf(r); conn != nil && !hasSmallBody(r) {
+		// A body that is not being read hides the end of the connection from net/http.
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		r = r.WithContext(ctx)
+		go awaitHangUp(conn, ctx.Done(), cancel)
+	}
 	if refusal, ok := l.awaitUpload(r, arrived); !ok {
 		l.loadField(l.costReport(arrived, 0)).addTo(w.Header())
 		l.dialect.writeRefusal(w, refusal, true)
--- a/internal/forward/rig_test.go
+++ b/internal/forward/rig_test.go
@@ -222,6 +222,8 @@
 func serveHTTP(t *testing.T, handler http.Handler) string {
 	t.Helper()
 	s := httptest.NewUnstartedServer(handler)
+	s.Listener = &intake.Listener{Listener: s.Listener, Door: intake.Proxies}
+	intake.Watch(s.Config)
 	s.Start()
 	t.Cleanup(func() {
 		s.CloseClientConnections()
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -173,12 +173,12 @@
 
 type connKey struct{}
 
-// Watch makes the server return what its requests held, and makes ConnOf work. It must be
+// Watch makes the server return what its requests held, and makes ConnOf and NetConnOf work. It must be
 // called before the server is started.
 func Watch(s *http.Server) {
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		if conn := served(c); conn != nil {
-			return context.WithValue(ctx, connKey{}, conn.held)
+			return context.WithValue(ctx, connKey{}, conn)
 		}
 		return ctx
 	}
@@ -191,6 +191,16 @@
 
 // ConnOf returns what the connection of a request holds, nil if it is not counted.
 func ConnOf(r *http.Request) *Conn {
-	c, _ := r.Context().Value(connKey{}).(*Conn)
-	return c
+	if c, ok := r.Context().Value(connKey{}).(*servedConn); ok {
+		return c.held
+	}
+	return nil
+}
+
+// NetConnOf returns the network connection of a request, nil if it is not that of a Listener.
+func NetConnOf(r *http.Request) net.Conn {
+	if c, ok := r.Context().Value(connKey{}).(*servedConn); ok {
+		return c.Conn
+	}
+	return nil
 }
