Do not take a part of a header line for a whole one

Cause. net/http takes what was read of a line for all of it if the next read fails. As idle connections are closed in a stop, reading a header times out.

The error that ends reading a header is kept: the connection ends without a response, as after any other time-out of a header, and the header is not read on if there is time again.

--- a/internal/forward/callerconn.go
+++ b/internal/forward/callerconn.go
@@ -33,6 +33,9 @@
 	headerBytesLeft int
 	// headerTooLarge is set when the header being read exceeded its limit.
 	headerTooLarge bool
+	// headerErr is the error with which reading a header ended. The header is not read on after
+	// it. Only the reading goroutine uses it.
+	headerErr error
 	// readsLate is set while a read that timed out is tried once more. Only the
 	// reading goroutine uses it.
 	readsLate bool
@@ -107,6 +110,9 @@
 
 // Read implements net.Conn.
 func (c *callerConn) Read(b []byte) (int, error) {
+	if c.headerErr != nil {
+		return 0, c.headerErr
+	}
 	if c.headerBytesLeft == 0 {
 		c.headerTooLarge = true
 		return 0, errRequestHeaderTooLarge
@@ -120,6 +126,7 @@
 	}
 	if c.headerBytesLeft > 0 {
 		c.headerBytesLeft -= n
+		c.headerErr = err
 	}
 	if n > 0 && c.headerScanner.scan(b[:n]) {
 		c.malformed = true
@@ -471,15 +478,17 @@
 func (c *callerConn) readRequest(limits config.CallerLimits) (*http.Request, int) {
 	// What is buffered was read before, and may hold more than this header.
 	c.headerBytesLeft = max(0, limits.HeaderBytes-c.reader.Buffered())
+	c.headerErr = nil
 	available := c.reader.Buffered() + c.headerBytesLeft
 	req, err := http.ReadRequest(c.reader)
 	headerBytes := available - c.headerBytesLeft - c.reader.Buffered()
 	c.headerBytesLeft = unlimitedBytes
+	readErr := c.headerErr
+	c.headerErr = nil
 	if err == nil {
 		fields, _ := headerSize(req.Header)
 		c.lease.Settle(intake.RequestCost + intake.HeaderCost(fields, headerBytes))
 	}
-	var netErr net.Error
 	switch {
 	case c.headerTooLarge, err == nil && headerBytes > limits.HeaderBytes:
 		return nil, http.StatusRequestHeaderFieldsTooLarge
@@ -487,7 +496,7 @@
 		return req, http.StatusRequestEntityTooLarge
 	case err == nil:
 		return req, c.validateRequest(req)
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &netErr):
+	case readErr != nil: // net/http takes a part of a line for a whole one
 		return nil, 0
 	case strings.Contains(err.Error(), "transfer encoding"): // net/http exports no error for this case
 		return nil, http.StatusNotImplemented
