Play requests that end a backend server after their answer

It plays them now, and requests that come again and again while backend servers end for other reasons.

--- a/internal/node/crashcalls_test.go
+++ b/internal/node/crashcalls_test.go
@@ -124,8 +124,8 @@
 		return
 	}
 	r.after(r.ending.runFor, func() {
-		if lose, ok := p.running[run]; ok && r.ending.drops {
-			lose(true)
+		if respond, ok := p.running[run]; ok && (r.ending.drops || r.ending.answers) {
+			respond(r.ending.drops)
 		}
 		r.after(r.ending.endsAfter, end)
 	})
@@ -319,14 +319,20 @@
 	attempt(callRetries)
 }
 
-// start starts the crashing request and the given number of innocent callers a proxy.
-func (f *crashFleet) start(length time.Duration, callers int) {
+// startInnocent starts the given number of innocent callers a proxy.
+func (f *crashFleet) startInnocent(length time.Duration, callers int) {
 	until := f.now.Add(length)
 	for _, p := range f.proxies {
 		for range callers {
 			f.after(f.jitter(time.Second), func() { f.sendInnocent(p, until) })
 		}
 	}
+}
+
+// start starts the crashing request and the given number of innocent callers a proxy.
+func (f *crashFleet) start(length time.Duration, callers int) {
+	f.startInnocent(length, callers)
+	until := f.now.Add(length)
 	f.after(time.Second, func() { f.sendCrashing(until) })
 }
 
--- a/internal/node/crashfleet_test.go
+++ b/internal/node/crashfleet_test.go
@@ -109,9 +109,9 @@
 type ending struct {
 	// runFor is how long it runs the request, endsAfter the time from then until it
 	// ends. drops means that it closes the connection of the request in between, and
-	// serves others.
+	// serves others, and answers that it answers the request in between.
 	runFor, endsAfter time.Duration
-	drops             bool
+	drops, answers    bool
 }
 
 func newCrashFleet(seed uint64, n int, options ...func(*crashFleet)) *crashFleet {
