--- a/internal/forward/callerexchange.go
+++ b/internal/forward/callerexchange.go
@@ -92,21 +92,8 @@
 	if x.body.complete() {
 		return true
 	}
-	ticker := time.NewTicker(hangUpCheckInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-x.body.done:
-			return x.body.complete()
-		case <-x.done:
-			return x.body.complete()
-		case <-ticker.C:
-			if hungUp(x.conn.Conn) {
-				cancel()
-				ticker.Stop()
-			}
-		}
-	}
+	awaitWatching(x.conn.Conn, x.body.done, x.done, cancel)
+	return x.body.complete()
 }
 
 // serve calls the handler and writes the response.
--- a/internal/forward/hangup.go
+++ b/internal/forward/hangup.go
@@ -23,19 +23,21 @@
 	return err == nil && ended
 }
 
-// awaitHangUp calls onHangUp when the other side of a connection has closed it. It returns after
-// that, or when ended is closed.
-func awaitHangUp(c net.Conn, ended <-chan struct{}, onHangUp func()) {
+// awaitWatching waits until one of two channels is closed, of which the second one may be nil.
+// It calls onHangUp if the other side of the connection closes it meanwhile.
+func awaitWatching(c net.Conn, first, second <-chan struct{}, onHangUp func()) {
 	ticker := time.NewTicker(hangUpCheckInterval)
 	defer ticker.Stop()
 	for {
 		select {
-		case <-ended:
+		case <-first:
+			return
+		case <-second:
 			return
 		case <-ticker.C:
 			if hungUp(c) {
 				onHangUp()
-				return
+				ticker.Stop()
 			}
 		}
 	}
--- a/internal/forward/local.go
+++ b/internal/forward/local.go
@@ -108,7 +108,7 @@
 		ctx, cancel := context.WithCancel(r.Context())
 		defer cancel()
 		r = r.WithContext(ctx)
-		go awaitHangUp(conn, ctx.Done(), cancel)
+		go awaitWatching(conn, ctx.Done(), nil, cancel)
 	}
 	if refusal, ok := l.awaitUpload(r, arrived); !ok {
 		l.loadField(l.costReport(arrived, 0)).addTo(w.Header())
