--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -171,7 +171,7 @@
 	h := p.hosts[oldest]
 	_ = h.idle[0].Close()
 	h.idle = slices.Delete(h.idle, 0, 1)
-	p.releaseLocked(oldest)
+	p.releaseLocked(oldest, 1)
 	return true
 }
 
@@ -223,7 +223,7 @@
 	defer p.mu.Unlock()
 	h := p.hosts[c.address]
 	if p.closed || len(h.idle) >= maxIdlePerHost {
-		p.releaseLocked(c.address)
+		p.releaseLocked(c.address, 1)
 		_ = c.Close()
 		return
 	}
@@ -242,13 +242,14 @@
 func (p *Pool) release(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.releaseLocked(address)
+	p.releaseLocked(address, 1)
 }
 
-func (p *Pool) releaseLocked(address string) {
+// releaseLocked counts n connections to an address as closed.
+func (p *Pool) releaseLocked(address string, n int) {
 	h := p.hosts[address]
-	h.openCount--
-	p.openCount--
+	h.openCount -= n
+	p.openCount -= n
 	if h.openCount == 0 {
 		delete(p.hosts, address)
 	}
@@ -279,11 +280,7 @@
 		}
 		h.idle = append(h.idle[:0], h.idle[n:]...)
 		clear(h.idle[len(h.idle):][:n])
-		h.openCount -= n
-		p.openCount -= n
-		if h.openCount == 0 {
-			delete(p.hosts, address)
-		}
+		p.releaseLocked(address, n)
 		remaining = remaining || len(h.idle) > 0
 	}
 	return remaining
