--- a/internal/routing/stopping_test.go
+++ b/internal/routing/stopping_test.go
@@ -100,69 +100,89 @@
 	}
 }
 
-// For stops of 2 to 60 s and work of 1 ms to 20 s that varies by a half, at any moment: what
-// is sent in the second half of a stop ends before the stop does, and a request that could have
-// been answered is refused only if less than twice the longest work was left.
+// stopTally judges the requests of drawn stops. Of those that are sent in the second half of a
+// stop, none may be broken off by it, and one that could have been answered may be refused only
+// if less than twice the longest work was left.
+type stopTally struct{ servable, refused, broken, unanswered int }
+
+// drawWork returns a function that draws work around a mean between 1 ms and 20 s, which varies
+// by a half.
+func drawWork(rng *rand.Rand) (mean float64, work func() time.Duration) {
+	mean = math.Exp(rng.Float64()*math.Log(20_000)) * float64(time.Millisecond)
+	return mean, func() time.Duration { return time.Duration(mean * (0.5 + rng.Float64())) }
+}
+
+// drawStop returns the length of a stop.
+func drawStop(rng *rand.Rand) time.Duration {
+	return 2*time.Second + time.Duration(rng.Int64N(int64(58*time.Second)))
+}
+
+// add judges a request that could be sent whole at a time of a stop of the given length, and
+// would then end at another one.
+func (c *stopTally) add(t *testing.T, at, ends, lasts time.Duration, mean float64, sent bool) {
+	t.Helper()
+	switch {
+	case ends <= lasts:
+		c.servable++
+		if !sent {
+			c.refused++
+			if left := lasts - at; float64(left) > 2*1.5*mean {
+				t.Errorf("refused with %v left, usual work is %v", left, time.Duration(mean))
+			}
+		}
+	case at > lasts/2:
+		c.unanswered++
+		if sent {
+			c.broken++
+		}
+	}
+}
+
+func (c *stopTally) check(t *testing.T) {
+	t.Helper()
+	t.Logf("%d of %d requests that could have been answered were refused; %d of %d of the second half that could not were sent whole", c.refused, c.servable, c.broken, c.unanswered)
+	if c.broken > 0 {
+		t.Errorf("%d requests were sent whole in the second half of a stop and broken off by it", c.broken)
+	}
+}
+
+// Stops of 2 to 60 s, and requests without a body at any moment of them.
 func TestNothingIsSentThatAStopBreaksOff(t *testing.T) {
 	rng := rand.New(rand.NewPCG(52, 1))
-	servable, refused, broken, unanswered := 0, 0, 0, 0
+	var tally stopTally
 	for range 3000 {
-		mean := math.Exp(rng.Float64()*math.Log(20_000)) * float64(time.Millisecond)
-		work := func() time.Duration { return time.Duration(mean * (0.5 + rng.Float64())) }
+		mean, work := drawWork(rng)
 		r := newStoppableRouter()
 		stopped := teach(r, work)
-		lasts := 2*time.Second + time.Duration(rng.Int64N(int64(58*time.Second)))
+		lasts := drawStop(rng)
 		r.Step(stopped, Stopping{EndsAt: stopped.Add(lasts)})
 		for id := range uint64(20) {
 			at := time.Duration(rng.Int64N(int64(lasts)))
 			ends := at + work()
-			out := r.Step(stopped.Add(at), write(id))
-			switch {
-			case ends <= lasts:
-				servable++
-				if !sent(out) {
-					refused++
-					if left := lasts - at; float64(left) > 2*1.5*mean {
-						t.Errorf("refused with %v left, usual work is %v", left, time.Duration(mean))
-					}
-				}
-			case at > lasts/2:
-				unanswered++
-				if sent(out) {
-					broken++
-				}
-			}
+			tally.add(t, at, ends, lasts, mean, sent(r.Step(stopped.Add(at), write(id))))
 		}
 	}
-	t.Logf("%d of %d requests that could have been answered were refused; %d of %d of the second half that could not were sent", refused, servable, broken, unanswered)
-	if broken > 0 {
-		t.Errorf("%d requests were sent in the second half of a stop and broken off by it", broken)
-	}
+	tally.check(t)
 }
 
-// For stops of 2 to 60 s, bodies that end at any moment of them and work of 1 ms to 20 s: of the
-// requests whose bodies are sent to their ends in the second half of a stop, none is broken off
-// by it, and one that could have been answered is refused only if less than twice the longest
-// work was left.
+// The same stops, and bodies that end at any moment of them.
 func TestNoBodyEndsThatAStopBreaksOff(t *testing.T) {
 	rng := rand.New(rand.NewPCG(61, 1))
-	servable, refused, broken, unanswered := 0, 0, 0, 0
+	var tally stopTally
 	for range 3000 {
-		mean := math.Exp(rng.Float64()*math.Log(20_000)) * float64(time.Millisecond)
-		work := func() time.Duration { return time.Duration(mean * (0.5 + rng.Float64())) }
-		lasts := 2*time.Second + time.Duration(rng.Int64N(int64(58*time.Second)))
+		mean, work := drawWork(rng)
+		lasts := drawStop(rng)
 		upload := func() time.Duration { return time.Duration(rng.Int64N(int64(lasts))) }
 		r := newStoppableRouter()
-		now := start
+		stopped := start
 		for id := range uint64(60) {
-			r.Step(now, write(1000+id))
-			now = now.Add(upload())
-			r.Step(now, BodySent{ID: 1000 + id})
+			r.Step(stopped, write(1000+id))
+			stopped = stopped.Add(upload())
+			r.Step(stopped, BodySent{ID: 1000 + id})
 			took := work()
-			now = now.Add(took)
-			r.Step(now, answered(1000+id, took))
+			stopped = stopped.Add(took)
+			r.Step(stopped, answered(1000+id, took))
 		}
-		stopped := now
 		r.Step(stopped, write(0)) // its body has begun before the stop
 		r.Step(stopped, Stopping{EndsAt: stopped.Add(lasts)})
 		for id := range uint64(20) {
@@ -179,25 +199,8 @@
 				is.Equal(refusal.Outcome, outcome.NotRun)
 				is.Equal(refusal.Reason, outcome.InstanceLeaving)
 			}
-			switch {
-			case ends <= lasts:
-				servable++
-				if !mayEnd {
-					refused++
-					if left := lasts - bodyEnds; float64(left) > 2*1.5*mean {
-						t.Errorf("refused with %v left, usual work is %v", left, time.Duration(mean))
-					}
-				}
-			case bodyEnds > lasts/2:
-				unanswered++
-				if mayEnd {
-					broken++
-				}
-			}
+			tally.add(t, bodyEnds, ends, lasts, mean, mayEnd)
 		}
 	}
-	t.Logf("%d of %d requests that could have been answered were refused; %d of %d of the second half that could not were sent whole", refused, servable, broken, unanswered)
-	if broken > 0 {
-		t.Errorf("%d requests were sent whole in the second half of a stop and broken off by it", broken)
-	}
+	tally.check(t)
 }
