Do not take a reset beside an upload for the end of a response

Callers saw a part of a response as the whole: 200, complete, 4 bytes of an unknown number. The backend server had answered a long upload at once with a 200 without a length, and reset its connection while the upload was written.

Cause: the kernel reports the failure of a connection once, to the call that comes first. Here that is the write of the upload. The read that follows returns the end of the stream without an error, which ends a response without a length. Ruled out: the proxies between (the same with the backend server beside the entry proxy), and the content of the response (the same with no body, 100 KB, Connection: close, and a close with unread input in place of a reset).

Change: a connection records that a write has failed with another error than EPIPE, which is that of a peer that had ended its direction in order. A response that ends with its connection is complete only if no write has. If the socket shows that the connection has ended in both directions, a write in progress is awaited first: it ends at once. A peer that has ended its direction alone may go on reading, and its response does not wait for the upload.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -50,6 +51,10 @@
 	// readLimit is the number of bytes that may still be read, or
 	// unlimitedBytes.
 	readLimit int64
+	// writing is held during a write. writeFailed is set when a write has failed for
+	// another reason than that the peer had closed the connection in order.
+	writing     sync.Mutex
+	writeFailed atomic.Bool
 }
 
 func newConnection(c net.Conn, address string) *connection {
@@ -108,11 +113,28 @@
 
 // Write implements io.Writer.
 func (c *connection) Write(b []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
 	n, err := c.Conn.Write(b)
 	c.bytesWritten += int64(n)
+	if err != nil && !errors.Is(err, syscall.EPIPE) {
+		c.writeFailed.Store(true)
+	}
 	return n, err
 }
 
+// endedInOrder reports whether the end of the stream that was read means that the peer has
+// ended its direction of the connection. The kernel reports a failure of a connection, such
+// as a reset, only once. If it reports it to a write, the next read returns the end of the
+// stream. After the peer has ended its direction a write fails with EPIPE instead.
+func (c *connection) endedInOrder() bool {
+	if socketEvents(c.raw, 0)&(unix.POLLHUP|unix.POLLERR) != 0 { // a write in progress ends at once
+		c.writing.Lock()
+		defer c.writing.Unlock()
+	}
+	return !c.writeFailed.Load()
+}
+
 // Read implements io.Reader.
 func (c *connection) Read(b []byte) (int, error) {
 	if c.readLimit == unlimitedBytes {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -230,11 +231,30 @@
 	if !x.selfDelimited && x.dialect.SignatureHeader == "" {
 		return errors.Wrap(ErrMalformedResponse, "response with neither Content-Length nor chunked encoding")
 	}
+	if !x.selfDelimited {
+		resp.Body = &closeDelimitedBody{ReadCloser: resp.Body, conn: x.conn}
+	}
 	x.Response = resp
 	x.conn.applyKeepAlive(resp.Header)
 	return nil
 }
 
+// closeDelimitedBody is the body of a response that ends with its connection. It is
+// complete only if the connection was closed in order.
+type closeDelimitedBody struct {
+	io.ReadCloser
+	conn *connection
+}
+
+// Read implements io.Reader.
+func (b *closeDelimitedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF && !b.conn.endedInOrder() {
+		err = errors.Wrap(ErrConnectionLost, "reset before the end of a response without length")
+	}
+	return n, err
+}
+
 // Sent reports whether the whole request has been sent.
 func (x *Exchange) Sent() bool {
 	if x.upload == nil {
--- a/internal/forward/hangup.go
+++ b/internal/forward/hangup.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -10,17 +11,26 @@
 // hungUp reports whether the other side of a connection has closed it, or its direction,
 // whatever of its input is unread. It returns false if that cannot be told.
 func hungUp(c net.Conn) bool {
-	raw := rawConn(c)
+	return socketEvents(rawConn(c), unix.POLLRDHUP)&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
+
+// socketEvents returns those of the events that have occurred at a socket, besides POLLHUP
+// and POLLERR, which are always included: the connection has ended in both directions, or
+// failed. It returns 0 if that cannot be told, also if raw is nil.
+func socketEvents(raw syscall.RawConn, events int16) (occurred int16) {
 	if raw == nil {
-		return false
+		return 0
 	}
-	ended := false
 	err := raw.Control(func(fd uintptr) {
-		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(fds, 0)
-		ended = err == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+		fds := []unix.PollFd{{Fd: int32(fd), Events: events}}
+		if n, err := unix.Poll(fds, 0); err == nil && n > 0 {
+			occurred = fds[0].Revents
+		}
 	})
-	return err == nil && ended
+	if err != nil {
+		return 0
+	}
+	return occurred
 }
 
 // awaitWatching waits until one of two channels is closed, of which the second one may be nil.
--- a/internal/forward/rig_test.go
+++ b/internal/forward/rig_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -62,6 +64,8 @@
 	// recentVersion is named to other proxies, and heard holds what they named.
 	recentVersion uint64
 	heard         []uint64
+	// logged holds the fields of the notable decisions.
+	logged []map[string]string
 }
 
 func newFakeCore(targets ...string) *fakeCore {
@@ -168,6 +172,31 @@
 	}
 }
 
+// LogDecision implements DecisionLogger.
+func (f *fakeCore) LogDecision(notable bool, event string, fields func() []any) {
+	if !notable {
+		return
+	}
+	line := map[string]string{"event": event}
+	for pair := range slices.Chunk(fields(), 2) {
+		line[fmt.Sprint(pair[0])] = fmt.Sprint(pair[1])
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.logged = append(f.logged, line)
+}
+
+// loggedDetail returns what the log names as the cause of a failed request, empty if it
+// names none. The lock must be held.
+func (f *fakeCore) loggedDetail(request string) string {
+	for _, line := range f.logged {
+		if line["request"] == request && line["detail"] != "" {
+			return line["detail"]
+		}
+	}
+	return ""
+}
+
 // BackendLoad implements LoadReporter.
 func (f *fakeCore) BackendLoad() float64 { return 0.25 }
 
