Read responses strictly before net/http interprets them

Callers saw: a 200 that stood in the body of an answer with status 000; a 200 with 5 bytes where 9 were announced, as a blank ended the name Content-Length; a 200 with a line whose name holds a blank dropped, or added to the value of the line before; chunks with their sizes as a body (transfer coding in HTTP/1.0).

Cause: responses are read by net/http's reader, and what it lets through was taken for well formed. It skips a status below 200 as informational, keeps a field whose name holds a blank under that name, joins lines that begin with a blank, takes a bare LF for the end of a line, ignores a transfer coding in HTTP/1.0, and reads trailers in the same way.

Change: package response decides what is a response, in one place, for requests at the backend server, at other proxies, responses to other requests that are skipped, offered bodies, informational responses and trailers: the status line with 100 to 599, names and values of fields, the ends of lines, and fields that contradict each other on the framing. Each line is checked as it arrives, so that a sender that falls silent after a malformed one is not waited for. A head beyond the 8 KB buffer gets a larger one for the exchange.

A malformed response is refused with 502 and malformed-answer, as docs/API.md says; what net/http had refused itself was named connection-lost to callers. To admission both remain a lost connection, with the check for a crash: the bytes may be the last ones of a process.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -13,6 +13,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"heatherlift.example/heatherlift/internal/response"
 )
 
 const (
@@ -91,13 +93,29 @@
 // endExchange returns the buffers to their pools. They must not be used after
 // that.
 func (c *connection) endExchange() {
-	c.reader.Reset(nil)
-	readerPool.Put(c.reader)
+	if c.reader.Size() == connBufferBytes {
+		c.reader.Reset(nil)
+		readerPool.Put(c.reader)
+	}
 	c.writer.Reset(nil)
 	writerPool.Put(c.writer)
 	c.reader, c.writer = nil, nil
 }
 
+// readResponse reads the head of a response to the request. A head that exceeds the buffer
+// gets a larger one for the rest of the exchange.
+func (c *connection) readResponse(req *http.Request) (*http.Response, error) {
+	resp, err := response.Read(c.reader, req)
+	if errors.Is(err, response.ErrHeadTooLong) && c.reader.Size() == connBufferBytes {
+		c.reader = response.Enlarge(c.reader, c, connBufferBytes+maxResponseHeaderBytes)
+		resp, err = response.Read(c.reader, req)
+	}
+	if errors.Is(err, response.ErrHeadTooLong) {
+		err = errors.Wrap(ErrMalformedResponse, "response header too large")
+	}
+	return resp, err
+}
+
 // applyKeepAlive limits maxIdle to the idle timeout that the receiver announces
 // in a Keep-Alive header, in whole seconds, less keepAliveMargin.
 func (c *connection) applyKeepAlive(h http.Header) {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"heatherlift.example/heatherlift/internal/intake"
+	"heatherlift.example/heatherlift/internal/response"
 )
 
 // maxInformationalResponses limits the 1xx responses before the final one.
@@ -206,12 +207,9 @@
 		x.conn.readLimit = unlimitedBytes
 	}()
 	for range maxInformationalResponses {
-		resp, err := http.ReadResponse(x.conn.reader, req)
-		if errors.Is(err, ErrMalformedResponse) {
-			return nil, err
-		}
+		resp, err := x.conn.readResponse(req)
 		if err != nil {
-			return nil, errors.Wrapf(ErrConnectionLost, "%v", err)
+			return nil, readError(err)
 		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errors.Wrap(ErrMalformedResponse, "unexpected status 101 Switching Protocols")
@@ -223,6 +221,18 @@
 	return nil, errors.Wrap(ErrMalformedResponse, "too many informational (1xx) responses")
 }
 
+// readError returns the error of this package for one of reading a response. Bytes that are
+// no response are an ErrConnectionLost, too: no response was received.
+func readError(err error) error {
+	switch {
+	case errors.Is(err, ErrMalformedResponse), errors.Is(err, ErrConnectionLost):
+		return err
+	case errors.Is(err, response.ErrMalformed):
+		return errors.Mark(errors.Wrapf(ErrMalformedResponse, "%v", err), ErrConnectionLost)
+	}
+	return errors.Wrapf(ErrConnectionLost, "%v", err)
+}
+
 // acceptResponse accepts a response whose end can be told from a lost
 // connection. A close-delimited response is accepted only in a dialect with
 // signatures, where verifyResponse reads it to its end.
--- a/internal/forward/local.go
+++ b/internal/forward/local.go
@@ -250,8 +250,14 @@
 	if err != nil {
 		refusal := c.refusalFor(err)
 		c.detail = err.Error()
-		refusal.Reason = c.crashReason(c.ctx, refusal.Reason)
-		c.core.Admit(admission.Ended{ID: c.arrived.ID, Outcome: refusal.Outcome, Reason: refusal.Reason, Inconclusive: c.inconclusive(err)})
+		lost := refusal.Reason
+		if lost == outcome.MalformedAnswer && errors.Is(err, ErrConnectionLost) {
+			lost = outcome.ConnectionLost // bytes that are no response may be the last ones of a process
+		}
+		if lost = c.crashReason(c.ctx, lost); lost == outcome.BackendServerCrashed {
+			refusal.Reason = lost
+		}
+		c.core.Admit(admission.Ended{ID: c.arrived.ID, Outcome: refusal.Outcome, Reason: lost, Inconclusive: c.inconclusive(err)})
 		return c.refuse(refusal)
 	}
 	reason, refused := c.notRunReason(x.Response)
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"heatherlift.example/heatherlift/internal/response"
 )
 
 // maxHTTP10BufferBytes is the size up to which a response of unknown length is
@@ -121,7 +123,7 @@
 	delete(rr.w.Header(), "Trailer")
 	buffered, err := io.ReadAll(io.LimitReader(resp.Body, maxHTTP10BufferBytes))
 	if err != nil {
-		return errors.Mark(errors.Wrap(err, "response body"), errResponseBody)
+		return bodyError(err)
 	}
 	rr.closeDelimited = len(buffered) == maxHTTP10BufferBytes
 	rr.bodyEnded = !rr.closeDelimited
@@ -190,11 +192,19 @@
 			return nil
 		}
 		if err != nil {
-			return errors.Mark(errors.Wrap(err, "response body"), errResponseBody)
+			return bodyError(err)
 		}
 	}
 }
 
+// bodyError returns the error of a body that could not be read to its end.
+func bodyError(err error) error {
+	if errors.Is(err, response.ErrMalformed) {
+		err = readError(err)
+	}
+	return errors.Mark(errors.Wrap(err, "response body"), errResponseBody)
+}
+
 func (rr *responseRelay) readPart(body io.Reader, buf []byte) (int, error) {
 	if rr.pace == nil {
 		return body.Read(buf)
--- a/internal/forward/resetresponse_test.go
+++ b/internal/forward/resetresponse_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -27,16 +26,18 @@
 	return uploadHeader(length, "X-Id: "+id+"\r\nHeatherlift-Deadline-Ms: 5000\r\n")
 }
 
-// atEachProxy runs a test with the backend server beside the entry proxy, and beside
-// another one.
+// atEachProxy runs a test with the backend server beside the entry proxy and beside another
+// one, and with another proxy that responds as the backend server does.
 func atEachProxy(t *testing.T, serve func(c net.Conn, r *bufio.Reader), test func(t *testing.T, g *rig)) {
 	t.Helper()
-	for _, local := range []bool{true, false} {
-		t.Run(fmt.Sprintf("local=%v", local), func(t *testing.T) {
+	for place, arrange := range map[string]func(*rig){
+		"beside the entry proxy": func(g *rig) { g.ingress.selfAddress = g.peerAddr },
+		"beside another proxy":   func(*rig) {},
+		"another proxy":          func(g *rig) { g.core.targets = []string{g.backendAddr} },
+	} {
+		t.Run(place, func(t *testing.T) {
 			g := newSignedRig(t, serve)
-			if local {
-				g.ingress.selfAddress = g.peerAddr
-			}
+			arrange(g)
 			test(t, g)
 		})
 	}
@@ -58,6 +59,18 @@
 	return resp, body, err
 }
 
+// acceptUpload reads the head of a request and accepts its body if that is offered.
+func acceptUpload(c net.Conn, r *bufio.Reader) (*http.Request, bool) {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return nil, false
+	}
+	if req.Header.Get("Expect") != "" {
+		_, _ = io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n")
+	}
+	return req, true
+}
+
 // checkFailedOnce checks that the first attempt failed, counts against the backend server,
 // was not repeated, and was logged by the identifier of the request.
 func (g *rig) checkFailedOnce(t *testing.T, id string) {
@@ -92,7 +105,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			var runs atomic.Int32
 			serve := func(c net.Conn, r *bufio.Reader) {
-				if _, err := http.ReadRequest(r); err != nil {
+				if _, ok := acceptUpload(c, r); !ok {
 					return
 				}
 				runs.Add(1)
@@ -103,7 +116,7 @@
 			atEachProxy(t, serve, func(t *testing.T, g *rig) {
 				is := is.New(t)
 				runs.Store(0)
-				g.core.targets = []string{g.peerAddr, g.peerAddr}
+				g.core.targets = append(g.core.targets, g.core.targets...)
 				g.core.repeatable = true
 				resp, body, err := g.upload(t, "r1")
 				if err == nil && (resp.StatusCode != http.StatusBadGateway || resp.Header.Get("X-Signature") != "") {
@@ -137,8 +150,8 @@
 		t.Run(test.name, func(t *testing.T) {
 			received := make(chan int64, 2)
 			serve := func(c net.Conn, r *bufio.Reader) {
-				req, err := http.ReadRequest(r)
-				if err != nil {
+				req, ok := acceptUpload(c, r)
+				if !ok {
 					return
 				}
 				_, _ = io.WriteString(c, signedResponse("r1", test.header+"\r\n"+text))
--- a/internal/forward/verify.go
+++ b/internal/forward/verify.go
@@ -61,7 +61,7 @@
 	n, err := io.Copy(io.Discard, io.LimitReader(x.Response.Body, maxVerifiedBodyBytes))
 	switch {
 	case err != nil:
-		return errors.Wrapf(ErrConnectionLost, "%v", err)
+		return readError(err)
 	case n == maxVerifiedBodyBytes:
 		return errors.Wrap(ErrMalformedResponse, "response to another request too large to skip")
 	}
@@ -146,7 +146,7 @@
 func readUpTo(body io.Reader, n int64) ([]byte, error) {
 	data, err := io.ReadAll(io.LimitReader(body, n))
 	if err != nil {
-		return nil, errors.Wrapf(ErrConnectionLost, "%v", err)
+		return nil, readError(err)
 	}
 	return data, nil
 }
