Bound load reports, and do not take a part of one for the whole

A report that broke off behind its value, before its announced length or last chunk, was taken for the whole.

Cause: a JSON decoder on the body itself. It reads on until a value ends, and does not read to the end of the response when one has.

Change: the report is read to its end, up to 64 KB, and then decoded. Reports that become unusable, or usable again, get a log line with the cause; before, the error was dropped.

--- a/internal/host/health.go
+++ b/internal/host/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"syscall"
 	"time"
@@ -11,13 +12,22 @@
 	"heatherlift.example/heatherlift/internal/admission"
 )
 
-const healthTimeout = time.Second
+const (
+	healthTimeout = time.Second
+	// maxLoadReportBytes bounds a load report, which is a JSON object of two values and what
+	// a backend server adds to them.
+	maxLoadReportBytes = 64 << 10
+)
+
+// errLoadReport reports a load report that cannot be used.
+var errLoadReport = errors.New("unusable load report of the backend server")
 
 // pollHealth polls the health endpoint of the backend server, and its load
 // endpoint if there is one, until the host stops.
 func (h *Host) pollHealth() {
-	client := &http.Client{Timeout: healthTimeout, Transport: &http.Transport{}}
+	client := h.newCheckClient()
 	defer client.CloseIdleConnections()
+	var reports loadReports
 	backend := h.settings.BackendServer
 	base := "http://" + backend.Address
 	for h.sleep(time.Duration(backend.HealthInterval)) {
@@ -25,12 +35,22 @@
 		if backend.LoadPath == "" {
 			continue
 		}
-		if load, ok := h.fetchLoad(client, base+backend.LoadPath); ok {
+		load, err := h.fetchLoad(client, base+backend.LoadPath)
+		if h.ctx.Err() != nil {
+			return
+		}
+		h.logLoadReport(&reports, err)
+		if err == nil {
 			h.step(load)
 		}
 	}
 }
 
+// newCheckClient returns a client for checks of the backend server.
+func (h *Host) newCheckClient() *http.Client {
+	return &http.Client{Timeout: healthTimeout, Transport: &http.Transport{}}
+}
+
 // probeHealth makes one health check.
 func (h *Host) probeHealth(client *http.Client, url string) admission.Health {
 	resp, err := h.get(client, url)
@@ -47,22 +67,46 @@
 	return admission.Healthy
 }
 
-// fetchLoad reads the backend server's load endpoint. It returns false if there
-// is no usable report.
-func (h *Host) fetchLoad(client *http.Client, url string) (admission.Loaded, bool) {
+// fetchLoad reads the backend server's load endpoint. The error is errLoadReport if there is
+// no usable report.
+func (h *Host) fetchLoad(client *http.Client, url string) (admission.Loaded, error) {
 	resp, err := h.get(client, url)
 	if err != nil {
-		return admission.Loaded{}, false
+		return admission.Loaded{}, errors.Wrapf(errLoadReport, "%v", err)
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return admission.Loaded{}, errors.Wrapf(errLoadReport, "status %d", resp.StatusCode)
+	}
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxLoadReportBytes+1))
+	if err != nil {
+		return admission.Loaded{}, errors.Wrapf(errLoadReport, "%v", err)
+	}
+	if len(text) > maxLoadReportBytes {
+		return admission.Loaded{}, errors.Wrapf(errLoadReport, "larger than %d bytes", maxLoadReportBytes)
+	}
 	var report struct {
 		Slots    int  `json:"slots"`
 		Draining bool `json:"draining"`
 	}
-	if resp.StatusCode != http.StatusOK || json.NewDecoder(resp.Body).Decode(&report) != nil {
-		return admission.Loaded{}, false
+	if err := json.Unmarshal(text, &report); err != nil {
+		return admission.Loaded{}, errors.Wrapf(errLoadReport, "%v", err)
+	}
+	return admission.Loaded{Slots: report.Slots, Draining: report.Draining}, nil
+}
+
+// loadReports tells whether the latest load report was unusable.
+type loadReports struct{ unusable bool }
+
+// logLoadReport logs that load reports have become unusable, or usable again.
+func (h *Host) logLoadReport(reports *loadReports, err error) {
+	switch {
+	case err != nil && !reports.unusable:
+		h.log.Warn("load report unusable", "cause", err)
+	case err == nil && reports.unusable:
+		h.log.Info("load report usable")
 	}
-	return admission.Loaded{Slots: report.Slots, Draining: report.Draining}, true
+	reports.unusable = err != nil
 }
 
 // get sends a GET request that is cancelled when the host stops.
