Read the responses to checks and of the store strictly, too

Health checks took a 200 in a malformed head for a healthy backend server, and warm-up checks a remaining time whose name ended in a blank for a warm one, as none was seen. The store's era was not seen under the same circumstances, and listings, versions and instances were read from heads that are none.

These clients use http.Transport, whose reader is the same.

Change: response.Conn, a connection below http.Transport, follows the framing of what arrives and passes on heads and trailers that it has checked as a whole.

--- a/internal/host/checks_test.go
+++ b/internal/host/checks_test.go
@@ -66,6 +66,33 @@
 	return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(loadReport), loadReport)
 }
 
+// Guards against a belief that rests on bytes that are no response: that a backend server is
+// healthy, has free slots, or is warm.
+func TestMalformedResponsesToChecksAreNone(t *testing.T) {
+	for name, text := range map[string]string{
+		"blank in a name":         loadResponse("HTTP/1.1 200 OK\r\nX A: b\r\n"),
+		"blank after a name":      loadResponse("HTTP/1.1 200 OK\r\nLeft-Ms : 1500\r\n"),
+		"continued line":          loadResponse("HTTP/1.1 200 OK\r\nX-A: b\r\n Left-Ms: 1500\r\n"),
+		"LF in place of CR LF":    loadResponse("HTTP/1.1 200 OK\nLeft-Ms: 1500\r\n"),
+		"control byte in reason":  loadResponse("HTTP/1.1 200 O\x01K\r\n"),
+		"another version":         loadResponse("HTTP/2.0 200 OK\r\n"),
+		"status 000":              loadResponse("HTTP/1.1 000 \r\n"),
+		"informational, with one": loadResponse("HTTP/1.1 103 Early Hints\r\n") + loadResponse("HTTP/1.1 200 OK\r\n"),
+		"two framings":            loadResponse("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := checkedHost(t, io.Discard, respondText(text))
+			client := h.newCheckClient()
+			base := "http://" + h.settings.BackendServer.Address
+			is.Equal(h.probeHealth(client, base), admission.NoResponse)
+			_, err := h.fetchLoad(client, base)
+			is.True(err != nil)
+			is.Equal(h.checkWarmUp("/"), admission.WarmUpChecked{})
+		})
+	}
+}
+
 func TestUnusualResponsesToChecksAreRead(t *testing.T) {
 	for name, text := range map[string]string{
 		"length":    loadResponse("HTTP/1.1 200 OK\r\nLeft-Ms:1500\r\n"),
@@ -119,6 +146,12 @@
 		"blanks":          {"HTTP/1.1 200 OK\r\n\r\n", " "},
 		"digits":          {"HTTP/1.1 200 OK\r\n\r\n", "1"},
 		"chunks":          {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "2\r\n  \r\n"},
+		"trailers":        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-A: b\r\n"},
+		"status line":     {"HTTP/1.1 200 ", "OK"},
+		"one field":       {"HTTP/1.1 200 OK\r\nX-A: ", "b"},
+		"header fields":   {"HTTP/1.1 200 OK\r\n", "X-A: b\r\n"},
+		"informational":   {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		"no protocol":     {"", "garbage "},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/host/health.go
+++ b/internal/host/health.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"syscall"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"heatherlift.example/heatherlift/internal/admission"
+	"heatherlift.example/heatherlift/internal/response"
 )
 
 const (
@@ -48,7 +50,12 @@
 
 // newCheckClient returns a client for checks of the backend server.
 func (h *Host) newCheckClient() *http.Client {
-	return &http.Client{Timeout: healthTimeout, Transport: &http.Transport{}}
+	return &http.Client{Timeout: healthTimeout, Transport: newCheckTransport()}
+}
+
+// newCheckTransport returns a transport that accepts only well-formed responses.
+func newCheckTransport() *http.Transport {
+	return response.NewTransport((&net.Dialer{}).DialContext)
 }
 
 // probeHealth makes one health check.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -138,7 +138,7 @@
 		identity:        id,
 		backendPool:     forward.NewPool(forward.DialTCP, s.BackendServer.Connections),
 		runID:           runID(s.ID, now),
-		warmUpTransport: &http.Transport{},
+		warmUpTransport: newCheckTransport(),
 	}
 	if adapter != nil {
 		h.shutdownBounds = adapter.Shutdown
--- a/internal/host/warmup.go
+++ b/internal/host/warmup.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"heatherlift.example/heatherlift/internal/admission"
+	"heatherlift.example/heatherlift/internal/response"
 )
 
 const (
@@ -47,6 +48,8 @@
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return admission.WarmUpChecked{Refused: true}, "connection refused"
+	case errors.Is(err, response.ErrMalformed):
+		return admission.WarmUpChecked{}, "malformed response"
 	case err != nil:
 		return admission.WarmUpChecked{}, "no response"
 	}
--- a/internal/source/client.go
+++ b/internal/source/client.go
@@ -9,6 +9,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -17,6 +18,7 @@
 	"github.com/cockroachdb/errors"
 
 	"heatherlift.example/heatherlift/internal/config"
+	"heatherlift.example/heatherlift/internal/response"
 )
 
 // Errors returned by this package, to be tested with errors.Is.
@@ -51,7 +53,9 @@
 	if observe == nil {
 		observe = func(string, error) {}
 	}
-	return &Client{baseURL: baseURL, httpClient: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}, observe: observe}
+	transport := response.NewTransport((&net.Dialer{}).DialContext)
+	transport.MaxIdleConnsPerHost = 4
+	return &Client{baseURL: baseURL, httpClient: &http.Client{Transport: transport}, observe: observe}
 }
 
 // Close closes idle connections.
