Log what was wrong with a response that is cut

A response that breaks off, or turns out to be malformed in its chunks or trailers, when a part of it has reached the caller was cut as it should be. The log said only that the body did not end properly, at the entry proxy, and nothing at the proxy beside the backend server that had sent it.

Cause: the error was reduced to a flag.

Change: the exchange keeps the error. The entry proxy adds it to its attempt line, and a proxy that serves another one writes a line, response cut, with the request, the instance and the error.

Three tests read the error in place of the flag.

--- a/internal/forward/decisionlog.go
+++ b/internal/forward/decisionlog.go
@@ -94,6 +94,24 @@
 	})
 }
 
+// logTruncation logs a response of the local backend server to another proxy that was aborted
+// because its body did not end properly. The other proxy only learns that it was.
+func (b backendResult) logTruncation() {
+	if b.exchange.truncation == nil {
+		return
+	}
+	c := b.request
+	logDecision(c.core, true, "response cut", func() []any {
+		return []any{
+			"request", c.dialect.RequestID(c.outgoing.in),
+			"instance", c.arrived.Instance,
+			"status", b.exchange.Response.StatusCode,
+			"left_ms", time.Until(c.deadline).Milliseconds(),
+			"detail", b.exchange.truncation.Error(),
+		}
+	})
+}
+
 func (c *backendRequest) currentLoad() float64 {
 	if reporter, ok := c.core.(LoadReporter); ok {
 		return reporter.BackendLoad()
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -39,9 +39,9 @@
 	responding bool
 	// bodyUnsent is set while the receiver decides on a body.
 	bodyUnsent bool
-	// truncated is set when the response was aborted because its body did not end
-	// in time or not properly.
-	truncated bool
+	// truncation is the error of a response that was aborted because its body did not end
+	// in time or not properly, nil if it was not.
+	truncation error
 	// unforwarded is the error of a response of which nothing has reached the caller.
 	unforwarded error
 	// bodyRead is set when the whole body is in memory. held counts what is kept of it,
--- a/internal/forward/fault_test.go
+++ b/internal/forward/fault_test.go
@@ -118,7 +118,7 @@
 						relayResponse(w, r, x, delivery{deadline: deadline.Add(end.write), use: out.use, sameMachine: true})
 					}()
 					time.Sleep(time.Second) // the server sees that the connection is closed
-					is.Equal(x.truncated, test.truncated)
+					is.Equal(x.truncation != nil, test.truncated)
 				})
 			})
 		}
@@ -324,7 +324,7 @@
 		took := time.Since(began)
 		time.Sleep(time.Second) // the server sees that the connection is closed
 		is.True(took < 100*time.Millisecond)
-		is.True(!x.truncated)
+		is.NoErr(x.truncation)
 	})
 }
 
--- a/internal/forward/ingress.go
+++ b/internal/forward/ingress.go
@@ -407,8 +407,8 @@
 		if x.unforwarded != nil {
 			return // reported as a failure
 		}
-		if e.Truncated = x.truncated; e.Truncated {
-			c.logAttempt(d, start, true, "outcome", e.Outcome, "detail", "the response body did not end properly")
+		if e.Truncated = x.truncation != nil; e.Truncated {
+			c.logAttempt(d, start, true, "outcome", e.Outcome, "detail", "the response body did not end properly: "+x.truncation.Error())
 		}
 		c.core.Route(e)
 	}
--- a/internal/forward/local.go
+++ b/internal/forward/local.go
@@ -149,6 +149,7 @@
 		l.dialect.refuse(w, out.upload, result.refusal)
 		return
 	}
+	defer result.logTruncation()
 	result.relay(w, r, delivery{extra: l.loadField(result.costReport()), use: use})
 }
 
--- a/internal/forward/malformedresponse_test.go
+++ b/internal/forward/malformedresponse_test.go
@@ -219,3 +219,38 @@
 		})
 	}
 }
+
+// A response that breaks off, or turns out to be none, when a part of it has reached the
+// caller is cut, and the log of the proxy that read it names what was wrong.
+func TestResponseThatIsBrokenInItsBodyIsCut(t *testing.T) {
+	long := strings.Repeat("x", 2*maxVerifiedBodyBytes)
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", len(long), long)
+	for _, test := range []struct{ name, response, detail string }{
+		{"breaks off before its length", signedResponse("r1", contentLength(len(long)+1)+"\r\n\r\n"+long), "unexpected EOF"},
+		{"breaks off before its last chunk", chunkedResponse(chunk), "unexpected EOF"},
+		{"malformed chunk", chunkedResponse(chunk + "+5\r\nhello\r\n0\r\n\r\n"), "invalid byte in chunk length"},
+		{"blank in the name of a trailer", chunkedResponse(chunk + "0\r\nX Sum: 1\r\n\r\n"), `name of a field: "X Sum: 1"`},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			serve := func(c net.Conn, r *bufio.Reader) { respondOnce(c, r, test.response) }
+			atEachProxy(t, serve, func(t *testing.T, g *rig) {
+				is := is.New(t)
+				resp, body, err := dialRaw(t, g.callersAddr).exchange(t, signedPost("r1"))
+				is.True(err != nil)
+				is.True(resp == nil || resp.StatusCode == http.StatusOK && len(body) > 0)
+				g.core.waitForFreeSlots(t)
+				waitFor(t, "the end of the attempt is reported", func() bool {
+					g.core.mu.Lock()
+					defer g.core.mu.Unlock()
+					return len(g.core.endedAttempts) == 1
+				})
+				g.core.mu.Lock()
+				defer g.core.mu.Unlock()
+				is.True(g.core.endedAttempts[0].Truncated) // counts against the backend server
+				is.True(slices.ContainsFunc(g.core.logged, func(line map[string]string) bool {
+					return line["request"] == "r1" && strings.Contains(line["detail"], test.detail)
+				}))
+			})
+		})
+	}
+}
--- a/internal/forward/pacedrelay.go
+++ b/internal/forward/pacedrelay.go
@@ -43,7 +43,7 @@
 		err = rr.relayShort(controller, d)
 	}
 	if err != nil {
-		rr.x.truncated = rr.backendAtFault(err)
+		rr.recordTruncation(err)
 		rr.giveUp(controller, err)
 	}
 }
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -43,7 +43,7 @@
 		_ = controller.SetWriteDeadline(d.deadline)
 	}
 	if err := rr.write(controller); err != nil {
-		x.truncated = rr.backendAtFault(err)
+		rr.recordTruncation(err)
 		x.Close(false)
 		d.reportRead(false)
 		rr.giveUp(controller, err)
@@ -137,11 +137,19 @@
 	return rr.copyBody(nil, false)
 }
 
+// recordTruncation records why a response could not be forwarded, if its backend server is at
+// fault.
+func (rr *responseRelay) recordTruncation(err error) {
+	if rr.backendAtFault(err) {
+		rr.x.truncation = err
+	}
+}
+
 // giveUp ends a response that could not be forwarded because of err.
 func (rr *responseRelay) giveUp(controller *http.ResponseController, err error) {
 	ctx := rr.r.Context()
 	if w, ok := rr.w.(interface{ Discard() bool }); ok && ctx.Err() == nil && w.Discard() {
-		if !rr.x.truncated {
+		if rr.x.truncation == nil {
 			err = errors.Mark(err, errHeldUp)
 		}
 		rr.x.unforwarded = rr.x.limit.markExpired(ctx, err)
--- a/internal/forward/responselink_test.go
+++ b/internal/forward/responselink_test.go
@@ -247,7 +247,7 @@
 		defer func() { is.Equal(recover(), http.ErrAbortHandler) }()
 		relayResponse(httptest.NewRecorder(), r, x, delivery{deadline: deadline, use: use})
 	}()
-	is.True(!x.truncated)
+	is.NoErr(x.truncation)
 }
 
 // downloadRequest returns a request as another proxy sends it for a declared download, of
