--- a/internal/forward/resetresponse_test.go
+++ b/internal/forward/resetresponse_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -27,7 +28,8 @@
 }
 
 // atEachProxy runs a test with the backend server beside the entry proxy and beside another
-// one, and with another proxy that responds as the backend server does.
+// one, and with another proxy that responds as the backend server does, each with and without
+// a shared link.
 func atEachProxy(t *testing.T, serve func(c net.Conn, r *bufio.Reader), test func(t *testing.T, g *rig)) {
 	t.Helper()
 	for place, arrange := range map[string]func(*rig){
@@ -35,11 +37,13 @@
 		"beside another proxy":   func(*rig) {},
 		"another proxy":          func(g *rig) { g.core.targets = []string{g.backendAddr} },
 	} {
-		t.Run(place, func(t *testing.T) {
-			g := newSignedRig(t, serve)
-			arrange(g)
-			test(t, g)
-		})
+		for _, linkMbps := range []float64{0, 1000} {
+			t.Run(fmt.Sprintf("%s/link=%v", place, linkMbps), func(t *testing.T) {
+				g := newPacedRig(t, linkMbps, fullDialect(), serve)
+				arrange(g)
+				test(t, g)
+			})
+		}
 	}
 }
 
