Do not take a part of the list of instances for the whole

A list that broke off behind its value, before its announced length or last chunk, was taken for the whole: the decoder read the body itself and did not read to the end of the response. TestListThatBreaksOffIsNone failed before in all three forms.

--- a/internal/source/instances.go
+++ b/internal/source/instances.go
@@ -89,8 +89,15 @@
 	case resp.StatusCode != http.StatusOK:
 		return nil, false, errors.Wrapf(ErrUnavailable, "instances: status %d", resp.StatusCode)
 	}
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes+1))
+	if err != nil {
+		return nil, false, errors.Wrapf(ErrUnavailable, "instances: %v", err)
+	}
+	if len(text) > maxListBytes {
+		return nil, false, errors.Wrapf(ErrMalformed, "instances: list exceeds %d bytes", maxListBytes)
+	}
 	var list []Instance
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&list); err != nil {
+	if err := json.Unmarshal(text, &list); err != nil {
 		return nil, false, errors.Wrapf(ErrMalformed, "instances: %v", err)
 	}
 	l.etag = resp.Header.Get("ETag")
--- a/internal/source/malformedresponse_test.go
+++ b/internal/source/malformedresponse_test.go
@@ -68,3 +68,18 @@
 		is.NoErr(err)
 	})
 }
+
+// A list that breaks off behind its value is not whole.
+func TestListThatBreaksOffIsNone(t *testing.T) {
+	for name, text := range map[string]string{
+		"length": "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n[]",
+		"chunks": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n[]\r\n",
+		"more":   "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n[][]",
+	} {
+		t.Run(name, func(t *testing.T) {
+			if _, _, err := source.NewInstanceList(serveText(t, text)).Read(t.Context()); err == nil {
+				t.Error("read a list")
+			}
+		})
+	}
+}
