Bound the documents that commands read from a proxy

status, dump and explain kept all that their address sent, without a bound: up to 10 s of bytes without end. They read up to 64 MB now, and name the limit.

--- a/internal/cli/admin.go
+++ b/internal/cli/admin.go
@@ -21,6 +21,8 @@
 const (
 	adminTimeout       = 10 * time.Second
 	statusPollInterval = 100 * time.Millisecond
+	// maxAdminBytes bounds a document of the admin interface.
+	maxAdminBytes = 64 << 20
 )
 
 // fetchAdmin returns a JSON document from the admin interface of a proxy.
@@ -40,7 +42,14 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.Newf("admin interface: %s: status %d", target.String(), resp.StatusCode)
 	}
-	return io.ReadAll(resp.Body)
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAdminBytes+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "admin interface")
+	}
+	if len(data) > maxAdminBytes {
+		return nil, errors.Newf("admin interface: %s: document exceeds %d bytes", target.String(), maxAdminBytes)
+	}
+	return data, nil
 }
 
 // statusCommand prints the configuration version in force at each instance, or
