--- a/internal/response/conn.go
+++ b/internal/response/conn.go
@@ -107,10 +107,10 @@
 	if _, err := c.r.Peek(1); err != nil {
 		return err
 	}
-	size, h, err := parseHead(c.r)
+	size, h, err := scanHead(c.r)
 	if errors.Is(err, ErrHeadTooLong) && c.r.Size() == connBufferBytes {
 		c.r = Enlarge(c.r, c.Conn, MaxHeadBytes)
-		size, h, err = parseHead(c.r)
+		size, h, err = scanHead(c.r)
 	}
 	if err != nil {
 		return err
--- a/internal/response/head.go
+++ b/internal/response/head.go
@@ -28,14 +28,8 @@
 }
 
 // scanHead checks the lines of a head as they arrive. It leaves the head in the buffer of r
-// and returns its size.
-func scanHead(r *bufio.Reader) (int, error) {
-	size, _, err := parseHead(r)
-	return size, err
-}
-
-// parseHead is scanHead that also returns what the head says.
-func parseHead(r *bufio.Reader) (size int, h head, err error) {
+// and returns its size and what it says.
+func scanHead(r *bufio.Reader) (size int, h head, err error) {
 	if start, err := r.Peek(len(statusPrefix)); err == nil && string(start) != statusPrefix {
 		start, _ = r.Peek(min(r.Buffered(), maxQuotedBytes))
 		return 0, h, malformed("status line", start) // whether or not its end ever arrives
--- a/internal/response/response.go
+++ b/internal/response/response.go
@@ -29,7 +29,7 @@
 // the response are checked when its body has been read; an error of the body that is not
 // ErrMalformed is that of r or of the chunked encoding.
 func Read(r *bufio.Reader, req *http.Request) (*http.Response, error) {
-	if _, err := scanHead(r); err != nil {
+	if _, _, err := scanHead(r); err != nil {
 		return nil, err
 	}
 	resp, err := http.ReadResponse(r, req)
