--- a/internal/forward/local.go
+++ b/internal/forward/local.go
@@ -251,14 +251,11 @@
 	if err != nil {
 		refusal := c.refusalFor(err)
 		c.detail = err.Error()
-		lost := refusal.Reason
-		if lost == outcome.MalformedAnswer && errors.Is(err, ErrConnectionLost) {
-			lost = outcome.ConnectionLost // bytes that are no response may be the last ones of a process
+		reason := c.lossReason(err, refusal.Reason)
+		if reason == outcome.BackendServerCrashed {
+			refusal.Reason = reason
 		}
-		if lost = c.crashReason(c.ctx, lost); lost == outcome.BackendServerCrashed {
-			refusal.Reason = lost
-		}
-		c.core.Admit(admission.Ended{ID: c.arrived.ID, Outcome: refusal.Outcome, Reason: lost, Inconclusive: c.inconclusive(err)})
+		c.core.Admit(admission.Ended{ID: c.arrived.ID, Outcome: refusal.Outcome, Reason: reason, Inconclusive: c.inconclusive(err)})
 		return c.refuse(refusal)
 	}
 	reason, refused := c.notRunReason(x.Response)
@@ -284,6 +281,16 @@
 	return refusalForError(err)
 }
 
+// lossReason returns the reason by which admission counts a failed exchange that is refused
+// for the given reason. Bytes that are no response count as a lost connection: they may be the
+// last ones of a process.
+func (c *backendRequest) lossReason(err error, refused outcome.Reason) outcome.Reason {
+	if refused == outcome.MalformedAnswer && errors.Is(err, ErrConnectionLost) {
+		refused = outcome.ConnectionLost
+	}
+	return c.crashReason(c.ctx, refused)
+}
+
 // inconclusive reports whether the failure of an exchange says nothing about the process
 // of the backend server, since the sender left or this proxy could not send.
 func (c *backendRequest) inconclusive(err error) bool {
--- a/internal/host/checks_test.go
+++ b/internal/host/checks_test.go
@@ -1,12 +1,10 @@
 package host
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"runtime"
 	"strings"
 	"testing"
@@ -18,34 +16,16 @@
 	"heatherlift.example/heatherlift/internal/admission"
 	"heatherlift.example/heatherlift/internal/forward"
 	"heatherlift.example/heatherlift/internal/settings"
+	"heatherlift.example/heatherlift/internal/standin/rawserver"
 )
 
 // checkedHost returns a host whose backend server answers each request by a function, which
 // then closes the connection.
 func checkedHost(t *testing.T, out io.Writer, respond func(c net.Conn)) *Host {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					respond(c)
-				}
-			}()
-		}
-	}()
 	s := settings.Default()
 	s.Peers.Plaintext = true
-	s.BackendServer.Address = l.Addr().String()
+	s.BackendServer.Address = rawserver.Start(t, respond)
 	h, err := New(s, log.New(out), nil, nil)
 	if err != nil {
 		t.Fatal(err)
@@ -56,10 +36,6 @@
 	return h
 }
 
-func respondText(text string) func(net.Conn) {
-	return func(c net.Conn) { _, _ = io.WriteString(c, text) }
-}
-
 const loadReport = `{"slots":5,"draining":true}`
 
 func loadResponse(head string) string {
@@ -82,7 +58,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			h := checkedHost(t, io.Discard, respondText(text))
+			h := checkedHost(t, io.Discard, rawserver.Text(text))
 			client := h.newCheckClient()
 			base := "http://" + h.settings.BackendServer.Address
 			is.Equal(h.probeHealth(client, base), admission.NoResponse)
@@ -104,7 +80,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			h := checkedHost(t, io.Discard, respondText(text))
+			h := checkedHost(t, io.Discard, rawserver.Text(text))
 			client := h.newCheckClient()
 			base := "http://" + h.settings.BackendServer.Address
 			is.Equal(h.probeHealth(client, base), admission.Healthy)
@@ -124,7 +100,7 @@
 		"more":   "HTTP/1.1 200 OK\r\n\r\n" + loadReport + loadReport,
 	} {
 		t.Run(name, func(t *testing.T) {
-			h := checkedHost(t, io.Discard, respondText(text))
+			h := checkedHost(t, io.Discard, rawserver.Text(text))
 			if load, err := h.fetchLoad(h.newCheckClient(), "http://"+h.settings.BackendServer.Address); err == nil {
 				t.Errorf("read %+v", load)
 			}
@@ -187,7 +163,7 @@
 func TestLoadReportsAreLoggedWhenTheyChange(t *testing.T) {
 	is := is.New(t)
 	var out strings.Builder
-	h := checkedHost(t, &out, respondText(""))
+	h := checkedHost(t, &out, rawserver.Text(""))
 	var reports loadReports
 	for range 3 {
 		h.logLoadReport(&reports, io.ErrUnexpectedEOF)
--- a/internal/source/malformedresponse_test.go
+++ b/internal/source/malformedresponse_test.go
@@ -1,40 +1,20 @@
 package source_test
 
 import (
-	"bufio"
-	"io"
-	"net"
-	"net/http"
 	"testing"
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"heatherlift.example/heatherlift/internal/source"
+	"heatherlift.example/heatherlift/internal/standin/rawserver"
 )
 
 // serveText returns a client of a service that answers each request with a text and closes
 // the connection.
 func serveText(t *testing.T, text string) *source.Client {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-				_, _ = io.WriteString(c, text)
-			}
-			_ = c.Close()
-		}
-	}()
-	client := source.NewClient("http://"+l.Addr().String(), nil)
+	client := source.NewClient("http://"+rawserver.Start(t, rawserver.Text(text)), nil)
 	t.Cleanup(client.Close)
 	return client
 }
