--- a/internal/forward/brokenresponse_test.go
+++ b/internal/forward/brokenresponse_test.go
@@ -80,7 +80,8 @@
 					g.core.targets = append(g.core.targets, g.core.targets...)
 					g.core.repeatable = true
 					resp, body, err := g.upload(t, "r1")
-					if err == nil && (resp.StatusCode != http.StatusBadGateway || resp.Header.Get("X-Signature") != "") {
+					is.NoErr(err) // refused, not cut: none of it has reached the caller
+					if resp.StatusCode != http.StatusBadGateway || resp.Header.Get("X-Signature") != "" {
 						t.Fatalf("status %d, body %q", resp.StatusCode, body)
 					}
 					is.Equal(runs.Load(), int32(1))
@@ -113,7 +114,8 @@
 			})
 			g.core.targets = []string{g.backendAddr}
 			resp, _, err := g.upload(t, "r1")
-			is.True(err != nil || resp.StatusCode == http.StatusBadGateway)
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, http.StatusBadGateway)
 			is.Equal(<-bodyBytes, int64(0))
 			g.checkFailedOnce(t, "r1")
 		})
--- a/internal/forward/resetresponse_test.go
+++ b/internal/forward/resetresponse_test.go
@@ -123,7 +123,8 @@
 				g.core.targets = append(g.core.targets, g.core.targets...)
 				g.core.repeatable = true
 				resp, body, err := g.upload(t, "r1")
-				if err == nil && (resp.StatusCode != http.StatusBadGateway || resp.Header.Get("X-Signature") != "") {
+				is.NoErr(err) // refused, not cut: none of it has reached the caller
+				if resp.StatusCode != http.StatusBadGateway || resp.Header.Get("X-Signature") != "" {
 					t.Fatalf("status %d with %d bytes", resp.StatusCode, len(body))
 				}
 				is.Equal(runs.Load(), int32(1))
