--- a/internal/forward/brokenresponse_test.go
+++ b/internal/forward/brokenresponse_test.go
@@ -75,17 +75,9 @@
 					}
 				}
 				atEachProxy(t, serve, func(t *testing.T, g *rig) {
-					is := is.New(t)
 					runs.Store(0)
-					g.core.targets = append(g.core.targets, g.core.targets...)
-					g.core.repeatable = true
-					resp, body, err := g.upload(t, "r1")
-					is.NoErr(err) // refused, not cut: none of it has reached the caller
-					if resp.StatusCode != http.StatusBadGateway || resp.Header.Get("X-Signature") != "" {
-						t.Fatalf("status %d, body %q", resp.StatusCode, body)
-					}
-					is.Equal(runs.Load(), int32(1))
-					g.checkFailedOnce(t, "r1")
+					g.checkUploadRefused(t)
+					is.New(t).Equal(runs.Load(), int32(1))
 				})
 			})
 		}
--- a/internal/forward/resetresponse_test.go
+++ b/internal/forward/resetresponse_test.go
@@ -88,6 +88,21 @@
 	is.True(g.core.loggedDetail(id) != "") // names what was wrong
 }
 
+// checkUploadRefused checks that an upload to a backend server that sends a broken response is
+// refused once, though it may be repeated and there is another target.
+func (g *rig) checkUploadRefused(t *testing.T) {
+	t.Helper()
+	is := is.New(t)
+	g.core.targets = append(g.core.targets, g.core.targets...)
+	g.core.repeatable = true
+	resp, body, err := g.upload(t, "r1")
+	is.NoErr(err) // refused, not cut: none of it has reached the caller
+	if resp.StatusCode != http.StatusBadGateway || resp.Header.Get("X-Signature") != "" {
+		t.Fatalf("status %d, %d bytes: %.40q", resp.StatusCode, len(body), body)
+	}
+	g.checkFailedOnce(t, "r1")
+}
+
 // Guards against taking a part of a response for the whole: the kernel reports a reset once,
 // to the upload, and the response of no length then ends without an error.
 func TestResetBesideUploadDoesNotCompleteResponse(t *testing.T) {
@@ -118,17 +133,9 @@
 				test.end(c)
 			}
 			atEachProxy(t, serve, func(t *testing.T, g *rig) {
-				is := is.New(t)
 				runs.Store(0)
-				g.core.targets = append(g.core.targets, g.core.targets...)
-				g.core.repeatable = true
-				resp, body, err := g.upload(t, "r1")
-				is.NoErr(err) // refused, not cut: none of it has reached the caller
-				if resp.StatusCode != http.StatusBadGateway || resp.Header.Get("X-Signature") != "" {
-					t.Fatalf("status %d with %d bytes", resp.StatusCode, len(body))
-				}
-				is.Equal(runs.Load(), int32(1))
-				g.checkFailedOnce(t, "r1")
+				g.checkUploadRefused(t)
+				is.New(t).Equal(runs.Load(), int32(1))
 			})
 		})
 	}
